--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# The one entrance: `make setup build` prepares a fresh machine, `make test`
+# passes the tests, `make demo` runs the main job.
+
+LINT_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+PACKAGES := ./...
+
+.PHONY: setup build test vet lint format generate check demo bench clean
+
+setup: $(TOOLS)/golangci-lint
+	go mod download
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race $(PACKAGES)
+
+vet:
+	go vet $(PACKAGES)
+
+lint: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint fmt --diff
+	$(TOOLS)/golangci-lint run
+
+format: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint fmt
+
+# Needs protoc and the two generators on PATH; what it makes is committed.
+generate:
+	protoc --proto_path=internal/relaypb --go_out=internal/relaypb --go_opt=paths=source_relative \
+		--connect-go_out=internal/relaypb --connect-go_opt=paths=source_relative,simple=false relay.proto
+
+check: build vet lint test
+
+demo: build
+	scripts/demo.sh
+
+bench: build
+	scripts/bench.sh
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/pkg/result/result.go
@@ -0,0 +1,176 @@
+// Package result lists the numbered result codes that callers receive.
+//
+// A code belongs to one of three families, and its first digit names it:
+//
+//	1xx  complete: the answer is whole and the request's own
+//	2xx  not run: the request ran nowhere, repeating it is safe
+//	3xx  unknown or failed: the request ran, or may have run
+package result
+
+import "strconv"
+
+// Family groups codes by what a caller may conclude about execution.
+type Family uint8
+
+// Code is a numbered result.
+type Code uint16
+
+// Info describes one code in words.
+type Info struct {
+	Code    Code
+	Name    string
+	Meaning string
+	Advice  string
+	// Status is the HTTP status a node sends with the code when the target
+	// gave none of its own.
+	Status int
+}
+
+// The families of codes.
+const (
+	Complete Family = 1
+	NotRun   Family = 2
+	Unknown  Family = 3
+)
+
+// The codes. Numbers are never given to another meaning.
+const (
+	OK       Code = 100
+	Replayed Code = 101
+
+	Overloaded       Code = 200
+	DoorClosed       Code = 201
+	QueueExpired     Code = 202
+	Evicted          Code = 203
+	NoTarget         Code = 204
+	DeadlinePassed   Code = 205
+	UnknownKind      Code = 206
+	NoConfiguration  Code = 207
+	Leaving          Code = 208
+	OtherIncarnation Code = 209
+	Unreachable      Code = 210
+	TargetShed       Code = 211
+	KeyInvalid       Code = 212
+	KeyTooOld        Code = 213
+	KeyFromFuture    Code = 214
+	NoOwner          Code = 215
+	BodyTooLarge     Code = 216
+	MemoryBound      Code = 217
+	Cancelled        Code = 218
+	Tombstoned       Code = 219
+	BadRequest       Code = 220
+	BudgetSpent      Code = 221
+
+	Lost            Code = 300
+	TimedOut        Code = 301
+	TargetFailed    Code = 302
+	AnswerTruncated Code = 303
+	AnswerTooLarge  Code = 304
+	OwnerGone       Code = 305
+	KeyReused       Code = 306
+	RunningStill    Code = 307
+	Forgotten       Code = 308
+	PartlyRun       Code = 309
+	CancelledLate   Code = 310
+)
+
+var table = []Info{
+	{OK, "ok", "The target's whole answer to this request.", "Use the answer.", 200},
+	{Replayed, "replayed", "The recorded answer of an earlier run with the same idempotency key.", "Use the answer; nothing ran again.", 200},
+
+	{Overloaded, "overloaded", "The node beside the target refused the call for load.", "Try again after the time in Retry-After.", 503},
+	{DoorClosed, "door_closed", "The entry node refused the request because a service in its chain is overloaded.", "Try again after the time in Retry-After.", 503},
+	{QueueExpired, "queue_expired", "The call waited for a slot until its wait bound or deadline passed.", "Try again later or with a longer deadline.", 503},
+	{Evicted, "evicted", "A queued call gave its place to a more important one.", "Try again after the time in Retry-After.", 503},
+	{NoTarget, "no_target", "No target of the service takes work.", "Try again; look at the service's targets if it lasts.", 503},
+	{DeadlinePassed, "deadline_passed", "The deadline passed before anything was sent to a target.", "Send a longer deadline or try again.", 504},
+	{UnknownKind, "unknown_kind", "No declared request kind matches the method and path.", "Check the path, or declare the kind.", 404},
+	{NoConfiguration, "no_configuration", "The node has no configuration yet.", "Try another node, or try again in a moment.", 503},
+	{Leaving, "leaving", "The target is leaving and takes no new work.", "Try again; another target takes it.", 503},
+	{OtherIncarnation, "other_incarnation", "The attempt was addressed to a process that has been replaced, and the new one never saw it.", "Try again.", 503},
+	{Unreachable, "unreachable", "No connection to the target could be opened, so nothing was sent.", "Try again.", 503},
+	{TargetShed, "target_shed", "The target shed the call itself and none of its own calls ran.", "Try again after the time in Retry-After.", 503},
+	{KeyInvalid, "key_invalid", "The Idempotency-Key is not a UUIDv7.", "Mint the key as a UUIDv7.", 400},
+	{KeyTooOld, "key_too_old", "The key was minted before its owner began and was not sent before.", "Mint a new key.", 409},
+	{KeyFromFuture, "key_from_future", "The key's mint time is ahead of the node's clock by more than the margin.", "Correct the clock and mint a new key.", 400},
+	{NoOwner, "no_owner", "No owner covers the key's mint time, so the request cannot run.", "Try again in a few seconds with the same key.", 503},
+	{BodyTooLarge, "body_too_large", "The request body is longer than the declared size.", "Send a shorter body.", 413},
+	{MemoryBound, "memory_bound", "A memory bound of the node refused the request.", "Try again after the time in Retry-After.", 503},
+	{Cancelled, "cancelled", "The caller went away before anything was sent to a target.", "Nothing.", 499},
+	{Tombstoned, "tombstoned", "The attempt arrived after its sender had been told that it was never seen.", "Nothing; the sender has moved on.", 409},
+	{BadRequest, "bad_request", "The request could not be read.", "Correct the request.", 400},
+	{BudgetSpent, "budget_spent", "Every attempt was refused before it ran, and no retry was left.", "Try again after the time in Retry-After.", 503},
+
+	{Lost, "lost", "The attempt's fate could not be learned.", "Ask for the state of the order, or repeat with the same key.", 502},
+	{TimedOut, "timed_out", "The deadline passed while the target was at work.", "Ask for the state, or repeat with the same key.", 504},
+	{TargetFailed, "target_failed", "The target answered that it failed; the call ran in part or whole.", "Read the target's answer.", 502},
+	{AnswerTruncated, "answer_truncated", "The target's answer ended before its declared length.", "Repeat with the same key if the kind allows it.", 502},
+	{AnswerTooLarge, "answer_too_large", "The target's answer is longer than the declared size.", "Ask for less, or have the declared size raised.", 502},
+	{OwnerGone, "owner_gone", "The owner of the key is gone, and with it the record of whether the key ran.", "If this key was never sent before, mint a new one; else ask for the state.", 503},
+	{KeyReused, "key_reused", "The key was used before for another request.", "Mint a key for each request.", 422},
+	{RunningStill, "running_still", "A run with the same key has not ended within the deadline.", "Repeat with the same key.", 504},
+	{Forgotten, "forgotten", "The key is older than the time for which records are kept.", "Ask for the state; mint a new key for a new request.", 409},
+	{PartlyRun, "partly_run", "The target refused the call after some of its own calls had run.", "Repeat with the same key if the kind allows it.", 502},
+	{CancelledLate, "cancelled_late", "The caller went away while the target was at work.", "Repeat with the same key.", 499},
+}
+
+var byCode = index()
+
+// Family returns the family that the code belongs to.
+func (c Code) Family() Family {
+	return Family(c / 100)
+}
+
+// Info returns the description of the code and whether the code is known.
+func (c Code) Info() (Info, bool) {
+	info, ok := byCode[c]
+	return info, ok
+}
+
+// String returns the code's name, or its number when it has none.
+func (c Code) String() string {
+	if info, ok := byCode[c]; ok {
+		return info.Name
+	}
+	return strconv.Itoa(int(c))
+}
+
+// String returns the family's name as used in the docs.
+func (f Family) String() string {
+	switch f {
+	case Complete:
+		return "complete"
+	case NotRun:
+		return "not_run"
+	case Unknown:
+		return "unknown"
+	}
+	return "family_" + strconv.Itoa(int(f))
+}
+
+// All returns every code in order.
+func All() []Info {
+	return append([]Info(nil), table...)
+}
+
+// Parse finds a code by number or name.
+func Parse(text string) (Code, bool) {
+	if number, err := strconv.Atoi(text); err == nil && number > 0 && number < 1000 {
+		_, ok := byCode[Code(number)]
+		return Code(number), ok
+	}
+	for _, info := range table {
+		if info.Name == text {
+			return info.Code, true
+		}
+	}
+	return 0, false
+}
+
+func index() map[Code]Info {
+	byCode := make(map[Code]Info, len(table))
+	for _, info := range table {
+		byCode[info.Code] = info
+	}
+	return byCode
+}
