Parse resources and node settings with the place of every error

Operators correct a file in one round only when all of its problems are named at once with line and column, so decoding walks the YAML nodes with a list of fields instead of unmarshalling into structs, which stops at types and knows no places of missing keys.

--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,155 @@
+// Package setup reads the settings of one node from its YAML file.
+package setup
+
+import (
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/place"
+)
+
+// Node holds the settings of one node process. Addresses are IP:port.
+type Node struct {
+	// Name is unique in the mesh; a new incarnation keeps the name of the old.
+	Name       string
+	DataCentre string
+	Region     string
+	// Service is the declared service of the target beside the node.
+	Service string
+	// CallerListen takes requests of callers and of the target itself.
+	CallerListen string
+	// RelayListen takes calls of other nodes and is announced to them.
+	RelayListen string
+	// AdminListen takes the resource API and the metrics.
+	AdminListen     string
+	TargetAddress   string
+	PlatformAddress string
+	// OperatorToken is what operators show to the resource API; empty lets
+	// everybody in.
+	OperatorToken string
+	// LogLevel is trace, debug, info, warn or error.
+	LogLevel string
+	// DrainTimeout is how long a planned stop waits for calls in flight.
+	DrainTimeout time.Duration
+	// MemoryBytes bounds what the node holds for calls and records together.
+	MemoryBytes int64
+}
+
+// logLevel is the index of a level in logLevels.
+type logLevel uint8
+
+// The bounds and defaults of the settings.
+const (
+	minTokenLetters  = "16"
+	maxDrainTimeout  = time.Hour
+	minMemoryBytes   = 16 << 20
+	maxMemoryBytes   = 1 << 40
+	defaultDrain     = 30 * time.Second
+	defaultMemory    = 256 << 20
+	defaultLogLevel  = "info"
+	namesExpectation = "a name of at most 63 lower-case letters, digits, _, - and ."
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[a-z][a-z0-9_.-]{0,62}$`)
+	tokenPattern = regexp.MustCompile(`^[!-~]{` + minTokenLetters + `,256}$`)
+	// anyPort matches an address whose port the system chooses.
+	anyPort   = regexp.MustCompile(`:0$`)
+	logLevels = []string{"trace", "debug", "info", "warn", "error"}
+)
+
+// Load reads the settings from a file. The error lists all problems with
+// their lines and columns as place.Problems, unless the file cannot be read.
+func Load(file string) (*Node, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, data)
+}
+
+// Parse reads the settings from the content of a file.
+func Parse(file string, data []byte) (*Node, error) {
+	reader := &place.Reader{File: file}
+	documents := reader.Documents(data)
+	if len(reader.Problems) == 0 && len(documents) != 1 {
+		reader.Problems = append(reader.Problems, place.Problem{File: file, Expected: "one YAML document"})
+	}
+	if err := reader.Problems.Err(); err != nil {
+		return nil, err
+	}
+	node := &Node{
+		LogLevel:     defaultLogLevel,
+		DrainTimeout: defaultDrain,
+		MemoryBytes:  defaultMemory,
+	}
+	object := reader.Object(documents[0], node.fields())
+	checkListen(reader, object)
+	if err := reader.Problems.Err(); err != nil {
+		return nil, err
+	}
+	return node, nil
+}
+
+// fields describes the keys of the file.
+func (n *Node) fields() []place.Field {
+	return []place.Field{
+		{Key: "name", Required: true, Read: name(&n.Name)},
+		{Key: "data_centre", Required: true, Read: name(&n.DataCentre)},
+		{Key: "region", Required: true, Read: name(&n.Region)},
+		{Key: "service", Required: true, Read: name(&n.Service)},
+		{Key: "caller_listen", Required: true, Read: place.Address(&n.CallerListen)},
+		{Key: "relay_listen", Required: true, Read: place.Address(&n.RelayListen)},
+		{Key: "admin_listen", Required: true, Read: place.Address(&n.AdminListen)},
+		{Key: "target_address", Required: true, Read: place.Address(&n.TargetAddress)},
+		{Key: "platform_address", Required: true, Read: place.Address(&n.PlatformAddress)},
+		{Key: "operator_token", Read: token(&n.OperatorToken)},
+		{Key: "log_level", Read: level(&n.LogLevel)},
+		{Key: "drain_timeout", Read: place.Duration(&n.DrainTimeout, 0, maxDrainTimeout)},
+		{Key: "memory_bytes", Read: place.Size(&n.MemoryBytes, minMemoryBytes, maxMemoryBytes)},
+	}
+}
+
+// checkListen reports an address that two listeners would share. Port 0 takes
+// any free port, so it may stand twice.
+func checkListen(reader *place.Reader, object place.Object) {
+	taken := map[string]string{}
+	for _, key := range []string{"caller_listen", "relay_listen", "admin_listen", "target_address"} {
+		value, present := object.Fields[key]
+		if !present || anyPort.MatchString(value.Node.Value) {
+			continue
+		}
+		if other, twice := taken[value.Node.Value]; twice {
+			reader.Reportf(value, "another address than that of %s", other)
+			continue
+		}
+		taken[value.Node.Value] = key
+	}
+}
+
+func name(to *string) func(*place.Reader, place.Value) {
+	return place.Match(to, namePattern, namesExpectation)
+}
+
+// token reads the operators' token without repeating a wrong one in the error,
+// which may end in a log.
+func token(to *string) func(*place.Reader, place.Value) {
+	return func(r *place.Reader, value place.Value) {
+		if !tokenPattern.MatchString(value.Node.Value) {
+			r.ReportSecret(value, "a token of "+minTokenLetters+" to 256 letters without spaces")
+			return
+		}
+		*to = value.Node.Value
+	}
+}
+
+func level(to *string) func(*place.Reader, place.Value) {
+	return func(r *place.Reader, value place.Value) {
+		index := logLevel(len(logLevels))
+		place.Enum(&index, logLevels...)(r, value)
+		if int(index) < len(logLevels) {
+			*to = logLevels[index]
+		}
+	}
+}
--- /dev/null
+++ b/pkg/schema/defaults.go
@@ -0,0 +1,67 @@
+package schema
+
+import (
+	"net/http"
+	"time"
+)
+
+// The bounds of declared values.
+const (
+	maxSlots        = 100_000
+	maxConnections  = 1_000_000
+	maxQueue        = 100_000
+	maxRetries      = 100
+	maxMessageBytes = 64 << 20
+	maxMemoryBytes  = 1 << 40
+	maxDeadline     = time.Hour
+	maxKeyAge       = 7 * 24 * time.Hour
+	maxDistance     = 10 * time.Second
+	minDeadline     = time.Millisecond
+	minOwnerLease   = time.Second
+)
+
+// DefaultService returns the values of a service whose declaration names only
+// its slots and connections. A queue that is not declared is as long as the
+// slots; one of 0 means that no call waits.
+func DefaultService() Service {
+	return Service{
+		QueueWait:  200 * time.Millisecond,
+		ColdStart:  10 * time.Second,
+		RetryShare: 0.1,
+		ShedStatus: http.StatusServiceUnavailable,
+	}
+}
+
+// DefaultKind returns the values of a kind whose declaration leaves them out.
+// Without `repeat`, GET, HEAD and OPTIONS are safe and every other method is
+// never: a forgotten line must not double an order.
+func DefaultKind() Kind {
+	return Kind{
+		Method:     http.MethodGet,
+		Importance: Normal,
+		Deadline:   2 * time.Second,
+		Retries:    3,
+	}
+}
+
+// DefaultLimits returns the limits that hold when none are declared.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxRequestBytes: 1 << 20,
+		MaxAnswerBytes:  4 << 20,
+		HeldBytes:       64 << 20,
+		RecordBytes:     64 << 20,
+		KeyAge:          15 * time.Minute,
+		OwnerLease:      30 * time.Second,
+		ClockMargin:     500 * time.Millisecond,
+	}
+}
+
+// defaultRepeat returns the rule for a kind that declares none.
+func defaultRepeat(method string) Repeat {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return Safe
+	}
+	return Never
+}
--- /dev/null
+++ b/pkg/schema/parse.go
@@ -0,0 +1,323 @@
+package schema
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/dandelionfield/dandelionfield/internal/place"
+)
+
+// The values of the key `resource`.
+const (
+	TypeService    = "service"
+	TypeKind       = "request_kind"
+	TypeDataCentre = "data_centre"
+	TypeLimits     = "limits"
+)
+
+// LimitsName is the name under which the one limits resource is addressed.
+const LimitsName = "limits"
+
+type (
+	// source is one file to parse.
+	source struct {
+		file string
+		data []byte
+	}
+
+	// declared is a resource with the places of its fields.
+	declared struct {
+		place.Object
+		reader *place.Reader
+		name   string
+	}
+
+	// parser collects the resources of several files.
+	parser struct {
+		set     Set
+		places  map[string]map[string]declared // by type, then by name
+		readers []*place.Reader
+	}
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z][a-z0-9_]{0,62}$`)
+	// dataCentreName also takes dashes, which host names have.
+	dataCentreName = regexp.MustCompile(`^[a-z][a-z0-9_-]{0,62}$`)
+	healthPattern  = regexp.MustCompile(`^/[!-~]{0,255}$`)
+
+	resourceTypes = []string{TypeService, TypeKind, TypeDataCentre, TypeLimits}
+	methods       = []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+		http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	}
+)
+
+// Parse reads a set of resources from one file. The error is a list of all
+// problems with their lines and columns, one to a line of its text.
+func Parse(file string, data []byte) (*Set, error) {
+	return parse([]source{{file, data}})
+}
+
+// ParseDir reads the set of all .yaml and .yml files of a directory, without
+// its subdirectories. Resources may refer to others in any of the files.
+func ParseDir(dir string) (*Set, error) {
+	return ParseFiles(dir)
+}
+
+// ParseFiles reads the set of several files and directories together.
+func ParseFiles(paths ...string) (*Set, error) {
+	var sources []source
+	for _, path := range paths {
+		files, err := yamlFiles(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, file := range files {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				return nil, err
+			}
+			sources = append(sources, source{file, data})
+		}
+	}
+	return parse(sources)
+}
+
+// yamlFiles returns the path itself when it is a file, or the YAML files of a
+// directory in the order of their names.
+func yamlFiles(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	var files []string
+	for _, entry := range entries {
+		extension := filepath.Ext(entry.Name())
+		if !entry.IsDir() && (extension == ".yaml" || extension == ".yml") {
+			files = append(files, filepath.Join(path, entry.Name()))
+		}
+	}
+	return files, nil
+}
+
+func parse(sources []source) (*Set, error) {
+	p := &parser{
+		set:    Set{Limits: DefaultLimits()},
+		places: map[string]map[string]declared{},
+	}
+	for _, source := range sources {
+		reader := &place.Reader{File: source.file}
+		p.readers = append(p.readers, reader)
+		for _, document := range reader.Documents(source.data) {
+			p.resource(reader, document)
+		}
+	}
+	p.set.sort()
+	p.check()
+	var problems place.Problems
+	for _, reader := range p.readers {
+		problems = append(problems, reader.Problems...)
+	}
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return &p.set, nil
+}
+
+// resource decodes one YAML document by the type that it names.
+func (p *parser) resource(reader *place.Reader, document place.Value) {
+	switch resourceType(document) {
+	case TypeService:
+		p.service(reader, document)
+	case TypeKind:
+		p.kind(reader, document)
+	case TypeDataCentre:
+		p.dataCentre(reader, document)
+	case TypeLimits:
+		p.limits(reader, document)
+	default:
+		p.unknownType(reader, document)
+	}
+}
+
+// resourceType returns the text of the key `resource`, which decides how the
+// other keys are read.
+func resourceType(document place.Value) string {
+	content := document.Node.Content
+	for i := 0; i+1 < len(content); i += 2 {
+		if content[i].Value == "resource" {
+			return content[i+1].Value
+		}
+	}
+	return ""
+}
+
+// unknownType reports a document whose type is missing or wrong; its other
+// keys cannot be judged.
+func (p *parser) unknownType(reader *place.Reader, document place.Value) {
+	content := document.Node.Content
+	for i := 0; i+1 < len(content); i += 2 {
+		if content[i].Value == "resource" {
+			reader.Reportf(place.Value{Node: content[i+1], Path: "resource"}, "one of %s", strings.Join(resourceTypes, ", "))
+			return
+		}
+	}
+	reader.Reportf(document, "a resource with the key resource: %s", strings.Join(resourceTypes, "|"))
+}
+
+func (p *parser) service(reader *place.Reader, document place.Value) {
+	service := DefaultService()
+	service.Queue = -1
+	object := reader.Object(document, []place.Field{
+		typeField(),
+		{Key: "name", Required: true, Read: name(&service.Name)},
+		{Key: "slots", Required: true, Read: place.Int(&service.Slots, 1, maxSlots)},
+		{Key: "connections", Required: true, Read: place.Int(&service.Connections, 1, maxConnections)},
+		{Key: "queue", Read: place.Int(&service.Queue, 0, maxQueue)},
+		{Key: "queue_wait", Read: place.Duration(&service.QueueWait, 0, maxDeadline)},
+		{Key: "cold_start", Read: place.Duration(&service.ColdStart, 0, maxDeadline)},
+		{Key: "retry_share", Read: place.Float(&service.RetryShare, 0, 1)},
+		{Key: "shed_status", Read: place.Int(&service.ShedStatus, 400, 599)},
+		{Key: "health_path", Read: place.Match(&service.HealthPath, healthPattern, "a path that begins with /")},
+	})
+	if service.Queue < 0 {
+		service.Queue = service.Slots
+	}
+	if p.declare(reader, object, TypeService, service.Name) {
+		p.set.Services = append(p.set.Services, service)
+	}
+}
+
+func (p *parser) kind(reader *place.Reader, document place.Value) {
+	kind := DefaultKind()
+	repeat := Repeat(255)
+	object := reader.Object(document, []place.Field{
+		typeField(),
+		{Key: "name", Required: true, Read: name(&kind.Name)},
+		{Key: "service", Required: true, Read: name(&kind.Service)},
+		{Key: "method", Read: method(&kind.Method)},
+		{Key: "path", Required: true, Read: pathPattern(&kind.Path)},
+		{Key: "importance", Read: place.Enum(&kind.Importance, Low.String(), Normal.String(), High.String(), Critical.String())},
+		{Key: "repeat", Read: place.Enum(&repeat, Safe.String(), Never.String())},
+		{Key: "deadline", Read: place.Duration(&kind.Deadline, minDeadline, maxDeadline)},
+		{Key: "retries", Read: place.Int(&kind.Retries, 0, maxRetries)},
+		{Key: "calls", Read: names(&kind.Calls)},
+	})
+	kind.Repeat = repeat
+	if repeat > Never {
+		kind.Repeat = defaultRepeat(kind.Method)
+	}
+	if p.declare(reader, object, TypeKind, kind.Name) {
+		p.set.Kinds = append(p.set.Kinds, kind)
+	}
+}
+
+func (p *parser) dataCentre(reader *place.Reader, document place.Value) {
+	var centre DataCentre
+	object := reader.Object(document, []place.Field{
+		typeField(),
+		{Key: "name", Required: true, Read: centreName(&centre.Name)},
+		{Key: "region", Required: true, Read: centreName(&centre.Region)},
+		{Key: "distances", Read: place.Durations(&centre.Distances, 0, maxDistance)},
+	})
+	if p.declare(reader, object, TypeDataCentre, centre.Name) {
+		p.set.DataCentres = append(p.set.DataCentres, centre)
+	}
+}
+
+func (p *parser) limits(reader *place.Reader, document place.Value) {
+	limits := DefaultLimits()
+	object := reader.Object(document, []place.Field{
+		typeField(),
+		{Key: "max_request_bytes", Read: place.Size(&limits.MaxRequestBytes, 1, maxMessageBytes)},
+		{Key: "max_answer_bytes", Read: place.Size(&limits.MaxAnswerBytes, 1, maxMessageBytes)},
+		{Key: "held_bytes", Read: place.Size(&limits.HeldBytes, 1, maxMemoryBytes)},
+		{Key: "record_bytes", Read: place.Size(&limits.RecordBytes, 1, maxMemoryBytes)},
+		{Key: "key_age", Read: place.Duration(&limits.KeyAge, minOwnerLease, maxKeyAge)},
+		{Key: "owner_lease", Read: place.Duration(&limits.OwnerLease, minOwnerLease, maxDeadline)},
+		{Key: "clock_margin", Read: place.Duration(&limits.ClockMargin, 0, maxDeadline)},
+	})
+	if p.declare(reader, object, TypeLimits, LimitsName) {
+		p.set.Limits = limits
+	}
+}
+
+// declare notes where a resource stands and reports whether its name is new.
+// A resource whose name could not be read is left out of the further checks.
+func (p *parser) declare(reader *place.Reader, object place.Object, resourceType, name string) bool {
+	if name == "" {
+		return false
+	}
+	byName := p.places[resourceType]
+	if byName == nil {
+		byName = map[string]declared{}
+		p.places[resourceType] = byName
+	}
+	if first, duplicate := byName[name]; duplicate {
+		at := object.Value
+		if field, present := object.Fields["name"]; present {
+			at = field
+		}
+		reader.Reportf(at, "each %s once; the first is at %s:%d", resourceType, first.reader.File, first.Node.Line)
+		return false
+	}
+	byName[name] = declared{Object: object, reader: reader, name: name}
+	return true
+}
+
+// sort brings the set into the order of its canonical form.
+func (s *Set) sort() {
+	sort.Slice(s.Services, func(i, j int) bool { return s.Services[i].Name < s.Services[j].Name })
+	sort.Slice(s.Kinds, func(i, j int) bool { return s.Kinds[i].Name < s.Kinds[j].Name })
+	sort.Slice(s.DataCentres, func(i, j int) bool { return s.DataCentres[i].Name < s.DataCentres[j].Name })
+	for _, kind := range s.Kinds {
+		sort.Strings(kind.Calls)
+	}
+}
+
+// typeField accepts the key `resource`, whose value has been read before.
+func typeField() place.Field {
+	return place.Field{Key: "resource", Required: true, Read: func(*place.Reader, place.Value) {}}
+}
+
+func name(to *string) func(*place.Reader, place.Value) {
+	return place.Match(to, namePattern, "a name in snake_case of at most 63 letters")
+}
+
+func centreName(to *string) func(*place.Reader, place.Value) {
+	return place.Match(to, dataCentreName, "a name of at most 63 lower-case letters, digits, _ and -")
+}
+
+func method(to *string) func(*place.Reader, place.Value) {
+	return func(r *place.Reader, value place.Value) {
+		if !slices.Contains(methods, value.Node.Value) {
+			r.Reportf(value, "one of %s", strings.Join(methods, ", "))
+			return
+		}
+		*to = value.Node.Value
+	}
+}
+
+// names reads a list of names without duplicates.
+func names(to *[]string) func(*place.Reader, place.Value) {
+	return place.List(func(r *place.Reader, value place.Value, text string) {
+		if slices.Contains(*to, text) {
+			r.Report(value, "each name once")
+			return
+		}
+		*to = append(*to, text)
+	})
+}
