--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,199 @@
+// Package admin is the door to operators: the resource API, the status, the
+// metrics and the probes of one node, over HTTP on an address of its own.
+//
+// The server decides nothing. Its function fields are filled by the node; the
+// handlers read requests, check documents and write answers as JSON with
+// snake_case keys.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/kataras/iris/v12"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/dandelionfield/dandelionfield/internal/place"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+type (
+	// Server answers operators. All function fields must be set.
+	Server struct {
+		Log hclog.Logger
+		// Token is what operators show as a bearer token under /v1; empty
+		// lets everybody in. Probes and metrics never need it.
+		Token    string
+		Registry *prometheus.Registry
+		// Apply commits the document as the revision after expected. It
+		// returns NewConflict or plat.Conflict when another revision is in
+		// force, and plat.Unavailable when the platform gave no answer. A dry
+		// run checks the expected revision and commits nothing. Changes and
+		// Digest of the result may be left empty.
+		Apply func(ctx context.Context, document []byte, expected int64, dryRun bool) (Applied, error)
+		// Current returns the revision in force at this node; the number is 0
+		// and the set may be nil when there is none yet.
+		Current func() (number int64, set *schema.Set, document []byte)
+		// Watch blocks until a revision above after is in force here.
+		Watch  func(ctx context.Context, after int64) (number int64, set *schema.Set, err error)
+		Status func(ctx context.Context) Status
+		// Drain begins a planned stop and returns once it has begun.
+		Drain func(ctx context.Context) error
+		// Ready reports whether the node takes work.
+		Ready func() bool
+		// Heartbeat is the time between lines of a watch on which nothing
+		// else is sent; 0 means DefaultHeartbeat.
+		Heartbeat time.Duration
+	}
+
+	// Applied is the answer to an accepted document.
+	Applied struct {
+		// Revision is the accepted one, or for a dry run the one in force.
+		Revision int64           `json:"revision"`
+		Digest   string          `json:"digest"`
+		DryRun   bool            `json:"dry_run"`
+		Changes  []schema.Change `json:"changes"`
+	}
+
+	// Listing is the answer to GET /v1/resources.
+	Listing struct {
+		Revision  int64             `json:"revision"`
+		Digest    string            `json:"digest"`
+		Resources []schema.Resource `json:"resources"`
+		// Document is the same set in its canonical YAML form.
+		Document string `json:"document"`
+	}
+
+	// Event is one line of a watch.
+	Event struct {
+		Revision int64  `json:"revision"`
+		Digest   string `json:"digest,omitempty"`
+		// Heartbeat marks a line that tells only that the stream lives.
+		Heartbeat bool `json:"heartbeat,omitempty"`
+		// Changes is relative to the event before on the same stream; the
+		// first event has none and Document instead.
+		Changes  []schema.Change `json:"changes,omitempty"`
+		Document string          `json:"document,omitempty"`
+	}
+
+	// Failure is the body of every answer that is an error.
+	Failure struct {
+		Error string `json:"error"`
+		// Expected and Current are the two revisions of a conflict.
+		Expected int64          `json:"expected_revision,omitempty"`
+		Current  int64          `json:"current_revision,omitempty"`
+		Problems place.Problems `json:"problems,omitempty"`
+	}
+)
+
+const (
+	// DefaultHeartbeat is the time between lines of a silent watch.
+	DefaultHeartbeat = 5 * time.Second
+	// maxDocumentBytes bounds the body of an apply.
+	maxDocumentBytes = 4 << 20
+)
+
+var (
+	namespace = errorx.NewNamespace("admin")
+	// Conflict means that another revision than the expected one is in force.
+	Conflict = namespace.NewType("conflict")
+
+	propertyExpected = errorx.RegisterPrintableProperty("expected")
+	propertyCurrent  = errorx.RegisterPrintableProperty("current")
+)
+
+// NewConflict returns the error of an apply whose expected revision is not the
+// one in force.
+func NewConflict(expected, current int64) error {
+	return Conflict.New("revision %d was expected, %d is in force", expected, current).
+		WithProperty(propertyExpected, expected).
+		WithProperty(propertyCurrent, current)
+}
+
+// Handler returns the handler for the node's admin address.
+func (s *Server) Handler() http.Handler {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutPathCorrection, iris.WithFireMethodNotAllowed, iris.WithoutStartupLog)
+	app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
+		_ = ctx.JSON(Failure{Error: "no such path: " + ctx.Path()})
+	})
+	app.OnErrorCode(http.StatusMethodNotAllowed, func(ctx iris.Context) {
+		_ = ctx.JSON(Failure{Error: ctx.Method() + " is not allowed on " + ctx.Path()})
+	})
+	app.Get("/healthz", s.alive)
+	app.Get("/readyz", s.ready)
+	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{})))
+	v1 := app.Party("/v1", s.authorise)
+	v1.Post("/apply", s.apply)
+	v1.Get("/resources", s.list)
+	v1.Get("/resources/{type:string}/{name:string}", s.get)
+	v1.Delete("/resources/{type:string}/{name:string}", s.delete)
+	v1.Get("/watch", s.watch)
+	v1.Get("/status", s.status)
+	v1.Post("/drain", s.drain)
+	if err := app.Build(); err != nil {
+		s.Log.Error("admin routes could not be built", "error", err)
+	}
+	return app
+}
+
+// authorise refuses requests without the token. Digests are compared, so that
+// the time tells nothing of the token, not even its length.
+func (s *Server) authorise(ctx iris.Context) {
+	if s.Token == "" {
+		ctx.Next()
+		return
+	}
+	shown, bearer := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	shownDigest := sha256.Sum256([]byte(shown))
+	tokenDigest := sha256.Sum256([]byte(s.Token))
+	if !bearer || subtle.ConstantTimeCompare(shownDigest[:], tokenDigest[:]) != 1 {
+		s.Log.Warn("operator refused", "remote", ctx.Request().RemoteAddr, "path", ctx.Path())
+		ctx.Header("WWW-Authenticate", "Bearer")
+		fail(ctx, http.StatusUnauthorized, Failure{Error: "the node's operator token is needed as Authorization: Bearer TOKEN"})
+		return
+	}
+	ctx.Next()
+}
+
+func (s *Server) alive(ctx iris.Context) {
+	_, _ = ctx.WriteString("ok\n")
+}
+
+func (s *Server) ready(ctx iris.Context) {
+	if !s.Ready() {
+		ctx.StatusCode(http.StatusServiceUnavailable)
+		_, _ = ctx.WriteString("not ready\n")
+		return
+	}
+	_, _ = ctx.WriteString("ready\n")
+}
+
+func (s *Server) status(ctx iris.Context) {
+	status := s.Status(ctx.Request().Context())
+	status.Complete()
+	_ = ctx.JSON(status)
+}
+
+func (s *Server) drain(ctx iris.Context) {
+	if err := s.Drain(ctx.Request().Context()); err != nil {
+		fail(ctx, http.StatusInternalServerError, Failure{Error: err.Error()})
+		return
+	}
+	s.Log.Info("drain begun", "remote", ctx.Request().RemoteAddr)
+	_ = ctx.JSON(struct {
+		State string `json:"state"`
+	}{"draining"})
+}
+
+func fail(ctx iris.Context, status int, failure Failure) {
+	_ = ctx.StopWithJSON(status, failure)
+}
--- /dev/null
+++ b/internal/admin/resource.go
@@ -0,0 +1,237 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/kataras/iris/v12"
+
+	"github.com/dandelionfield/dandelionfield/internal/place"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// documentName stands for the file in the problems of a request body.
+const documentName = "document"
+
+func (s *Server) apply(ctx iris.Context) {
+	body := http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxDocumentBytes)
+	data, err := io.ReadAll(body)
+	if err != nil {
+		fail(ctx, http.StatusRequestEntityTooLarge, Failure{Error: "the document could not be read whole: " + err.Error()})
+		return
+	}
+	set, err := schema.Parse(documentName, data)
+	if err != nil {
+		failInvalid(ctx, err)
+		return
+	}
+	s.commit(ctx, set)
+}
+
+func (s *Server) delete(ctx iris.Context) {
+	_, set, _ := s.current()
+	resourceType, name := ctx.Params().Get("type"), ctx.Params().Get("name")
+	rest, found := set.Without(resourceType, name)
+	if !found {
+		fail(ctx, http.StatusNotFound, Failure{Error: "no " + resourceType + " of the name " + name})
+		return
+	}
+	checked, err := schema.Parse(documentName, rest.Document())
+	if err != nil {
+		failInvalid(ctx, err)
+		return
+	}
+	s.commit(ctx, checked)
+}
+
+// commit hands a checked set to the node. A request that names no expected
+// revision expects the one in force here.
+func (s *Server) commit(ctx iris.Context, set *schema.Set) {
+	number, old, _ := s.current()
+	expected, dryRun, ok := commitParameters(ctx, number)
+	if !ok {
+		return
+	}
+	document := set.Document()
+	applied, err := s.Apply(ctx.Request().Context(), document, expected, dryRun)
+	if err != nil {
+		s.Log.Warn("revision refused", "remote", ctx.Request().RemoteAddr, "expected", expected, "error", err)
+		failCommit(ctx, err, expected, number)
+		return
+	}
+	applied.DryRun = dryRun
+	if applied.Changes == nil {
+		applied.Changes = old.Diff(set)
+	}
+	if applied.Digest == "" {
+		applied.Digest = schema.Digest(document)
+	}
+	if !dryRun {
+		s.Log.Info("revision accepted", "remote", ctx.Request().RemoteAddr, "revision", applied.Revision, "changes", len(applied.Changes))
+	}
+	_ = ctx.JSON(applied)
+}
+
+// commitParameters reads the query of a change and answers the request itself
+// when it is wrong.
+func commitParameters(ctx iris.Context, current int64) (expected int64, dryRun, ok bool) {
+	expected, ok = revisionParameter(ctx, "expected", current)
+	if !ok {
+		return 0, false, false
+	}
+	if text := ctx.URLParam("dry_run"); text != "" {
+		parsed, err := strconv.ParseBool(text)
+		if err != nil {
+			fail(ctx, http.StatusBadRequest, Failure{Error: "dry_run must be true or false, found " + strconv.Quote(text)})
+			return 0, false, false
+		}
+		dryRun = parsed
+	}
+	return expected, dryRun, true
+}
+
+// revisionParameter reads a revision number from the query and answers the
+// request itself when it is wrong.
+func revisionParameter(ctx iris.Context, name string, absent int64) (int64, bool) {
+	text := ctx.URLParam(name)
+	if text == "" {
+		return absent, true
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 {
+		fail(ctx, http.StatusBadRequest, Failure{Error: name + " must be a revision number, found " + strconv.Quote(text)})
+		return 0, false
+	}
+	return number, true
+}
+
+func (s *Server) list(ctx iris.Context) {
+	number, set, document := s.current()
+	_ = ctx.JSON(Listing{
+		Revision:  number,
+		Digest:    schema.Digest(document),
+		Resources: set.Resources(),
+		Document:  string(document),
+	})
+}
+
+func (s *Server) get(ctx iris.Context) {
+	number, set, _ := s.current()
+	resourceType, name := ctx.Params().Get("type"), ctx.Params().Get("name")
+	for _, resource := range set.Resources() {
+		if resource.Type == resourceType && resource.Name == name {
+			_ = ctx.JSON(struct {
+				Revision int64           `json:"revision"`
+				Resource schema.Resource `json:"resource"`
+			}{number, resource})
+			return
+		}
+	}
+	fail(ctx, http.StatusNotFound, Failure{Error: "no " + resourceType + " of the name " + name})
+}
+
+// current returns the revision in force here, or number 0 with an empty set.
+func (s *Server) current() (int64, *schema.Set, []byte) {
+	number, set, document := s.Current()
+	if set == nil {
+		set = &schema.Set{Limits: schema.DefaultLimits()}
+	}
+	if document == nil {
+		document = set.Document()
+	}
+	return number, set, document
+}
+
+// watch sends one JSON line for each revision above the one asked for. After a
+// broken connection the reader asks again with the last revision that it got.
+func (s *Server) watch(ctx iris.Context) {
+	after, ok := revisionParameter(ctx, "after", 0)
+	if !ok {
+		return
+	}
+	ctx.ContentType("application/x-ndjson")
+	ctx.Header("Cache-Control", "no-store")
+	ctx.StatusCode(http.StatusOK)
+	ctx.ResponseWriter().Flush()
+	encoder := json.NewEncoder(ctx.ResponseWriter())
+	var before *schema.Set
+	for {
+		event, set, err := s.nextEvent(ctx.Request().Context(), after, before)
+		if err != nil {
+			return
+		}
+		if encoder.Encode(event) != nil {
+			return
+		}
+		ctx.ResponseWriter().Flush()
+		if set != nil {
+			after, before = event.Revision, set
+		}
+	}
+}
+
+// nextEvent waits for the next revision; a heartbeat without a set takes its
+// place when none comes in time.
+func (s *Server) nextEvent(ctx context.Context, after int64, before *schema.Set) (Event, *schema.Set, error) {
+	wait, cancel := context.WithTimeout(ctx, s.heartbeat())
+	defer cancel()
+	number, set, err := s.Watch(wait, after)
+	if ctx.Err() != nil {
+		return Event{}, nil, ctx.Err()
+	}
+	if err != nil && wait.Err() != nil {
+		return Event{Revision: after, Heartbeat: true}, nil, nil
+	}
+	if err != nil {
+		return Event{}, nil, err
+	}
+	document := set.Document()
+	event := Event{Revision: number, Digest: schema.Digest(document)}
+	if before == nil {
+		event.Document = string(document)
+	} else {
+		event.Changes = before.Diff(set)
+	}
+	return event, set, nil
+}
+
+func (s *Server) heartbeat() time.Duration {
+	if s.Heartbeat > 0 {
+		return s.Heartbeat
+	}
+	return DefaultHeartbeat
+}
+
+func failInvalid(ctx iris.Context, err error) {
+	var problems place.Problems
+	errors.As(err, &problems)
+	fail(ctx, http.StatusUnprocessableEntity, Failure{Error: "the document has errors", Problems: problems})
+}
+
+// failCommit answers a change that the node did not accept.
+func failCommit(ctx iris.Context, err error, expected, current int64) {
+	conflict := Failure{Error: err.Error(), Expected: expected, Current: current}
+	switch {
+	case errorx.IsOfType(err, Conflict):
+		if number, ok := errorx.ExtractProperty(err, propertyCurrent); ok {
+			conflict.Current, _ = number.(int64)
+		}
+		fail(ctx, http.StatusConflict, conflict)
+	case errorx.IsOfType(err, plat.Conflict):
+		fail(ctx, http.StatusConflict, conflict)
+	case errorx.IsOfType(err, plat.Unavailable):
+		fail(ctx, http.StatusServiceUnavailable, Failure{
+			Error: "the platform gave no answer, so the change may or may not have been accepted; " +
+				"look at the revision in force before applying again: " + err.Error(),
+		})
+	default:
+		fail(ctx, http.StatusInternalServerError, Failure{Error: err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,277 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dandelionfield/dandelionfield/internal/admin"
+	"github.com/dandelionfield/dandelionfield/internal/place"
+	"github.com/dandelionfield/dandelionfield/internal/setup"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// applyOptions holds the flags of apply.
+type applyOptions struct {
+	files    []string
+	expected int64
+	dryRun   bool
+	wait     bool
+	timeout  time.Duration
+}
+
+const (
+	// unknownRevision is the expected revision when no flag gives one.
+	unknownRevision = -1
+	// waitTimeout is how long apply --wait waits unless told otherwise.
+	waitTimeout = 10 * time.Second
+	// pollInterval is the time between two looks at the status.
+	pollInterval = 200 * time.Millisecond
+)
+
+func (a *app) checkCommand() *cobra.Command {
+	var settings []string
+	command := &cobra.Command{
+		Use:   "check [DIR|FILE...]",
+		Short: "Check declarations and settings without a node",
+		Long:  "Check declarations, all files together, and settings of nodes, each file by itself.\nEvery problem is printed with its file, line and column.",
+		Example: `  dandelionfield check declarations/
+  dandelionfield check --settings node.yaml`,
+		RunE: work(func(_ *cobra.Command, paths []string) error {
+			if len(paths)+len(settings) == 0 {
+				return BadInput.New("name a directory, a file or --settings FILE to check")
+			}
+			return a.check(paths, settings)
+		}),
+	}
+	command.Flags().StringSliceVar(&settings, "settings", nil, "settings of a node to check")
+	return command
+}
+
+func (a *app) check(paths, settings []string) error {
+	var problems place.Problems
+	var summary []string
+	if len(paths) > 0 {
+		set, err := schema.ParseFiles(paths...)
+		if err := collect(&problems, err); err != nil {
+			return err
+		}
+		if set != nil {
+			summary = append(summary, fmt.Sprintf("%d services, %d request kinds, %d data centres",
+				len(set.Services), len(set.Kinds), len(set.DataCentres)))
+		}
+	}
+	for _, file := range settings {
+		node, err := setup.Load(file)
+		if err := collect(&problems, err); err != nil {
+			return err
+		}
+		if node != nil {
+			summary = append(summary, "settings of "+node.Name)
+		}
+	}
+	if a.output != outputTable {
+		if err := a.print(struct {
+			Problems place.Problems `json:"problems"`
+		}{problems}, nil); err != nil {
+			return err
+		}
+	}
+	if err := problems.Err(); err != nil {
+		return err
+	}
+	if a.output == outputTable {
+		_, _ = fmt.Fprintln(a.stdout, "ok: "+strings.Join(summary, ", "))
+	}
+	return nil
+}
+
+// collect adds the problems of an error and returns any other error.
+func collect(to *place.Problems, err error) error {
+	var problems place.Problems
+	if errors.As(err, &problems) {
+		*to = append(*to, problems...)
+		return nil
+	}
+	if err != nil {
+		return badFile(err)
+	}
+	return nil
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	var files []string
+	command := &cobra.Command{
+		Use:     "diff -f DIR --node IP:PORT",
+		Short:   "Show what applying would change",
+		Example: "  dandelionfield diff -f declarations/ --node 10.0.0.7:7102",
+		Args:    cobra.NoArgs,
+		RunE: work(func(command *cobra.Command, _ []string) error {
+			declared, err := schema.ParseFiles(files...)
+			if err != nil {
+				return badFile(err)
+			}
+			listing, inForce, err := a.inForce(command.Context())
+			if err != nil {
+				return err
+			}
+			changes := inForce.Diff(declared)
+			return a.print(struct {
+				Revision int64           `json:"revision"`
+				Changes  []schema.Change `json:"changes"`
+			}{listing.Revision, changes}, func(w io.Writer) {
+				printChanges(w, changes)
+			})
+		}),
+	}
+	addFileFlag(command, &files)
+	a.client.addFlags(command)
+	return command
+}
+
+// inForce fetches the revision in force at the node.
+func (a *app) inForce(ctx context.Context) (listing listing, set *schema.Set, err error) {
+	if err := a.client.get(ctx, "/v1/resources", &listing); err != nil {
+		return listing, nil, err
+	}
+	set, err = schema.Parse("revision in force", []byte(listing.Document))
+	if err != nil {
+		return listing, nil, Failed.New("the node's configuration cannot be read; is its version newer than this program's? (%v)", err)
+	}
+	return listing, set, nil
+}
+
+func (a *app) applyCommand() *cobra.Command {
+	options := applyOptions{expected: unknownRevision}
+	command := &cobra.Command{
+		Use:   "apply -f DIR --node IP:PORT",
+		Short: "Make the declarations the next revision",
+		Long: `Make the declarations the next revision. They replace the whole configuration:
+a resource that is no longer declared is deleted. Without --expected the
+revision that the node has now is expected; another operator's change in
+between ends in a conflict (exit code 3) and changes nothing.`,
+		Example: `  dandelionfield apply -f declarations/ --node 10.0.0.7:7102 --wait
+  dandelionfield apply -f declarations/ --node 10.0.0.7:7102 --expected 41 --dry-run`,
+		Args: cobra.NoArgs,
+		RunE: work(func(command *cobra.Command, _ []string) error {
+			return a.apply(command.Context(), options)
+		}),
+	}
+	addFileFlag(command, &options.files)
+	a.client.addFlags(command)
+	flags := command.Flags()
+	flags.Int64Var(&options.expected, "expected", unknownRevision, "revision that must be in force; -1 for the one the node has now")
+	flags.BoolVar(&options.dryRun, "dry-run", false, "check everything and change nothing")
+	flags.BoolVar(&options.wait, "wait", false, "end when the revision is in force everywhere")
+	flags.DurationVar(&options.timeout, "timeout", waitTimeout, "how long --wait waits")
+	return command
+}
+
+func (a *app) apply(ctx context.Context, options applyOptions) error {
+	set, err := schema.ParseFiles(options.files...)
+	if err != nil {
+		return badFile(err)
+	}
+	if options.expected == unknownRevision {
+		listing, _, err := a.inForce(ctx)
+		if err != nil {
+			return err
+		}
+		options.expected = listing.Revision
+	}
+	applied, err := a.client.apply(ctx, set.Document(), options.expected, options.dryRun)
+	if err != nil {
+		return err
+	}
+	if err := a.print(applied, func(w io.Writer) { printApplied(w, applied) }); err != nil {
+		return err
+	}
+	if !options.wait || options.dryRun {
+		return nil
+	}
+	return a.waitInForce(ctx, applied.Revision, options.timeout)
+}
+
+// waitInForce looks at the status until no member lags behind the revision.
+func (a *app) waitInForce(ctx context.Context, revision int64, timeout time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	expired := a.Clock.After(timeout)
+	why := "the node has not been heard"
+	for {
+		var status admin.Status
+		err := a.client.get(ctx, "/v1/status", &status)
+		lagging := status.Lagging(revision)
+		switch {
+		case err != nil:
+			why = message(err)
+		case len(lagging) > 0:
+			why = "it lags at " + strings.Join(lagging, ", ")
+		case status.Revision < revision:
+			why = "it lags at " + status.Node
+		default:
+			if a.output == outputTable {
+				_, _ = fmt.Fprintf(a.stdout, "revision %d is in force at all %d members\n", revision, len(status.Members))
+			}
+			return nil
+		}
+		select {
+		case <-expired:
+			return NotInForce.New("revision %d is accepted, but not in force everywhere after %s: %s; see `dandelionfield status`",
+				revision, timeout, why)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.Clock.After(pollInterval):
+		}
+	}
+}
+
+func addFileFlag(command *cobra.Command, files *[]string) {
+	command.Flags().StringSliceVarP(files, "file", "f", nil, "directory or file with declarations; may be repeated")
+	_ = command.MarkFlagRequired("file")
+}
+
+func printApplied(w io.Writer, applied admin.Applied) {
+	printChanges(w, applied.Changes)
+	if applied.DryRun {
+		_, _ = fmt.Fprintf(w, "dry run: nothing changed, revision %d stays in force\n", applied.Revision)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "revision %d accepted, digest %s\n", applied.Revision, applied.Digest)
+}
+
+// printChanges writes one line for each changed resource and field.
+func printChanges(w io.Writer, changes []schema.Change) {
+	if len(changes) == 0 {
+		_, _ = fmt.Fprintln(w, "no changes")
+	}
+	marks := map[string]string{schema.Created: "+", schema.Changed: "~", schema.Deleted: "-"}
+	for _, change := range changes {
+		_, _ = fmt.Fprintf(w, "%s %s %s\n", marks[change.Action], change.Type, change.Name)
+		for _, field := range change.Fields {
+			if change.Action == schema.Created {
+				_, _ = fmt.Fprintf(w, "    %s: %s\n", field.Key, field.After)
+				continue
+			}
+			_, _ = fmt.Fprintf(w, "    %s: %s -> %s\n", field.Key, blank(field.Before), blank(field.After))
+		}
+	}
+}
+
+func blank(text string) string {
+	if text == "" {
+		return "(none)"
+	}
+	return text
+}
+
+// resourceYAML joins resources into one YAML text.
+func resourceYAML(resources [][]byte) []byte {
+	return bytes.Join(resources, []byte("---\n"))
+}
--- a/pkg/schema/parse.go
+++ b/pkg/schema/parse.go
@@ -89,6 +89,11 @@
 	return parse(sources)
 }
 
+// Types returns the values that the key `resource` may have.
+func Types() []string {
+	return slices.Clone(resourceTypes)
+}
+
 // yamlFiles returns the path itself when it is a file, or the YAML files of a
 // directory in the order of their names.
 func yamlFiles(path string) ([]string, error) {
