Test declarations, settings and the command line by scripts

The command line runs as a process of its own against the resource API over a fake mesh; its clock is the passed-in one, so no script waits for real time beyond the API itself.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,254 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/dandelionfield/dandelionfield/internal/admin"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/setup"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+type (
+	// fakeMesh stands behind the resource API in place of a node.
+	fakeMesh struct {
+		mutex   sync.Mutex
+		history []*schema.Set // revision n is at n-1
+		lagging int           // status answers until the other member follows
+		breaks  bool          // every watch ends after one revision
+		offline bool          // the platform gives no answer
+		drained bool
+	}
+
+	// skipClock lets short waits pass at once and counts them, so that long
+	// waits end after as many short ones as fit into them.
+	skipClock struct {
+		mutex  sync.Mutex
+		now    time.Time
+		alarms map[chan time.Time]time.Time
+	}
+)
+
+// longestSkip is the longest wait that a skipClock lets pass at once.
+const longestSkip = time.Second
+
+func (c *skipClock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *skipClock) After(d time.Duration) <-chan time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	alarm := make(chan time.Time, 1)
+	c.alarms[alarm] = c.now.Add(d)
+	if d <= longestSkip {
+		c.now = c.now.Add(d)
+	}
+	for alarm, at := range c.alarms {
+		if !at.After(c.now) {
+			alarm <- c.now
+			delete(c.alarms, alarm)
+		}
+	}
+	return alarm
+}
+
+func (m *fakeMesh) server(token string) *admin.Server {
+	return &admin.Server{
+		Log:       hclog.NewNullLogger(),
+		Token:     token,
+		Registry:  prometheus.NewRegistry(),
+		Apply:     m.apply,
+		Current:   m.current,
+		Watch:     m.watch,
+		Status:    m.status,
+		Ready:     func() bool { return true },
+		Heartbeat: time.Millisecond,
+		Drain: func(context.Context) error {
+			m.drained = true
+			return nil
+		},
+	}
+}
+
+func (m *fakeMesh) apply(_ context.Context, document []byte, expected int64, dryRun bool) (admin.Applied, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.offline {
+		return admin.Applied{}, plat.Unavailable.New("no answer")
+	}
+	number := int64(len(m.history))
+	if expected != number {
+		return admin.Applied{}, admin.NewConflict(expected, number)
+	}
+	if dryRun {
+		return admin.Applied{Revision: number}, nil
+	}
+	set, err := schema.Parse("apply", document)
+	if err != nil {
+		return admin.Applied{}, err
+	}
+	m.history = append(m.history, set)
+	return admin.Applied{Revision: number + 1}, nil
+}
+
+func (m *fakeMesh) current() (int64, *schema.Set, []byte) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.history) == 0 {
+		return 0, nil, nil
+	}
+	set := m.history[len(m.history)-1]
+	return int64(len(m.history)), set, set.Document()
+}
+
+func (m *fakeMesh) watch(ctx context.Context, after int64) (int64, *schema.Set, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if after < int64(len(m.history)) && (!m.breaks || after%2 == 0) {
+		return after + 1, m.history[after], nil
+	}
+	if m.breaks {
+		m.breaks = false
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	m.mutex.Unlock()
+	defer m.mutex.Lock()
+	<-ctx.Done()
+	return 0, nil, ctx.Err()
+}
+
+func (m *fakeMesh) status(context.Context) admin.Status {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	number := int64(len(m.history))
+	other := number
+	if m.lagging > 0 {
+		m.lagging--
+		other--
+	}
+	return admin.Status{
+		Node: "orders-1", Incarnation: "i1", DataCentre: "tartu-1", Service: "orders", State: admin.StateReady,
+		Revision: number, Digest: "0011223344556677", PlatformReachable: !m.offline, PlatformSilentMS: 700_000,
+		Members: []admin.Member{
+			{Name: "orders-1", DataCentre: "tartu-1", Service: "orders", State: admin.StateReady, Revision: number},
+			{Name: "stock-1", DataCentre: "tartu-2", Service: "stock", State: admin.StateReady, Revision: other},
+		},
+		Services: []admin.Service{
+			{Name: "orders", Targets: []admin.Target{{Node: "orders-1", State: admin.StateReady, InFlight: 3, Limit: 115, Floor: 65536}}},
+			{Name: "stock"},
+		},
+		Refusals: []admin.Count{{Reason: "overloaded", Count: 12}, {Reason: "evicted"}},
+	}
+}
+
+// TestScripts runs testdata/script. Commands beside those of testscript:
+//
+//	mesh [token=TOKEN]         starts a mesh and sets $NODE
+//	mesh lag|break|offline|... changes it
+//	run CODE ARGUMENT...       runs the command line and checks its exit code
+func TestScripts(t *testing.T) {
+	meshes := map[string]*fakeMesh{}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			mesh := &fakeMesh{}
+			meshes[env.WorkDir] = mesh
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"mesh": func(ts *testscript.TestScript, _ bool, args []string) {
+				meshCommand(ts, meshes[ts.Getenv("WORK")], args)
+			},
+			"run": runCommand,
+		},
+	})
+}
+
+func meshCommand(ts *testscript.TestScript, mesh *fakeMesh, args []string) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	switch args[0] {
+	case "start":
+		server := httptest.NewServer(mesh.server(strings.Join(args[1:], "")).Handler())
+		ts.Defer(server.Close)
+		ts.Setenv("NODE", server.Listener.Addr().String())
+	case "lag":
+		polls, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		mesh.lagging = polls
+	case "break":
+		mesh.breaks = true
+	case "offline":
+		mesh.offline = true
+	case "drained":
+		if !mesh.drained {
+			ts.Fatalf("the node does not drain")
+		}
+	default:
+		ts.Fatalf("unknown argument %s", args[0])
+	}
+}
+
+// runCommand runs the command line as a process of its own, in the directory
+// of the script.
+func runCommand(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := ExitOK
+	var exit *exec.ExitError
+	err = ts.Exec("dandelionfield", args[1:]...)
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"dandelionfield": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr, testSeams())) },
+	})
+}
+
+func testSeams() Seams {
+	return Seams{
+		Clock:   &skipClock{alarms: map[chan time.Time]time.Time{}},
+		Version: "1.2.3",
+		RunNode: func(_ context.Context, node *setup.Node, log hclog.Logger) error {
+			log.Named("node").Debug("not shown at info")
+			log.Named("node").With("node", node.Name).Info("node started", "note", "a b")
+			return nil
+		},
+	}
+}
+
+func TestCodesPageHoldsTheTable(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/codes.md")
+	is.NoErr(err)
+	var table bytes.Buffer
+	is.Equal(Main([]string{"explain", "--all"}, &table, io.Discard, Seams{}), ExitOK)
+	is.True(strings.Contains(string(page), table.String())) // `dandelionfield explain --all` prints the table anew
+}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -203,7 +203,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	expired := a.Clock.After(timeout)
-	why := "the node has not been heard"
+	var why string
 	for {
 		var status admin.Status
 		err := a.client.get(ctx, "/v1/status", &status)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -177,8 +177,9 @@
 }
 
 func unknownCode(text string) error {
-	var names []string
-	for _, info := range result.All() {
+	all := result.All()
+	names := make([]string, 0, len(all))
+	for _, info := range all {
 		names = append(names, info.Name)
 	}
 	if suggestion := place.Closest(text, names); suggestion != "" {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -27,6 +27,7 @@
 
 type (
 	// Problem is one error in a file.
+	//nolint:errname // a problem is first a place that is printed, then an error
 	Problem struct {
 		File string `json:"file"`
 		// Line and Column count from 1; 0 means that the whole file is meant.
@@ -41,6 +42,7 @@
 
 	// Problems is all errors of one or more files. It is an error only when
 	// it is not empty, see Err.
+	//nolint:errname // as Problem
 	Problems []Problem
 
 	// Value is a YAML node with its path from the root of its document.
@@ -240,7 +242,7 @@
 }
 
 func (r *Reader) syntax(err error) {
-	problem := Problem{File: r.File, Expected: "valid YAML", Found: err.Error()}
+	problem := Problem{File: r.File, Expected: "valid YAML near here", Found: err.Error()}
 	if match := yamlLine.FindStringSubmatch(err.Error()); match != nil {
 		problem.Line, _ = strconv.Atoi(match[1])
 		problem.Column = 1
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -135,17 +135,27 @@
 	}
 }
 
-// Address reads an IP address and port, such as 127.0.0.1:7100. Names are
-// refused: a process learns addresses from its settings and resolves nothing.
+// Address reads an IP address and port to which connections can be opened,
+// such as 127.0.0.1:7100. Names are refused: a process learns addresses from
+// its settings and resolves nothing.
 func Address(to *string) func(*Reader, Value) {
+	return address(to, "an IP address and port (such as 10.0.0.7:7100)", 1)
+}
+
+// Listen reads an IP address and port to listen on. Port 0 takes any free one;
+// the unspecified address is refused, because others could not dial it.
+func Listen(to *string) func(*Reader, Value) {
+	return address(to, "an IP address of this host and port (such as 10.0.0.7:7100)", 0)
+}
+
+func address(to *string, expected string, leastPort uint16) func(*Reader, Value) {
 	return func(r *Reader, value Value) {
-		const expected = "an IP address and port (such as 10.0.0.7:7100)"
 		text, ok := scalar(r, value, expected, "!!str")
 		if !ok {
 			return
 		}
 		address, err := netip.ParseAddrPort(text)
-		if err != nil || address.Addr().IsUnspecified() {
+		if err != nil || address.Addr().IsUnspecified() || address.Port() < leastPort {
 			r.Report(value, expected)
 			return
 		}
--- a/pkg/schema/check.go
+++ b/pkg/schema/check.go
@@ -119,10 +119,8 @@
 		content := field.Node.Content
 		for i := 0; i+1 < len(content); i += 2 {
 			key := place.Value{Node: content[i], Path: field.Path}
-			if !slices.Contains(known, content[i].Value) {
-				at.reader.Report(key, "another declared data centre"+suggest(content[i].Value, known))
-			} else if content[i].Value == centre.Name {
-				at.reader.Report(key, "another data centre")
+			if content[i].Value == centre.Name || !slices.Contains(known, content[i].Value) {
+				at.reader.Report(key, "another declared data centre"+suggest(content[i].Value, without(known, centre.Name)))
 			}
 		}
 	}
@@ -178,6 +176,11 @@
 	return list.Items()
 }
 
+// without returns the names but one.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name })
+}
+
 func suggest(word string, names []string) string {
 	if suggestion := place.Closest(word, names); suggestion != "" {
 		return " (did you mean \"" + suggestion + "\"?)"
--- /dev/null
+++ b/pkg/schema/schema_test.go
@@ -0,0 +1,127 @@
+package schema
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+// TestParse runs the files under testdata/parse: `parse` prints the canonical
+// document, or every problem with its place.
+func TestParse(t *testing.T) {
+	datadriven.Walk(t, "testdata/parse", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			set, err := Parse("mesh.yaml", []byte(d.Input))
+			if err != nil {
+				return err.Error() + "\n"
+			}
+			if d.Cmd == "accept" {
+				return "ok\n"
+			}
+			return string(set.Document())
+		})
+	})
+}
+
+// TestSet runs the files under testdata/set: `declare` sets the mesh, the other
+// commands ask it.
+func TestSet(t *testing.T) {
+	datadriven.Walk(t, "testdata/set", func(t *testing.T, path string) {
+		set := &Set{Limits: DefaultLimits()}
+		var matcher *Matcher
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "declare", "diff":
+				next, err := Parse("mesh.yaml", []byte(d.Input))
+				if err != nil {
+					t.Fatal(err)
+				}
+				answer := "ok\n"
+				if d.Cmd == "diff" {
+					answer = changesText(set.Diff(next))
+				}
+				set, matcher = next, NewMatcher(next)
+				return answer
+			case "chain":
+				return strings.Join(set.Chain(strings.TrimSpace(d.Input)), " ") + "\n"
+			case "match":
+				return matchText(matcher, d.Input)
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func changesText(changes []Change) string {
+	var text strings.Builder
+	for _, change := range changes {
+		fmt.Fprintf(&text, "%s %s %s\n", change.Action, change.Type, change.Name)
+		for _, field := range change.Fields {
+			fmt.Fprintf(&text, "  %s: %q -> %q\n", field.Key, field.Before, field.After)
+		}
+	}
+	return text.String()
+}
+
+func matchText(matcher *Matcher, input string) string {
+	var text strings.Builder
+	for line := range strings.Lines(input) {
+		method, path, _ := strings.Cut(strings.TrimSpace(line), " ")
+		name := "none"
+		if kind, ok := matcher.Match(method, path); ok {
+			name = kind.Name
+		}
+		fmt.Fprintf(&text, "%s %s: %s\n", method, path, name)
+	}
+	return text.String()
+}
+
+func TestFilesReferToEachOther(t *testing.T) {
+	is := is.New(t)
+	set, err := ParseDir("testdata/mesh")
+	is.NoErr(err)
+	is.Equal(len(set.Services), 1)
+	is.Equal(len(set.Kinds), 1)
+	_, err = ParseFiles("testdata/mesh/kinds.yaml")
+	is.True(err != nil) // the service stands in the other file
+	is.True(strings.HasPrefix(err.Error(), "testdata/mesh/kinds.yaml:3:10: service: expected a declared service"))
+}
+
+func TestWithoutRemovesOneResource(t *testing.T) {
+	is := is.New(t)
+	set, err := ParseDir("testdata/mesh")
+	is.NoErr(err)
+	rest, found := set.Without(TypeKind, "check_allowance")
+	is.True(found)
+	is.Equal(rest.Diff(set)[0].Action, Created)
+	_, found = set.Without(TypeService, "check_allowance")
+	is.True(!found) // the name belongs to a resource of another type
+}
+
+// FuzzParse looks for panics, and for sets that do not survive their own
+// canonical form.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("resource: service\nname: a\nslots: 1\nconnections: 1\nretry_share: 1e-3\n"))
+	f.Add([]byte("resource: request_kind\nname: k\nservice: a\npath: /a/{b}\ncalls: [k]\n---\nresource: limits\nkey_age: 1h\n"))
+	f.Add([]byte("resource: data_centre\nname: n\nregion: r\ndistances: {n: 1ms, m: 0.5ms}\n"))
+	f.Add([]byte("a: &a [*a]\n--- !!binary x\n--- [1]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, err := Parse("fuzz.yaml", data)
+		if err != nil {
+			return
+		}
+		document := set.Document()
+		again, err := Parse("fuzz.yaml", document)
+		if err != nil {
+			t.Fatalf("the canonical form does not parse: %v\n%s", err, document)
+		}
+		if !bytes.Equal(again.Document(), document) || len(set.Diff(again)) > 0 {
+			t.Fatalf("the canonical form changes:\n%s\n%s", document, again.Document())
+		}
+	})
+}
