--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -86,9 +86,10 @@
 	// Failure is the body of every answer that is an error.
 	Failure struct {
 		Error string `json:"error"`
-		// Expected and Current are the two revisions of a conflict.
-		Expected int64          `json:"expected_revision,omitempty"`
-		Current  int64          `json:"current_revision,omitempty"`
+		// Expected and Current are the two revisions of a conflict. Current is
+		// absent when this node has not learned yet which revision won.
+		Expected *int64         `json:"expected_revision,omitempty"`
+		Current  *int64         `json:"current_revision,omitempty"`
 		Problems place.Problems `json:"problems,omitempty"`
 	}
 )
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,195 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// testToken is what the scripted requests show unless told otherwise.
+const testToken = "0123456789abcdef"
+
+// line is the revision line of a fake node.
+type line struct {
+	number int64
+	set    *schema.Set
+	// fail is returned by the next apply.
+	fail  error
+	ready bool
+}
+
+func (l *line) server() *Server {
+	return &Server{
+		Log:      hclog.NewNullLogger(),
+		Token:    testToken,
+		Registry: prometheus.NewRegistry(),
+		Current: func() (int64, *schema.Set, []byte) {
+			if l.set == nil {
+				return 0, nil, nil
+			}
+			return l.number, l.set, l.set.Document()
+		},
+		Apply:  l.apply,
+		Ready:  func() bool { return l.ready },
+		Drain:  func(context.Context) error { return nil },
+		Status: func(context.Context) Status { return Status{Node: "orders-1", Revision: l.number} },
+	}
+}
+
+func (l *line) apply(_ context.Context, document []byte, expected int64, dryRun bool) (Applied, error) {
+	if l.fail != nil {
+		return Applied{}, l.fail
+	}
+	if expected != l.number {
+		return Applied{}, NewConflict(expected, l.number)
+	}
+	if dryRun {
+		return Applied{Revision: l.number}, nil
+	}
+	set, err := schema.Parse("apply", document)
+	if err != nil {
+		return Applied{}, err
+	}
+	l.number++
+	l.set = set
+	return Applied{Revision: l.number}, nil
+}
+
+// TestRequests runs testdata/requests: each command is a request to a node,
+// its input the body, its output the status and body of the answer.
+func TestRequests(t *testing.T) {
+	l := &line{}
+	handler := l.server().Handler()
+	datadriven.RunTest(t, "testdata/requests", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "set" {
+			l.ready = d.HasArg("ready")
+			l.fail = nil
+			if d.HasArg("unavailable") {
+				l.fail = plat.Unavailable.New("no answer")
+			}
+			if d.HasArg("platform_conflict") {
+				l.fail = plat.Conflict.New("row changed")
+			}
+			return "ok\n"
+		}
+		var path string
+		d.ScanArgs(t, "path", &path)
+		token := testToken
+		d.MaybeScanArgs(t, "token", &token)
+		request := httptest.NewRequest(d.Cmd, path, strings.NewReader(d.Input))
+		if token != "none" {
+			request.Header.Set("Authorization", "Bearer "+token)
+		}
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, request)
+		return fmt.Sprintf("%d\n%s\n", answer.Code, indent(answer.Body.Bytes()))
+	})
+}
+
+func indent(body []byte) string {
+	var value any
+	if json.Unmarshal(body, &value) != nil {
+		return strings.TrimSpace(string(body))
+	}
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// TestWatchEndsWithItsReader sees a watch send a revision, then heartbeats, and
+// release the node's wait when the reader goes.
+func TestWatchEndsWithItsReader(t *testing.T) {
+	is := is.New(t)
+	server := (&line{}).server()
+	server.Heartbeat = time.Millisecond
+	released := make(chan struct{})
+	server.Watch = func(ctx context.Context, after int64) (int64, *schema.Set, error) {
+		if after < 7 {
+			return 7, &schema.Set{Limits: schema.DefaultLimits()}, nil
+		}
+		<-ctx.Done()
+		if ctx.Err() == context.Canceled {
+			close(released)
+		}
+		return 0, nil, ctx.Err()
+	}
+	web := httptest.NewServer(server.Handler())
+	defer web.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, web.URL+"/v1/watch?after=3", nil)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	decoder := json.NewDecoder(response.Body)
+	var events [3]Event
+	for i := range events {
+		is.NoErr(decoder.Decode(&events[i]))
+	}
+	is.Equal(events[0].Revision, int64(7))
+	is.True(strings.Contains(events[0].Document, "resource: limits"))
+	is.Equal(events[1], Event{Revision: 7, Heartbeat: true})
+	cancel()
+	_, _ = io.Copy(io.Discard, response.Body)
+	<-released
+}
+
+// TestDegradedOnlyWhenAPersonIsNeeded runs the cases that heal by themselves
+// beside those that do not.
+func TestDegradedOnlyWhenAPersonIsNeeded(t *testing.T) {
+	healthy := Status{
+		Revision:          4,
+		PlatformReachable: true,
+		RevisionAgeMS:     rolloutGrace.Milliseconds() + 1,
+		Members:           []Member{{Name: "a", Revision: 4}, {Name: "b", Revision: 4}},
+		Services:          []Service{{Name: "s", Targets: []Target{{State: StateReady, Ejected: true, Floor: 1 << 17}}}},
+	}
+	cases := []struct {
+		name   string
+		change func(*Status)
+		action string
+	}{
+		{"overload and an ejected target", func(*Status) {}, ""},
+		{"short outage of the platform", func(s *Status) {
+			s.PlatformReachable, s.PlatformSilentMS = false, platformGrace.Milliseconds()
+		}, ""},
+		{"long outage of the platform", func(s *Status) {
+			s.PlatformReachable, s.PlatformSilentMS = false, platformGrace.Milliseconds()+1
+		}, "bring the platform back"},
+		{"rollout under way", func(s *Status) { s.Members[1].Revision, s.RevisionAgeMS = 3, 0 }, ""},
+		{"member stuck", func(s *Status) { s.Members[1].Revision = 3 }, "look at the hosts of b"},
+		{"no target", func(s *Status) { s.Services = []Service{{Name: "s", Targets: []Target{{State: "leaving"}}}} }, "start targets of s"},
+		{"nothing declared", func(s *Status) { s.Revision, s.Members = 0, nil }, "apply a configuration"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			status := healthy
+			status.Members = append([]Member(nil), healthy.Members...)
+			c.change(&status)
+			status.Complete()
+			degraded := status.Conditions[2]
+			is.Equal(degraded.Type, Degraded)
+			is.Equal(degraded.Action, c.action)
+			is.Equal(degraded.Holds, c.action != "")
+		})
+	}
+}
--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,7 +30,7 @@
 	}
 	set, err := schema.Parse(documentName, data)
 	if err != nil {
-		failInvalid(ctx, err)
+		failInvalid(ctx, "the document has errors", err)
 		return
 	}
 	s.commit(ctx, set)
@@ -45,7 +46,7 @@
 	}
 	checked, err := schema.Parse(documentName, rest.Document())
 	if err != nil {
-		failInvalid(ctx, err)
+		failInvalid(ctx, "what remains without "+resourceType+" "+name+" has errors", err)
 		return
 	}
 	s.commit(ctx, checked)
@@ -63,7 +64,7 @@
 	applied, err := s.Apply(ctx.Request().Context(), document, expected, dryRun)
 	if err != nil {
 		s.Log.Warn("revision refused", "remote", ctx.Request().RemoteAddr, "expected", expected, "error", err)
-		failCommit(ctx, err, expected, number)
+		s.failCommit(ctx, err, expected)
 		return
 	}
 	applied.DryRun = dryRun
@@ -209,23 +210,22 @@
 	return DefaultHeartbeat
 }
 
-func failInvalid(ctx iris.Context, err error) {
+func failInvalid(ctx iris.Context, message string, err error) {
 	var problems place.Problems
 	errors.As(err, &problems)
-	fail(ctx, http.StatusUnprocessableEntity, Failure{Error: "the document has errors", Problems: problems})
+	fail(ctx, http.StatusUnprocessableEntity, Failure{Error: message, Problems: problems})
 }
 
 // failCommit answers a change that the node did not accept.
-func failCommit(ctx iris.Context, err error, expected, current int64) {
-	conflict := Failure{Error: err.Error(), Expected: expected, Current: current}
+func (s *Server) failCommit(ctx iris.Context, err error, expected int64) {
 	switch {
 	case errorx.IsOfType(err, Conflict):
-		if number, ok := errorx.ExtractProperty(err, propertyCurrent); ok {
-			conflict.Current, _ = number.(int64)
-		}
-		fail(ctx, http.StatusConflict, conflict)
+		value, _ := errorx.ExtractProperty(err, propertyCurrent)
+		current, _ := value.(int64)
+		failConflict(ctx, expected, current)
 	case errorx.IsOfType(err, plat.Conflict):
-		fail(ctx, http.StatusConflict, conflict)
+		current, _, _ := s.current()
+		failConflict(ctx, expected, current)
 	case errorx.IsOfType(err, plat.Unavailable):
 		fail(ctx, http.StatusServiceUnavailable, Failure{
 			Error: "the platform gave no answer, so the change may or may not have been accepted; " +
@@ -235,3 +235,16 @@
 		fail(ctx, http.StatusInternalServerError, Failure{Error: err.Error()})
 	}
 }
+
+// failConflict names both revisions. A current one that is not above the
+// expected one is old news: the platform knows of a change that this node has
+// not learned yet.
+func failConflict(ctx iris.Context, expected, current int64) {
+	failure := Failure{Error: fmt.Sprintf("revision %d was expected, but %d is in force", expected, current), Expected: &expected}
+	if current != expected {
+		failure.Current = &current
+	} else {
+		failure.Error = fmt.Sprintf("revision %d was expected, but another change was accepted at the same moment", expected)
+	}
+	fail(ctx, http.StatusConflict, failure)
+}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -112,8 +112,17 @@
 	platformGrace = 10 * time.Minute
 )
 
-// Complete fills what follows from the rest of the status.
+// Complete fills what follows from the rest of the status. Lists that the node
+// left out become empty ones, so that readers of the JSON meet no null.
 func (s *Status) Complete() {
+	s.Members = orEmpty(s.Members)
+	// The node may keep its list: the entries are changed in a copy.
+	s.Services = append([]Service{}, s.Services...)
+	for i := range s.Services {
+		s.Services[i].Targets = orEmpty(s.Services[i].Targets)
+	}
+	s.Refusals = orEmpty(s.Refusals)
+	s.Retries = orEmpty(s.Retries)
 	s.Rollout = s.rollout()
 	if s.Conditions == nil {
 		s.Conditions = s.judge()
@@ -162,7 +171,7 @@
 	message := fmt.Sprintf("revision %d is in force at %d of %d members", rollout.Revision, rollout.InForce, rollout.Members)
 	return Condition{
 		Type:    InForce,
-		Holds:   rollout.Revision > 0 && len(rollout.Lagging) == 0,
+		Holds:   rollout.Revision > 0 && rollout.InForce > 0 && len(rollout.Lagging) == 0,
 		Message: message,
 	}
 }
@@ -212,3 +221,10 @@
 	}
 	return false
 }
+
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -42,11 +43,17 @@
 		mutex  sync.Mutex
 		now    time.Time
 		alarms map[chan time.Time]time.Time
+		// skip is the longest wait that passes at once.
+		skip time.Duration
 	}
 )
 
-// longestSkip is the longest wait that a skipClock lets pass at once.
-const longestSkip = time.Second
+const (
+	// scriptSkip is the longest wait that passes at once in scripts.
+	scriptSkip = time.Second
+	// meshKey is where a script finds its mesh.
+	meshKey = "mesh"
+)
 
 func (c *skipClock) Now() time.Time {
 	c.mutex.Lock()
@@ -59,7 +66,7 @@
 	defer c.mutex.Unlock()
 	alarm := make(chan time.Time, 1)
 	c.alarms[alarm] = c.now.Add(d)
-	if d <= longestSkip {
+	if d <= c.skip {
 		c.now = c.now.Add(d)
 	}
 	for alarm, at := range c.alarms {
@@ -83,6 +90,8 @@
 		Ready:     func() bool { return true },
 		Heartbeat: time.Millisecond,
 		Drain: func(context.Context) error {
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
 			m.drained = true
 			return nil
 		},
@@ -162,28 +171,25 @@
 
 // TestScripts runs testdata/script. Commands beside those of testscript:
 //
-//	mesh [token=TOKEN]         starts a mesh and sets $NODE
+//	mesh start [TOKEN]         starts a mesh and sets $NODE
 //	mesh lag|break|offline|... changes it
 //	run CODE ARGUMENT...       runs the command line and checks its exit code
 func TestScripts(t *testing.T) {
-	meshes := map[string]*fakeMesh{}
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(env *testscript.Env) error {
-			mesh := &fakeMesh{}
-			meshes[env.WorkDir] = mesh
+			env.Values[meshKey] = &fakeMesh{}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"mesh": func(ts *testscript.TestScript, _ bool, args []string) {
-				meshCommand(ts, meshes[ts.Getenv("WORK")], args)
-			},
-			"run": runCommand,
+			"mesh": meshCommand,
+			"run":  runCommand,
 		},
 	})
 }
 
-func meshCommand(ts *testscript.TestScript, mesh *fakeMesh, args []string) {
+func meshCommand(ts *testscript.TestScript, _ bool, args []string) {
+	mesh := ts.Value(meshKey).(*fakeMesh)
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	switch args[0] {
@@ -234,7 +240,7 @@
 
 func testSeams() Seams {
 	return Seams{
-		Clock:   &skipClock{alarms: map[chan time.Time]time.Time{}},
+		Clock:   &skipClock{alarms: map[chan time.Time]time.Time{}, skip: scriptSkip},
 		Version: "1.2.3",
 		RunNode: func(_ context.Context, node *setup.Node, log hclog.Logger) error {
 			log.Named("node").Debug("not shown at info")
@@ -244,6 +250,25 @@
 	}
 }
 
+// TestWatchGivesUpOnSilence connects to a node that sends nothing, under a
+// clock on which the time without a line has passed.
+func TestWatchGivesUpOnSilence(t *testing.T) {
+	is := is.New(t)
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer web.Close()
+	clock := &skipClock{alarms: map[chan time.Time]time.Time{}, skip: silenceTimeout}
+	a := &app{Seams: Seams{Clock: clock}, stdout: io.Discard, stderr: io.Discard}
+	a.client.node = web.Listener.Addr().String()
+	var after int64
+	var printed int
+	done, err := a.watchOnce(t.Context(), &after, &printed, 0)
+	is.True(!done)
+	is.True(strings.Contains(err.Error(), "nothing heard"))
+}
+
 func TestCodesPageHoldsTheTable(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/codes.md")
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -135,8 +135,7 @@
 			return failure.Problems
 		}
 	case http.StatusConflict:
-		return Conflict.New("revision %d was expected, but %d is in force; look at it with `dandelionfield diff`, then apply again",
-			failure.Expected, failure.Current)
+		return Conflict.New("%s; look at it with `dandelionfield diff`, then apply again", failure.Error)
 	case http.StatusUnauthorized:
 		return Failed.New("%s; give it with --token or %s", failure.Error, tokenVariable)
 	case http.StatusNotFound, http.StatusBadRequest:
