--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -145,7 +145,7 @@
 }
 
 // stream sends the lines of a watch into the channel and closes it when the
-// connection ends.
+// connection ends. It always ends with an error, which says why.
 func (c *client) stream(ctx context.Context, after int64, events chan<- admin.Event) error {
 	defer close(events)
 	response, err := c.send(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?after=%d", after), nil)
@@ -170,5 +170,8 @@
 			return ctx.Err()
 		}
 	}
-	return lines.Err()
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return Failed.New("%s ended the watch", c.node)
 }
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -178,6 +178,10 @@
 	if err != nil {
 		return badFile(err)
 	}
+	// Such a set would delete everything that runs.
+	if len(set.Services) == 0 {
+		return BadInput.New("%s: no services are declared; is it the right path?", strings.Join(options.files, ", "))
+	}
 	if options.expected == unknownRevision {
 		listing, _, err := a.inForce(ctx)
 		if err != nil {
--- a/pkg/schema/parse.go
+++ b/pkg/schema/parse.go
@@ -1,6 +1,7 @@
 package schema
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -108,6 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
+	// An empty set would delete everything: a wrong path must not look like one.
 	var files []string
 	for _, entry := range entries {
 		extension := filepath.Ext(entry.Name())
@@ -115,6 +117,9 @@
 			files = append(files, filepath.Join(path, entry.Name()))
 		}
 	}
+	if len(files) == 0 {
+		return nil, fmt.Errorf("%s: no .yaml or .yml files", path)
+	}
 	return files, nil
 }
 
--- a/pkg/schema/schema_test.go
+++ b/pkg/schema/schema_test.go
@@ -125,3 +125,15 @@
 		}
 	})
 }
+
+func BenchmarkMatch(b *testing.B) {
+	set, err := ParseDir("testdata/mesh")
+	if err != nil {
+		b.Fatal(err)
+	}
+	matcher := NewMatcher(set)
+	b.ReportAllocs()
+	for b.Loop() {
+		matcher.Match("GET", "/allowances/41")
+	}
+}
