--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -277,3 +277,45 @@
 	is.Equal(Main([]string{"explain", "--all"}, &table, io.Discard, Seams{}), ExitOK)
 	is.True(strings.Contains(string(page), table.String())) // `dandelionfield explain --all` prints the table anew
 }
+
+// TestOperatorsPage parses the page's examples and finds every default in its
+// tables.
+func TestOperatorsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operators.md")
+	is.NoErr(err)
+	blocks := strings.Split(string(page), "```yaml\n")
+	is.Equal(len(blocks), 3)
+	settings, _, _ := strings.Cut(blocks[1], "```")
+	_, err = setup.Parse("settings", []byte(settings))
+	is.NoErr(err)
+	declarations, _, _ := strings.Cut(blocks[2], "```")
+	_, err = schema.Parse("declarations", []byte(declarations))
+	is.NoErr(err)
+	defaults, err := schema.Parse("defaults", []byte(`
+resource: service
+name: s
+slots: 1
+connections: 1
+---
+resource: request_kind
+name: k
+service: s
+path: /
+`))
+	is.NoErr(err)
+	declared := map[string]bool{"name": true, "slots": true, "connections": true, "service": true, "path": true}
+	computed := map[string]string{"queue": "as `slots`", "repeat": "by method"}
+	for _, resource := range defaults.Resources() {
+		for _, field := range resource.Fields {
+			text := "`" + field.String() + "`"
+			if computed[field.Key] != "" {
+				text = computed[field.Key]
+			}
+			row := "| `" + field.Key + "` | " + text + " |"
+			if !declared[field.Key] && !strings.Contains(string(page), row) {
+				t.Errorf("the page lacks the row %s", row)
+			}
+		}
+	}
+}
