Resolve lost answers of an apply and keep the status to one screen

Cause: an apply whose answer was lost ended in an error although the change had been accepted, which invites a second apply; a watch without the token asked again for ever; the status took one line for each member and target.

Now apply looks for a higher revision with what was declared, a watch ends when it is refused, and the status sums up each service and lists only members that lag or take no work.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -142,6 +142,7 @@
 	v1.Post("/drain", s.drain)
 	if err := app.Build(); err != nil {
 		s.Log.Error("admin routes could not be built", "error", err)
+		return http.NotFoundHandler()
 	}
 	return app
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,6 +73,11 @@
 	namespace = errorx.NewNamespace("cli")
 	// Failed means that the command could not do its work.
 	Failed = namespace.NewType("failed")
+	// Refused means that the node refused the request, also when it is asked
+	// again.
+	Refused = Failed.NewSubtype("refused")
+	// Unanswered means that a change may or may not have been accepted.
+	Unanswered = Failed.NewSubtype("unanswered")
 	// BadInput means that a flag, an argument or a file is wrong.
 	BadInput = namespace.NewType("bad_input")
 	// Conflict means that another revision than the expected one is in force.
@@ -136,7 +141,7 @@
 			if err != nil {
 				return badFile(err)
 			}
-			return a.RunNode(command.Context(), node, newLogger(node.LogLevel, a.stderr))
+			return a.RunNode(command.Context(), node, newLogger(node.LogLevel, a.stderr, a.Clock))
 		}),
 	}
 	command.Flags().StringVar(&config, "config", "", "settings of the node")
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -34,6 +34,8 @@
 		lagging int           // status answers until the other member follows
 		breaks  bool          // every watch ends after one revision
 		offline bool          // the platform gives no answer
+		loses   bool          // the answer to the next change is lost
+		rival   bool          // another operator's change comes first
 		drained bool
 	}
 
@@ -115,7 +117,14 @@
 	if err != nil {
 		return admin.Applied{}, err
 	}
+	if m.rival {
+		set = &schema.Set{Limits: schema.DefaultLimits()}
+	}
 	m.history = append(m.history, set)
+	if m.loses {
+		m.loses = false
+		return admin.Applied{}, plat.Unavailable.New("answer lost")
+	}
 	return admin.Applied{Revision: number + 1}, nil
 }
 
@@ -203,6 +212,12 @@
 		mesh.lagging = polls
 	case "break":
 		mesh.breaks = true
+	case "lose":
+		mesh.loses = true
+	case "fair":
+		mesh.rival = false
+	case "rival":
+		mesh.loses, mesh.rival = true, true
 	case "offline":
 		mesh.offline = true
 	case "drained":
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -120,7 +120,7 @@
 	if method == http.MethodGet {
 		return Failed.New("no whole answer from %s; try again or another node (%v)", c.node, err)
 	}
-	return Failed.New("no whole answer from %s, so the change may have been accepted; see `dandelionfield diff` before trying again (%v)", c.node, err)
+	return Unanswered.New("no whole answer from %s, so the change may have been accepted; see `dandelionfield diff` before trying again (%v)", c.node, err)
 }
 
 // refused turns an answer that is an error into one of the command line.
@@ -137,7 +137,9 @@
 	case http.StatusConflict:
 		return Conflict.New("%s; look at it with `dandelionfield diff`, then apply again", failure.Error)
 	case http.StatusUnauthorized:
-		return Failed.New("%s; give it with --token or %s", failure.Error, tokenVariable)
+		return Refused.New("%s; give it with --token or %s", failure.Error, tokenVariable)
+	case http.StatusServiceUnavailable:
+		return Unanswered.New("%s", failure.Error)
 	case http.StatusNotFound, http.StatusBadRequest:
 		return BadInput.New("%s", failure.Error)
 	}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
 
 	"github.com/dandelionfield/dandelionfield/internal/admin"
@@ -31,6 +32,9 @@
 	unknownRevision = -1
 	// waitTimeout is how long apply --wait waits unless told otherwise.
 	waitTimeout = 10 * time.Second
+	// resolvePolls is how often the node is asked for a change whose answer
+	// was lost.
+	resolvePolls = 15
 	// pollInterval is the time between two looks at the status.
 	pollInterval = 200 * time.Millisecond
 )
@@ -190,6 +194,9 @@
 		options.expected = listing.Revision
 	}
 	applied, err := a.client.apply(ctx, set.Document(), options.expected, options.dryRun)
+	if errorx.IsOfType(err, Unanswered) && !options.dryRun {
+		applied, err = a.resolve(ctx, set, options.expected, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -202,6 +209,24 @@
 	return a.waitInForce(ctx, applied.Revision, options.timeout)
 }
 
+// resolve finds out whether a change whose answer was lost was accepted: then
+// the node soon has a higher revision with what was declared. That nothing
+// shows up proves nothing, so the error stays.
+func (a *app) resolve(ctx context.Context, declared *schema.Set, expected int64, lost error) (admin.Applied, error) {
+	for range resolvePolls {
+		select {
+		case <-ctx.Done():
+			return admin.Applied{}, lost
+		case <-a.Clock.After(pollInterval):
+		}
+		listing, inForce, err := a.inForce(ctx)
+		if err == nil && listing.Revision > expected && len(inForce.Diff(declared)) == 0 {
+			return admin.Applied{Revision: listing.Revision, Digest: listing.Digest}, nil
+		}
+	}
+	return admin.Applied{}, lost
+}
+
 // waitInForce looks at the status until no member lags behind the revision.
 func (a *app) waitInForce(ctx context.Context, revision int64, timeout time.Duration) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -242,7 +267,9 @@
 }
 
 func printApplied(w io.Writer, applied admin.Applied) {
-	printChanges(w, applied.Changes)
+	if applied.Changes != nil {
+		printChanges(w, applied.Changes)
+	}
 	if applied.DryRun {
 		_, _ = fmt.Fprintf(w, "dry run: nothing changed, revision %d stays in force\n", applied.Revision)
 		return
--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -6,9 +6,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
 )
 
 // lineSink writes each log event as one line of key=value pairs:
@@ -18,6 +19,7 @@
 	mutex sync.Mutex
 	out   io.Writer
 	level hclog.Level
+	clock clock.Clock
 }
 
 // timeLayout writes times in UTC with milliseconds.
@@ -26,10 +28,10 @@
 // newLogger returns a logger whose lines hold key=value pairs only. The lines
 // of hclog itself begin with a time and a level that have no keys, so a sink
 // writes them instead.
-func newLogger(level string, out io.Writer) hclog.Logger {
+func newLogger(level string, out io.Writer, clock clock.Clock) hclog.Logger {
 	threshold := hclog.LevelFromString(level)
 	logger := hclog.NewInterceptLogger(&hclog.LoggerOptions{Level: threshold, Output: io.Discard})
-	logger.RegisterSink(&lineSink{out: out, level: threshold})
+	logger.RegisterSink(&lineSink{out: out, level: threshold, clock: clock})
 	return logger
 }
 
@@ -39,7 +41,7 @@
 		return
 	}
 	var line strings.Builder
-	writePair(&line, "time", time.Now().UTC().Format(timeLayout))
+	writePair(&line, "time", s.clock.Now().UTC().Format(timeLayout))
 	writePair(&line, "level", level.String())
 	if name != "" {
 		writePair(&line, "module", name)
@@ -48,6 +50,9 @@
 	for i := 0; i+1 < len(args); i += 2 {
 		writePair(&line, fmt.Sprint(args[i]), fmt.Sprint(args[i+1]))
 	}
+	if len(args)%2 != 0 {
+		writePair(&line, hclog.MissingKey, fmt.Sprint(args[len(args)-1]))
+	}
 	line.WriteByte('\n')
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -19,25 +19,30 @@
 const codesIntro = "| Code | Name | Family | HTTP status | Meaning | What the caller does |\n|---|---|---|---|---|---|\n"
 
 func (a *app) statusCommand() *cobra.Command {
+	var all bool
 	command := &cobra.Command{
-		Use:     "status --node IP:PORT",
-		Short:   "Show the mesh as one node sees it",
-		Example: "  dandelionfield status --node 10.0.0.7:7102",
-		Args:    cobra.NoArgs,
+		Use:   "status --node IP:PORT",
+		Short: "Show the mesh as one node sees it",
+		Long: `Show the mesh as one node sees it: what needs a person first, then the members
+that lag or take no work, and one line for each service.`,
+		Example: `  dandelionfield status --node 10.0.0.7:7102
+  dandelionfield status --all --node 10.0.0.7:7102`,
+		Args: cobra.NoArgs,
 		RunE: work(func(command *cobra.Command, _ []string) error {
 			var status admin.Status
 			if err := a.client.get(command.Context(), "/v1/status", &status); err != nil {
 				return err
 			}
-			return a.print(status, func(w io.Writer) { printStatus(w, status) })
+			return a.print(status, func(w io.Writer) { printStatus(w, status, all) })
 		}),
 	}
+	command.Flags().BoolVar(&all, "all", false, "list every member and every target")
 	a.client.addFlags(command)
 	return command
 }
 
 // printStatus writes what needs a person first, then the mesh.
-func printStatus(w io.Writer, status admin.Status) {
+func printStatus(w io.Writer, status admin.Status, all bool) {
 	for _, condition := range status.Conditions {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", condition.Type, yes(condition.Holds), condition.Message)
 		if condition.Action != "" {
@@ -51,40 +56,78 @@
 	}
 	_, _ = fmt.Fprintf(w, "\nnode\t%s (%s, %s)\nincarnation\t%s\nstate\t%s\nrevision\t%d (%s)\nplatform\t%s\n",
 		status.Node, status.Service, status.DataCentre, status.Incarnation, status.State, status.Revision, status.Digest, platform)
-	printMembers(w, status)
-	printTargets(w, status.Services)
+	_, _ = fmt.Fprintf(w, "members\t%d\n", len(status.Members))
+	printMembers(w, status, all)
+	printServices(w, status.Services)
+	if all {
+		printTargets(w, status.Services)
+	}
 	printCounts(w, "REFUSALS", status.Refusals)
 	printCounts(w, "RETRIES", status.Retries)
 }
 
-func printMembers(w io.Writer, status admin.Status) {
-	_, _ = fmt.Fprintln(w, "\nMEMBER\tSERVICE\tDATA CENTRE\tSTATE\tREVISION")
+// printMembers writes the members that lag or do not take work, or all.
+func printMembers(w io.Writer, status admin.Status, all bool) {
+	var rows []string
 	for _, member := range status.Members {
+		lags := member.Revision < status.Rollout.Revision
+		if !all && !lags && member.State == admin.StateReady {
+			continue
+		}
 		revision := fmt.Sprint(member.Revision)
-		if member.Revision < status.Rollout.Revision {
+		if lags {
 			revision += " (lags)"
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", member.Name, member.Service, member.DataCentre, member.State, revision)
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\n", member.Name, member.Service, member.DataCentre, member.State, revision))
+	}
+	if len(rows) > 0 {
+		_, _ = fmt.Fprintln(w, "\nMEMBER\tSERVICE\tDATA CENTRE\tSTATE\tREVISION")
+		_, _ = io.WriteString(w, strings.Join(rows, ""))
 	}
 }
 
-func printTargets(w io.Writer, services []admin.Service) {
-	_, _ = fmt.Fprintln(w, "\nSERVICE\tTARGET\tSTATE\tIN FLIGHT\tQUEUED\tFLOOR")
+// printServices writes one line for each service: what its targets do together,
+// and the highest of their floors.
+func printServices(w io.Writer, services []admin.Service) {
+	_, _ = fmt.Fprintln(w, "\nSERVICE\tREADY\tEJECTED\tIN FLIGHT\tQUEUED\tFLOOR")
 	for _, service := range services {
-		if len(service.Targets) == 0 {
-			_, _ = fmt.Fprintf(w, "%s\t(none)\t\t\t\t\n", service.Name)
+		var ready, ejected, inFlight, limit, queued int
+		var floor uint32
+		for _, target := range service.Targets {
+			ready += count(target.State == admin.StateReady)
+			ejected += count(target.Ejected)
+			inFlight += target.InFlight
+			limit += target.Limit
+			queued += target.Queued
+			floor = max(floor, target.Floor)
 		}
+		_, _ = fmt.Fprintf(w, "%s\t%d/%d\t%d\t%d/%d\t%d\t%d\n",
+			service.Name, ready, len(service.Targets), ejected, inFlight, limit, queued, floor)
+	}
+}
+
+// printTargets writes one line for each target.
+func printTargets(w io.Writer, services []admin.Service) {
+	_, _ = fmt.Fprintln(w, "\nTARGET\tSERVICE\tSTATE\tIN FLIGHT\tQUEUED\tFLOOR")
+	for _, service := range services {
 		for _, target := range service.Targets {
 			state := target.State
 			if target.Ejected {
 				state += ", ejected"
 			}
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%d\t%d\n",
-				service.Name, target.Node, state, target.InFlight, target.Limit, target.Queued, target.Floor)
+				target.Node, service.Name, state, target.InFlight, target.Limit, target.Queued, target.Floor)
 		}
 	}
 }
 
+func count(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // printCounts writes the counters in one line, and nothing when all are 0.
 func printCounts(w io.Writer, title string, counts []admin.Count) {
 	var texts []string
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -129,7 +129,7 @@
 	printed := 0
 	for ctx.Err() == nil {
 		done, err := a.watchOnce(ctx, &after, &printed, count)
-		if done || errorx.IsOfType(err, BadInput) {
+		if done || errorx.IsOfType(err, BadInput) || errorx.IsOfType(err, Refused) {
 			return err
 		}
 		if ctx.Err() != nil {
--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -120,11 +120,12 @@
 	return rest, len(rest.Services)+len(rest.Kinds)+len(rest.DataCentres) < before
 }
 
-// Diff returns what changes when other takes the place of the set.
+// Diff returns what changes when other takes the place of the set, by type and
+// name; empty, not nil, when nothing does.
 func (s *Set) Diff(other *Set) []Change {
 	before := byIdentity(s.Resources())
 	after := byIdentity(other.Resources())
-	var changes []Change
+	changes := []Change{}
 	for identity, resource := range after {
 		old, existed := before[identity]
 		change := Change{Action: Changed, Type: resource.Type, Name: resource.Name}
