--- /dev/null
+++ b/internal/admit/door.go
@@ -0,0 +1,123 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// levelFresh is how long a level counts in full.
+	levelFresh = 500 * time.Millisecond
+	// levelGone is the age at which a level counts no more. In between its
+	// floor comes down evenly: opening at one stroke would send a burst of
+	// everything that was held back.
+	levelGone = 1500 * time.Millisecond
+)
+
+type (
+	// Door is the entry node's knowledge of the floors of services.
+	Door struct {
+		levels map[string]map[string]heard
+	}
+
+	// Level is the floor of one node for its service.
+	Level struct {
+		Service string
+		Node    string
+		Floor   uint32
+		// Age is the time since the floor was measured.
+		Age time.Duration
+	}
+
+	heard struct {
+		floor    uint32
+		measured time.Time
+	}
+)
+
+// NewDoor returns a door that lets everything through.
+func NewDoor() *Door {
+	return &Door{levels: map[string]map[string]heard{}}
+}
+
+// Learn takes in a level that was measured the given time ago. An older one
+// than is known already changes nothing.
+func (d *Door) Learn(now time.Time, service, node string, floor uint32, age time.Duration) {
+	if age >= levelGone {
+		return
+	}
+	measured := now.Add(-max(age, 0))
+	nodes := d.levels[service]
+	if nodes == nil {
+		nodes = map[string]heard{}
+		d.levels[service] = nodes
+	}
+	if nodes[node].measured.After(measured) {
+		return
+	}
+	nodes[node] = heard{floor: floor, measured: measured}
+}
+
+// Allows reports whether a request of the order passes the floors of all the
+// services, and otherwise which service refuses.
+func (d *Door) Allows(now time.Time, services []string, order uint32) (string, bool) {
+	for _, service := range services {
+		if order < d.floor(now, service) {
+			return service, false
+		}
+	}
+	return "", true
+}
+
+// Floors returns the levels that are known, for passing on with answers.
+func (d *Door) Floors(now time.Time) []Level {
+	var levels []Level
+	for service, nodes := range d.levels {
+		for node, h := range nodes {
+			age := now.Sub(h.measured)
+			if age >= levelGone {
+				delete(nodes, node)
+				continue
+			}
+			levels = append(levels, Level{Service: service, Node: node, Floor: h.floor, Age: age})
+		}
+		if len(nodes) == 0 {
+			delete(d.levels, service)
+		}
+	}
+	return levels
+}
+
+// Forget drops what is known of a node.
+func (d *Door) Forget(node string) {
+	for service, nodes := range d.levels {
+		delete(nodes, node)
+		if len(nodes) == 0 {
+			delete(d.levels, service)
+		}
+	}
+}
+
+// floor returns the service's floor: the median over its nodes.
+func (d *Door) floor(now time.Time, service string) uint32 {
+	floors := make([]uint32, 0, len(d.levels[service]))
+	for _, h := range d.levels[service] {
+		if age := now.Sub(h.measured); age < levelGone {
+			floors = append(floors, relaxed(h.floor, age))
+		}
+	}
+	if len(floors) == 0 {
+		return 0
+	}
+	slices.Sort(floors)
+	return floors[(len(floors)-1)/2]
+}
+
+// relaxed returns what is left of a floor at the age.
+func relaxed(floor uint32, age time.Duration) uint32 {
+	if age <= levelFresh {
+		return floor
+	}
+	left := float64(levelGone-age) / float64(levelGone-levelFresh)
+	return uint32(float64(floor) * max(left, 0))
+}
--- /dev/null
+++ b/internal/admit/limit.go
@@ -0,0 +1,99 @@
+package admit
+
+import "time"
+
+const (
+	minLimitShare     = 0.1
+	outcomeWindow     = 500 * time.Millisecond
+	collapseCut       = 0.7
+	minCollapseEnds   = 5
+	growthDoubling    = time.Second
+	shedGrowthShare   = 0.05 // of the slots, per second, right after a shed
+	collapseGrowth    = 0.5  // of the slots, per second, right after a collapse
+	maxGrowthShare    = 1.0
+	coldStartingShare = 0.1
+)
+
+// limiter adapts the number of calls in flight to what the target takes.
+//
+// A target that sheds has said how many it takes at the moment: those that
+// were in flight beside the shed call. The limit falls to that number and
+// rises again, slowly at first and twice as fast with each second that passes
+// without a further cut.
+type limiter struct {
+	settings Settings
+	limit    float64
+	growth   float64 // slots per second
+	grownAt  time.Time
+	// windowEnd closes the window over which outcomes are counted.
+	windowEnd time.Time
+	completed int
+	lost      int
+}
+
+func newLimiter(s Settings) limiter {
+	return limiter{
+		settings: s,
+		limit:    float64(s.Slots),
+		growth:   maxGrowthShare * float64(s.Slots),
+	}
+}
+
+// cold reports whether the target is still being ramped up.
+func (l *limiter) cold(now time.Time) bool {
+	return now.Sub(l.settings.Started) < l.settings.ColdStart
+}
+
+// current returns the limit, always at least one: a call must get through for
+// the target to show that it has recovered.
+func (l *limiter) current(now time.Time) int {
+	limit := l.limit
+	if l.cold(now) {
+		warm := float64(now.Sub(l.settings.Started)) / float64(l.settings.ColdStart)
+		limit = min(limit, float64(l.settings.Slots)*max(warm, coldStartingShare))
+	}
+	return max(1, int(limit))
+}
+
+// ended counts the outcome of a call. others is the number of calls that
+// remain in flight.
+func (l *limiter) ended(o Outcome, others int) {
+	switch o {
+	case Completed:
+		l.completed++
+	case Failed, TimedOut:
+		l.lost++
+	case Shed:
+		if float64(others) < l.limit {
+			l.cut(float64(others), shedGrowthShare)
+		}
+	case Abandoned:
+	}
+}
+
+// advance lets the limit grow and cuts it when most calls of a window were lost.
+func (l *limiter) advance(now time.Time) {
+	elapsed := now.Sub(l.grownAt)
+	if l.grownAt.IsZero() || elapsed < 0 {
+		elapsed = 0
+	}
+	l.grownAt = now
+	slots := float64(l.settings.Slots)
+	l.growth = min(l.growth*(1+elapsed.Seconds()/growthDoubling.Seconds()), maxGrowthShare*slots)
+	l.limit = min(l.limit+l.growth*elapsed.Seconds(), slots)
+	if now.Before(l.windowEnd) {
+		return
+	}
+	if l.lost >= minCollapseEnds && l.lost > l.completed {
+		l.cut(l.limit*collapseCut, collapseGrowth)
+	}
+	l.windowEnd = now.Add(outcomeWindow)
+	l.completed = 0
+	l.lost = 0
+}
+
+func (l *limiter) cut(limit, growthShare float64) {
+	slots := float64(l.settings.Slots)
+	l.limit = max(limit, minLimitShare*slots, 1)
+	l.growth = growthShare * slots
+}
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,62 @@
+package admit
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+type (
+	// waiter is a call in the queue.
+	waiter struct {
+		call    Call
+		order   uint32
+		arrived time.Time
+	}
+
+	// queue holds waiting calls, the highest order first and equal orders by
+	// arrival.
+	queue struct {
+		waiters []waiter
+	}
+)
+
+func (q *queue) len() int {
+	return len(q.waiters)
+}
+
+func (q *queue) insert(w waiter) {
+	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].order < w.order })
+	q.waiters = slices.Insert(q.waiters, at, w)
+}
+
+// lowest returns the order of the call that is evicted next.
+func (q *queue) lowest() uint32 {
+	return q.waiters[len(q.waiters)-1].order
+}
+
+func (q *queue) takeHighest() waiter {
+	w := q.waiters[0]
+	q.waiters = slices.Delete(q.waiters, 0, 1)
+	return w
+}
+
+func (q *queue) takeLowest() waiter {
+	last := len(q.waiters) - 1
+	w := q.waiters[last]
+	q.waiters = slices.Delete(q.waiters, last, last+1)
+	return w
+}
+
+// remove takes out the calls for which the function returns true.
+func (q *queue) remove(drop func(w waiter) bool) []waiter {
+	var removed []waiter
+	q.waiters = slices.DeleteFunc(q.waiters, func(w waiter) bool {
+		if !drop(w) {
+			return false
+		}
+		removed = append(removed, w)
+		return true
+	})
+	return removed
+}
--- /dev/null
+++ b/internal/admit/times.go
@@ -0,0 +1,60 @@
+package admit
+
+import "time"
+
+const (
+	meanWeight    = 0.1
+	maxMeanWeight = 0.5
+	minMeanWeight = 0.02
+)
+
+type (
+	// times estimates how long calls occupy a slot.
+	times struct {
+		// all is the mean over calls of every kind, in seconds.
+		all    float64
+		byKind map[string]estimate
+	}
+
+	// estimate holds a smoothed mean and mean deviation, in seconds.
+	estimate struct {
+		mean      float64
+		deviation float64
+	}
+)
+
+func newTimes() times {
+	return times{byKind: map[string]estimate{}}
+}
+
+// observe takes in one call. The overall mean forgets within one round of the
+// slots, so that it follows a change of speed as fast as calls end.
+func (t *times) observe(kind string, took time.Duration, limit int) {
+	seconds := took.Seconds()
+	weight := min(max(2/float64(limit+1), minMeanWeight), maxMeanWeight)
+	if t.all == 0 {
+		t.all = seconds
+	}
+	t.all += weight * (seconds - t.all)
+	e, ok := t.byKind[kind]
+	if !ok {
+		e = estimate{mean: seconds}
+	}
+	difference := seconds - e.mean
+	e.mean += meanWeight * difference
+	e.deviation += meanWeight * (max(difference, -difference) - e.deviation)
+	t.byKind[kind] = e
+}
+
+// mean returns the mean time over all kinds in seconds, 0 while unknown.
+func (t *times) mean() float64 {
+	return t.all
+}
+
+// leastExpected returns a time that most calls of the kind take at least. A
+// call is given up only against this lower estimate: a kind whose times
+// spread widely may still end soon.
+func (t *times) leastExpected(kind string) time.Duration {
+	e := t.byKind[kind]
+	return time.Duration(max(0, e.mean-e.deviation) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/route/choice.go
@@ -0,0 +1,163 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// spillAbove is the pressure at which the next tier opens. It lies above
+	// that of a service which is merely well used.
+	spillAbove = 0.9
+	// spillBelow is the pressure that the nearer tiers must not exceed with
+	// the work of the farthest one before that closes again.
+	spillBelow = 0.7
+	// minUsableShare is the share of targets that stays in use. When more
+	// look bad, the fault is likely elsewhere and all are used.
+	minUsableShare = 1.0 / 3
+	// unknownDistance places data centres without a declared distance behind
+	// the others of the region.
+	unknownDistance = time.Hour
+	// regionDistance places other regions behind the own one.
+	regionDistance = 24 * time.Hour
+)
+
+// group sorts the targets into tiers by data centre.
+func (t *Table) group() {
+	type place struct {
+		distance   time.Duration
+		dataCentre string
+	}
+	byPlace := map[place][]*entry{}
+	for _, e := range t.entries {
+		p := place{distance: t.distance(e.target), dataCentre: e.target.DataCentre}
+		byPlace[p] = append(byPlace[p], e)
+	}
+	places := make([]place, 0, len(byPlace))
+	for p := range byPlace {
+		places = append(places, p)
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), strings.Compare(a.dataCentre, b.dataCentre))
+	})
+	t.tiers = nil
+	for _, p := range places {
+		tier := byPlace[p]
+		slices.SortFunc(tier, func(a, b *entry) int { return strings.Compare(a.target.Name, b.target.Name) })
+		t.tiers = append(t.tiers, tier)
+	}
+	t.open = max(1, min(t.open, len(t.tiers)))
+}
+
+func (t *Table) distance(target Target) time.Duration {
+	if target.DataCentre == t.settings.DataCentre {
+		return 0
+	}
+	distance, ok := t.settings.Distances[target.DataCentre]
+	if !ok {
+		distance = unknownDistance
+	}
+	if target.Region != t.settings.Region {
+		distance += regionDistance
+	}
+	return distance
+}
+
+// spill opens one more tier when the open ones are full, and closes the
+// farthest when the others have room for its work. The work that would move
+// is counted in, so that closing a tier never leads to opening it again.
+func (t *Table) spill(now time.Time) {
+	load, limit := t.sum(now, t.open)
+	if t.open < len(t.tiers) && load >= spillAbove*limit {
+		t.open++
+		return
+	}
+	if t.open <= 1 {
+		return
+	}
+	_, nearLimit := t.sum(now, t.open-1)
+	if load < spillBelow*nearLimit {
+		t.open--
+	}
+}
+
+// sum returns the load of the open tiers and the limit of their usable targets.
+func (t *Table) sum(now time.Time, open int) (load, limit float64) {
+	for _, tier := range t.tiers[:min(open, len(t.tiers))] {
+		for _, e := range tier {
+			load += e.load(now)
+			if e.usable(now) && !e.refusing(now) {
+				limit += e.limit()
+			}
+		}
+	}
+	return load, limit
+}
+
+// pick chooses from the open tiers: a target that is due for its trial call,
+// or else the less loaded of two drawn at random.
+func (t *Table) pick(now time.Time, open int, not map[string]bool) *entry {
+	var usable, ejected []*entry
+	total := 0
+	for _, tier := range t.tiers[:open] {
+		for _, e := range tier {
+			if e.target.Leaving {
+				continue
+			}
+			total++
+			switch {
+			case not[e.target.Name]:
+			case e.dueForTrial(now):
+				return e
+			case e.usable(now):
+				usable = append(usable, e)
+			default:
+				ejected = append(ejected, e)
+			}
+		}
+	}
+	good := total - t.ejectedCount(now, open)
+	if float64(good) < minUsableShare*float64(total) {
+		usable = append(usable, ejected...)
+	}
+	return t.lessLoaded(now, usable)
+}
+
+func (t *Table) ejectedCount(now time.Time, open int) int {
+	count := 0
+	for _, tier := range t.tiers[:open] {
+		for _, e := range tier {
+			if !e.target.Leaving && !e.usable(now) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// lessLoaded draws two targets and returns the one under less pressure.
+// Drawing only two keeps many nodes with the same stale reports from all
+// choosing the same target.
+func (t *Table) lessLoaded(now time.Time, from []*entry) *entry {
+	if len(from) == 0 {
+		return nil
+	}
+	first := t.draw(len(from))
+	if len(from) == 1 {
+		return from[first]
+	}
+	second := t.draw(len(from) - 1)
+	if second >= first {
+		second++
+	}
+	if from[second].score(now) < from[first].score(now) {
+		return from[second]
+	}
+	return from[first]
+}
+
+func (t *Table) draw(n int) int {
+	return min(int(t.settings.Random()*float64(n)), n-1)
+}
--- /dev/null
+++ b/internal/route/entry.go
@@ -0,0 +1,189 @@
+package route
+
+import "time"
+
+const (
+	// defaultLimit stands in until the target's node has reported one.
+	defaultLimit = 100
+	// coldShare scales the limit of a cold target that has not reported one.
+	coldShare = 0.2
+	// reportValid is how long a reported load counts.
+	reportValid = time.Second
+	// refusalValid is how long a target that refused for load counts as full.
+	refusalValid = 100 * time.Millisecond
+
+	successWeight = 0.1
+	minSuccess    = 0.05
+	latencyWeight = 0.1
+
+	// A target is ejected after this many failures in a row, silent calls
+	// weighing more because each one has cost a caller its whole patience.
+	ejectAfter      = 5
+	failureWeight   = 1
+	silenceWeight   = 2
+	unreachedWeight = 2
+	// ejectBelow is the share of successes under which a target is ejected
+	// even when some calls complete in between.
+	ejectBelow = 0.5
+
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
+	ejectJitter   = 0.25
+	// restoreAfter completed calls in a row forget the former ejections.
+	restoreAfter = 20
+)
+
+// entry is what a table knows of one target.
+type entry struct {
+	target   Target
+	inFlight int
+	// success is the smoothed share of calls that completed.
+	success float64
+	latency time.Duration
+	// reported is the load that the target's node gave last, at reportedAt.
+	reported    int
+	limitGiven  int
+	reportedAt  time.Time
+	sentSince   int
+	refusedAt   time.Time
+	failures    int // weighted, in a row
+	completions int // in a row
+	ejections   int
+	// ejectedUntil stays set until a trial call has completed.
+	ejectedUntil time.Time
+	// trialUntil bounds how long one trial call keeps others away.
+	trialUntil time.Time
+}
+
+func newEntry(target Target) *entry {
+	return &entry{target: target, success: 1}
+}
+
+// sent counts a call that is on its way to the target.
+func (e *entry) sent(now time.Time) {
+	e.inFlight++
+	e.sentSince++
+	if e.dueForTrial(now) {
+		e.trialUntil = now.Add(firstEjection)
+	}
+}
+
+// ended takes in the end of a call.
+func (e *entry) ended(now time.Time, r Report, random func() float64) {
+	e.inFlight = max(0, e.inFlight-1)
+	if r.Known {
+		e.reported = r.InFlight + r.Queued
+		e.limitGiven = r.Limit
+		e.reportedAt = now
+		e.sentSince = 0
+		e.target.Leaving = e.target.Leaving || r.Leaving
+	}
+	switch r.Outcome {
+	case Complete:
+		e.completed(r.Latency)
+	case Refused:
+		e.refusedAt = now
+		e.alive()
+	case Failed:
+		e.failed(now, failureWeight, random)
+	case Silent:
+		e.failed(now, silenceWeight, random)
+	case Unreachable:
+		e.failed(now, unreachedWeight, random)
+	}
+}
+
+func (e *entry) completed(latency time.Duration) {
+	if e.latency == 0 {
+		e.latency = latency
+	}
+	e.latency += time.Duration(latencyWeight * float64(latency-e.latency))
+	e.success += successWeight * (1 - e.success)
+	e.alive()
+	e.completions++
+	if e.completions >= restoreAfter {
+		e.ejections = 0
+	}
+}
+
+// alive ends an ejection: the target has answered sensibly.
+func (e *entry) alive() {
+	e.failures = 0
+	if e.ejectedUntil.IsZero() {
+		return
+	}
+	e.ejectedUntil = time.Time{}
+	e.trialUntil = time.Time{}
+	e.success = max(e.success, ejectBelow+successWeight)
+}
+
+func (e *entry) failed(now time.Time, weight int, random func() float64) {
+	e.completions = 0
+	e.failures += weight
+	e.success -= successWeight * e.success
+	trial := !e.ejectedUntil.IsZero() && !now.Before(e.ejectedUntil)
+	fresh := e.ejectedUntil.IsZero() && (e.failures >= ejectAfter || e.success < ejectBelow)
+	if trial || fresh {
+		e.eject(now, random)
+	}
+}
+
+// eject keeps calls away from the target, twice as long with each ejection in
+// a row. The jitter keeps nodes from trying it again all at the same moment.
+func (e *entry) eject(now time.Time, random func() float64) {
+	length := min(firstEjection<<min(e.ejections, 10), maxEjection)
+	factor := 1 + ejectJitter*(2*random()-1)
+	e.ejections++
+	e.ejectedUntil = now.Add(time.Duration(float64(length) * factor))
+	e.trialUntil = time.Time{}
+}
+
+// usable reports whether calls may be sent freely.
+func (e *entry) usable(_ time.Time) bool {
+	return !e.target.Leaving && e.ejectedUntil.IsZero()
+}
+
+// dueForTrial reports whether the ejection has run out and no trial call is
+// under way.
+func (e *entry) dueForTrial(now time.Time) bool {
+	return !e.ejectedUntil.IsZero() && !now.Before(e.ejectedUntil) && !now.Before(e.trialUntil)
+}
+
+// refusing reports whether the target has just refused for load.
+func (e *entry) refusing(now time.Time) bool {
+	return !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < refusalValid
+}
+
+func (e *entry) limit() float64 {
+	if e.limitGiven > 0 {
+		return float64(e.limitGiven)
+	}
+	if e.target.Cold {
+		return coldShare * defaultLimit
+	}
+	return defaultLimit
+}
+
+// load estimates how many calls the target has: those of this node, or what
+// its own node reported and was sent since, if that is more.
+func (e *entry) load(now time.Time) float64 {
+	if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportValid {
+		return float64(e.inFlight)
+	}
+	return float64(max(e.inFlight, e.reported+e.sentSince))
+}
+
+func (e *entry) pressure(now time.Time) float64 {
+	return e.load(now) / e.limit()
+}
+
+// score orders targets for the choice. Dividing by the share of calls that
+// complete keeps a target that fails fast, and therefore looks idle, from
+// drawing calls to itself.
+func (e *entry) score(now time.Time) float64 {
+	score := (e.load(now) + 1) / e.limit() / max(e.success, minSuccess)
+	if e.refusing(now) {
+		score++
+	}
+	return score
+}
