--- /dev/null
+++ b/internal/plat/client.go
@@ -0,0 +1,276 @@
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+)
+
+// The defaults of Limits. The platform takes about 2000 reads and several
+// hundred writes a second in all; 530 nodes at 3 reads and 0.5 writes a second
+// stay below 1590 and 265 even if every node uses its whole share at once.
+const (
+	defaultReadsPerSecond  = 3.0
+	defaultWritesPerSecond = 0.5
+	defaultReadBurst       = 6
+	defaultWriteBurst      = 4
+	defaultTimeout         = 2 * time.Second
+	defaultBackoffMin      = 200 * time.Millisecond
+	defaultBackoffMax      = 10 * time.Second
+
+	maxResponseBytes = 64 << 20
+)
+
+type (
+	// Limits bounds what one process asks of the platform. A zero field takes
+	// the default.
+	Limits struct {
+		ReadsPerSecond  float64
+		WritesPerSecond float64
+		ReadBurst       int
+		WriteBurst      int
+		// Timeout bounds one request.
+		Timeout time.Duration
+		// After a failure the next request waits for a random part of a time
+		// that doubles from BackoffMin to BackoffMax.
+		BackoffMin time.Duration
+		BackoffMax time.Duration
+		// Clock and Random are seams; nil takes the host's.
+		Clock  clock.Clock
+		Random func() float64
+	}
+
+	client struct {
+		address string
+		limits  Limits
+		http    *http.Client
+		// turn holds one token: one request is in flight per process.
+		turn   chan struct{}
+		reads  *rate.Limiter
+		writes *rate.Limiter
+
+		mu        sync.Mutex
+		failures  int
+		notBefore time.Time
+	}
+
+	request struct {
+		method string
+		path   string
+		body   []byte
+		write  bool
+	}
+)
+
+// NewClient returns a Store that speaks HTTP and JSON with the platform at
+// address (host:port or URL). A request that the limits or the backoff would
+// hold back past its context's deadline fails at once as Unavailable.
+func NewClient(address string, limits Limits) Store {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	limits = limits.withDefaults()
+	c := &client{
+		address: strings.TrimSuffix(address, "/"),
+		limits:  limits,
+		http:    &http.Client{Transport: transport(limits.Timeout)},
+		turn:    make(chan struct{}, 1),
+		reads:   rate.NewLimiter(rate.Limit(limits.ReadsPerSecond), limits.ReadBurst),
+		writes:  rate.NewLimiter(rate.Limit(limits.WritesPerSecond), limits.WriteBurst),
+	}
+	return Store{
+		Get:       c.get,
+		List:      c.list,
+		Commit:    c.commit,
+		PutObject: c.putObject,
+		GetObject: c.getObject,
+	}
+}
+
+func (l Limits) withDefaults() Limits {
+	l.ReadsPerSecond = orDefault(l.ReadsPerSecond, defaultReadsPerSecond)
+	l.WritesPerSecond = orDefault(l.WritesPerSecond, defaultWritesPerSecond)
+	l.ReadBurst = orDefault(l.ReadBurst, defaultReadBurst)
+	l.WriteBurst = orDefault(l.WriteBurst, defaultWriteBurst)
+	l.Timeout = orDefault(l.Timeout, defaultTimeout)
+	l.BackoffMin = orDefault(l.BackoffMin, defaultBackoffMin)
+	l.BackoffMax = orDefault(l.BackoffMax, defaultBackoffMax)
+	if l.Clock == nil {
+		l.Clock = clock.System{}
+	}
+	if l.Random == nil {
+		l.Random = rand.Float64
+	}
+	return l
+}
+
+func orDefault[T int | float64 | time.Duration](value, standard T) T {
+	if value > 0 {
+		return value
+	}
+	return standard
+}
+
+func transport(timeout time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+func (c *client) get(ctx context.Context, table, key string) (Row, error) {
+	var row Row
+	path := "/table/" + url.PathEscape(table) + "/" + url.PathEscape(key)
+	err := c.doJSON(ctx, request{method: http.MethodGet, path: path}, &row)
+	return row, err
+}
+
+func (c *client) list(ctx context.Context, table string, since int64) ([]Row, int64, error) {
+	var listing struct {
+		Rows    []Row `json:"rows"`
+		Version int64 `json:"version"`
+	}
+	path := "/table/" + url.PathEscape(table) + "?since=" + strconv.FormatInt(since, 10)
+	err := c.doJSON(ctx, request{method: http.MethodGet, path: path}, &listing)
+	return listing.Rows, listing.Version, err
+}
+
+func (c *client) commit(ctx context.Context, write Write) (int64, error) {
+	body, err := json.Marshal(write)
+	if err != nil {
+		return 0, fmt.Errorf("encode write %s: %w", write.ID, err)
+	}
+	var answer struct {
+		Version int64 `json:"version"`
+	}
+	path := "/table/" + url.PathEscape(write.Table) + "/commit"
+	err = c.doJSON(ctx, request{method: http.MethodPost, path: path, body: body, write: true}, &answer)
+	return answer.Version, err
+}
+
+func (c *client) putObject(ctx context.Context, name string, data []byte) error {
+	path := "/objects/" + url.PathEscape(name)
+	_, err := c.do(ctx, request{method: http.MethodPut, path: path, body: data, write: true})
+	return err
+}
+
+func (c *client) getObject(ctx context.Context, name string) ([]byte, error) {
+	return c.do(ctx, request{method: http.MethodGet, path: "/objects/" + url.PathEscape(name)})
+}
+
+func (c *client) doJSON(ctx context.Context, r request, answer any) error {
+	body, err := c.do(ctx, r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return Unavailable.Wrap(err, "the platform's answer cannot be read")
+	}
+	return nil
+}
+
+// do waits for its turn, the backoff and the rate limit, and sends the request.
+func (c *client) do(ctx context.Context, r request) ([]byte, error) {
+	select {
+	case c.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, Unavailable.Wrap(ctx.Err(), "another request to the platform took too long")
+	}
+	defer func() { <-c.turn }()
+	if err := c.hold(ctx, r.write); err != nil {
+		return nil, err
+	}
+	body, status, err := c.send(ctx, r)
+	if err == nil && status >= http.StatusInternalServerError {
+		err = fmt.Errorf("status %d: %s", status, bytes.TrimSpace(body))
+	}
+	c.settle(err)
+	if err != nil {
+		return nil, Unavailable.Wrap(err, "%s %s", r.method, r.path)
+	}
+	switch status {
+	case http.StatusOK:
+		return body, nil
+	case http.StatusConflict:
+		return nil, Conflict.New("%s", bytes.TrimSpace(body))
+	case http.StatusNotFound:
+		return nil, NotFound.New("%s", bytes.TrimSpace(body))
+	}
+	return nil, Unavailable.New("%s %s: status %d: %s", r.method, r.path, status, bytes.TrimSpace(body))
+}
+
+// hold waits for the later of the backoff's end and the rate limit's leave.
+func (c *client) hold(ctx context.Context, write bool) error {
+	limiter := c.reads
+	if write {
+		limiter = c.writes
+	}
+	now := c.limits.Clock.Now()
+	reservation := limiter.ReserveN(now, 1)
+	c.mu.Lock()
+	wait := max(reservation.DelayFrom(now), c.notBefore.Sub(now))
+	c.mu.Unlock()
+	if wait <= 0 {
+		return nil
+	}
+	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(now) < wait {
+		reservation.CancelAt(now)
+		return Unavailable.New("the platform is not asked again for %v", wait.Round(time.Millisecond))
+	}
+	select {
+	case <-c.limits.Clock.After(wait):
+		return nil
+	case <-ctx.Done():
+		reservation.CancelAt(c.limits.Clock.Now())
+		return Unavailable.Wrap(ctx.Err(), "given up before the platform was asked")
+	}
+}
+
+func (c *client) send(ctx context.Context, r request) (body []byte, status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.limits.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, r.method, c.address+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, 0, err
+	}
+	// Without GetBody the transport cannot repeat the request by itself.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	return body, resp.StatusCode, err
+}
+
+// settle sets the backoff after a request. With full jitter, 530 nodes that
+// have backed off to 10 s return to a store as about 100 requests a second.
+func (c *client) settle(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.failures = 0
+		c.notBefore = time.Time{}
+		return
+	}
+	backoff := min(c.limits.BackoffMin<<min(c.failures, 16), c.limits.BackoffMax)
+	c.failures++
+	wait := time.Duration(c.limits.Random() * float64(backoff))
+	c.notBefore = c.limits.Clock.Now().Add(wait)
+}
--- /dev/null
+++ b/internal/plat/memory.go
@@ -0,0 +1,239 @@
+package plat
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+)
+
+// rememberedWrites is how many write ids Memory recognises. A platform forgets
+// at some time, and so does the stand-in.
+const rememberedWrites = 65536
+
+type (
+	// Faults says how a Memory misbehaves.
+	Faults struct {
+		// Down makes every operation fail without an effect.
+		Down bool
+		// Delay holds back every operation.
+		Delay time.Duration
+		// LoseAnswers is the share of writes, 0 to 1, that take effect while
+		// their writer is told Unavailable.
+		LoseAnswers float64
+		// Random draws from [0, 1); nil takes math/rand/v2.
+		Random func() float64
+	}
+
+	// Stats counts the operations that reached a Memory.
+	Stats struct {
+		Reads  int64 `json:"reads"`
+		Writes int64 `json:"writes"`
+	}
+
+	// Memory is a platform in memory: a table service and an object store
+	// with faults that can be switched. It is safe for concurrent use.
+	Memory struct {
+		// Clock times Faults.Delay.
+		Clock clock.Clock
+
+		mu      sync.Mutex
+		faults  Faults
+		stats   Stats
+		version int64
+		tables  map[string]map[string]Row
+		objects map[string][]byte
+		writes  map[string]int64
+		order   []string
+	}
+)
+
+// NewMemory returns an empty platform without faults.
+func NewMemory() *Memory {
+	return &Memory{
+		Clock:   clock.System{},
+		tables:  make(map[string]map[string]Row),
+		objects: make(map[string][]byte),
+		writes:  make(map[string]int64),
+	}
+}
+
+// Store returns the door to the platform.
+func (m *Memory) Store() Store {
+	return Store{
+		Get:       m.get,
+		List:      m.list,
+		Commit:    m.commit,
+		PutObject: m.putObject,
+		GetObject: m.getObject,
+	}
+}
+
+// SetFaults replaces the faults from now on.
+func (m *Memory) SetFaults(faults Faults) {
+	if faults.Random == nil {
+		faults.Random = rand.Float64
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = faults
+}
+
+// Stats returns how many reads and writes have arrived.
+func (m *Memory) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stats
+}
+
+func (m *Memory) get(ctx context.Context, table, key string) (Row, error) {
+	if err := m.enter(ctx, true); err != nil {
+		return Row{}, err
+	}
+	defer m.mu.Unlock()
+	row, ok := m.tables[table][key]
+	if !ok || len(row.Value) == 0 {
+		return Row{Key: key}, nil
+	}
+	return clone(row), nil
+}
+
+func (m *Memory) list(ctx context.Context, table string, since int64) ([]Row, int64, error) {
+	if err := m.enter(ctx, true); err != nil {
+		return nil, 0, err
+	}
+	defer m.mu.Unlock()
+	var rows []Row
+	for _, key := range slices.Sorted(maps.Keys(m.tables[table])) {
+		row := m.tables[table][key]
+		if row.Version > since {
+			rows = append(rows, clone(row))
+		}
+	}
+	return rows, m.version, nil
+}
+
+func (m *Memory) commit(ctx context.Context, write Write) (int64, error) {
+	if err := m.enter(ctx, false); err != nil {
+		return 0, err
+	}
+	defer m.mu.Unlock()
+	version, done := m.writes[write.ID]
+	if !done {
+		if err := m.check(write); err != nil {
+			return 0, err
+		}
+		version = m.apply(write)
+	}
+	if m.losesAnswer() {
+		return 0, Unavailable.New("the answer of write %s was lost", write.ID)
+	}
+	return version, nil
+}
+
+func (m *Memory) putObject(ctx context.Context, name string, data []byte) error {
+	if err := m.enter(ctx, false); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	m.objects[name] = slices.Clone(data)
+	if m.losesAnswer() {
+		return Unavailable.New("the answer of putting object %s was lost", name)
+	}
+	return nil
+}
+
+func (m *Memory) getObject(ctx context.Context, name string) ([]byte, error) {
+	if err := m.enter(ctx, true); err != nil {
+		return nil, err
+	}
+	defer m.mu.Unlock()
+	data, ok := m.objects[name]
+	if !ok {
+		return nil, NotFound.New("there is no object %s", name)
+	}
+	return slices.Clone(data), nil
+}
+
+// enter counts and delays an operation, and returns with the lock held unless
+// it returns an error.
+func (m *Memory) enter(ctx context.Context, read bool) error {
+	m.mu.Lock()
+	delay := m.faults.Delay
+	m.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-m.Clock.After(delay):
+		case <-ctx.Done():
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return Unavailable.Wrap(err, "the operation was given up")
+	}
+	m.mu.Lock()
+	if read {
+		m.stats.Reads++
+	} else {
+		m.stats.Writes++
+	}
+	if m.faults.Down {
+		m.mu.Unlock()
+		return Unavailable.New("the platform is down")
+	}
+	return nil
+}
+
+func (m *Memory) check(write Write) error {
+	for _, change := range write.Changes {
+		row := m.tables[write.Table][change.Key]
+		version := row.Version
+		if len(row.Value) == 0 {
+			version = 0 // a deleted row counts as absent
+		}
+		if version != change.Expected {
+			return Conflict.New("row %s/%s has version %d, expected %d", write.Table, change.Key, version, change.Expected)
+		}
+	}
+	return nil
+}
+
+func (m *Memory) apply(write Write) int64 {
+	m.version++
+	table := m.tables[write.Table]
+	if table == nil {
+		table = make(map[string]Row)
+		m.tables[strings.Clone(write.Table)] = table
+	}
+	for _, change := range write.Changes {
+		row := Row{Key: change.Key, Version: m.version, WriteID: write.ID}
+		if !change.Delete {
+			row.Value = slices.Clone(change.Value)
+		}
+		table[change.Key] = row
+	}
+	m.remember(write.ID)
+	return m.version
+}
+
+func (m *Memory) remember(id string) {
+	m.writes[id] = m.version
+	m.order = append(m.order, id)
+	if len(m.order) > rememberedWrites {
+		delete(m.writes, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func (m *Memory) losesAnswer() bool {
+	return m.faults.LoseAnswers > 0 && m.faults.Random() < m.faults.LoseAnswers
+}
+
+func clone(row Row) Row {
+	row.Value = slices.Clone(row.Value)
+	return row
+}
