--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,335 @@
+// Package config knows which declarations are in force.
+//
+// There is one line of revisions. A revision is accepted by one
+// compare-and-set of the row config/current, after its document has been put
+// into the object store under its digest. Nodes learn of it by polling that
+// row and from each other, and take higher revisions only. Owner plans, one
+// line of versions for each service, travel the same way.
+package config
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+const (
+	// pollInterval is the mean time between two reads of the version row. At
+	// 530 nodes that is 265 reads/s, and as much again where a node polls its
+	// service's owner plan, of about two thousand.
+	pollInterval = 2 * time.Second
+	// bootPeers is how many peers a node hears before it takes the highest of
+	// their revisions.
+	bootPeers = 3
+	// bootInterval is the mean wait between two attempts to boot.
+	bootInterval = 500 * time.Millisecond
+	// storeTimeout bounds one operation on the platform while nodes follow it.
+	storeTimeout = 3 * time.Second
+	// fetchTimeout bounds one fetch from a peer.
+	fetchTimeout = 2 * time.Second
+
+	configTable = "config"
+	currentKey  = "current"
+	plansTable  = "owners"
+)
+
+var (
+	namespace = errorx.NewNamespace("config")
+	// Conflict means that the revision in force is not the expected one. Its
+	// message names both.
+	Conflict = namespace.NewType("conflict")
+	// Unresolved means that the platform did not tell whether the revision was
+	// accepted. The same Commit may be sent again without accepting it twice.
+	Unresolved = namespace.NewType("unresolved")
+	// Invalid means that the document cannot be read as declarations, or is
+	// not the one that its digest names.
+	Invalid = namespace.NewType("invalid")
+	// NoRevision means that neither the platform nor enough peers could say
+	// which revision is in force.
+	NoRevision = namespace.NewType("no_revision")
+)
+
+type (
+	// Revision is one accepted document.
+	Revision struct {
+		// Number counts accepted documents from 1.
+		Number int64
+		// Digest is the SHA-256 of the document in hexadecimal.
+		Digest   string
+		Document []byte
+		// Set is the document as parsed. Offer fills it.
+		Set *schema.Set
+	}
+
+	// Controller follows the revisions and owner plans. Its fields are set
+	// before its first use; its methods are safe for concurrent use.
+	Controller struct {
+		// Fetch asks the node at a relay address for its configuration and its
+		// owner plans of some services.
+		Fetch func(ctx context.Context, address string, plans []string) (*relaypb.FetchResponse, error)
+		// Service is the node's own service, whose plan it polls; may be empty.
+		Service string
+		// OnRevision is called after a revision came into force; may be nil.
+		OnRevision func(revision *Revision)
+		// OnPlan is called after a newer owner plan was taken; may be nil.
+		OnPlan func(service string, document []byte, version int64)
+		// Random draws from [0, 1).
+		Random func() float64
+		// Go runs work that waits for a peer; nil starts a goroutine.
+		Go func(work func())
+
+		store   plat.Store
+		parse   func([]byte) (*schema.Set, error)
+		clock   clock.Clock
+		log     hclog.Logger
+		current atomic.Pointer[Revision]
+
+		mu       sync.Mutex // orders Offer and guards what follows
+		plans    map[string]plan
+		fetching bool
+	}
+
+	plan struct {
+		document []byte
+		version  int64
+	}
+)
+
+// New returns a controller without a revision. Answers of the store that were
+// lost are resolved; the store need not do so itself.
+func New(store plat.Store, parse func([]byte) (*schema.Set, error), clk clock.Clock, log hclog.Logger) *Controller {
+	return &Controller{
+		Random: rand.Float64,
+		store:  plat.Resolved(store),
+		parse:  parse,
+		clock:  clk,
+		log:    log,
+		plans:  make(map[string]plan),
+	}
+}
+
+// Digest returns the digest of a document, which also names its object.
+func Digest(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:])
+}
+
+// Current returns the revision in force, or nil before the first.
+func (c *Controller) Current() *Revision {
+	return c.current.Load()
+}
+
+// Number returns the number of the revision in force, 0 before the first.
+func (c *Controller) Number() int64 {
+	if revision := c.current.Load(); revision != nil {
+		return revision.Number
+	}
+	return 0
+}
+
+// Offer brings a revision into force if it is higher than the one that is, and
+// says whether it did. A document that does not fit its digest or cannot be
+// read is refused.
+func (c *Controller) Offer(r Revision) bool {
+	if r.Number <= c.Number() {
+		return false
+	}
+	set, err := c.verify(r)
+	if err != nil {
+		c.log.Error("revision_refused", "number", r.Number, "digest", r.Digest, "error", err)
+		return false
+	}
+	r.Set = set
+	c.mu.Lock()
+	higher := r.Number > c.Number()
+	if higher {
+		c.current.Store(&r)
+	}
+	c.mu.Unlock()
+	if !higher {
+		return false
+	}
+	c.log.Info("revision_in_force", "number", r.Number, "digest", r.Digest)
+	if c.OnRevision != nil {
+		c.OnRevision(&r)
+	}
+	return true
+}
+
+// Heard notes that a node has a revision, and fetches it if it is higher.
+func (c *Controller) Heard(ctx context.Context, from string, number int64) {
+	if number > c.Number() {
+		c.fetchSoon(ctx, from, nil)
+	}
+}
+
+// Answer is the server's side of Fetch.
+func (c *Controller) Answer(req *relaypb.FetchRequest) *relaypb.FetchResponse {
+	resp := &relaypb.FetchResponse{}
+	if revision := c.Current(); revision != nil {
+		resp.Revision = revision.Number
+		resp.Digest = revision.Digest
+		resp.Document = revision.Document
+	}
+	for _, service := range req.GetPlans() {
+		if document, version := c.Plan(service); version > 0 {
+			resp.Plans = append(resp.Plans, &relaypb.Plan{Service: service, Version: version, Document: document})
+		}
+	}
+	return resp
+}
+
+// Boot learns the revision in force before the node takes work: from the
+// platform if it answers, else the highest of several peers. It tries until
+// one of them can tell, or until the context ends. A platform that answers
+// that there is no revision yet is an answer as well.
+//
+// The function peers returns relay addresses, none while none are known.
+func (c *Controller) Boot(ctx context.Context, peers func() []string) error {
+	for {
+		storeErr := c.Poll(ctx)
+		if storeErr == nil {
+			return nil
+		}
+		heard, asked := c.askPeers(ctx, peers())
+		if asked > 0 && heard >= min(bootPeers, asked) && c.Number() > 0 {
+			return nil
+		}
+		select {
+		case <-c.clock.After(c.jitter(bootInterval)):
+		case <-ctx.Done():
+			return NoRevision.Wrap(storeErr, "%d of %d peers answered", heard, asked)
+		}
+	}
+}
+
+// Run polls the version row until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	for {
+		select {
+		case <-c.clock.After(c.jitter(pollInterval)):
+		case <-ctx.Done():
+			return
+		}
+		if err := c.Poll(ctx); err != nil {
+			c.log.Debug("poll_failed", "error", err)
+		}
+		if err := c.PollPlan(ctx); err != nil {
+			c.log.Debug("plan_poll_failed", "error", err)
+		}
+	}
+}
+
+// Poll reads the version row and takes the revision it names, if higher.
+func (c *Controller) Poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, head, err := c.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Number <= c.Number() {
+		return nil
+	}
+	document, err := c.store.GetObject(ctx, objectName(head.Digest))
+	if err != nil {
+		return err
+	}
+	revision := Revision{Number: head.Number, Digest: head.Digest, Document: document}
+	if !c.Offer(revision) && c.Number() < head.Number {
+		return Invalid.New("revision %d of the platform was refused", head.Number)
+	}
+	return nil
+}
+
+// askPeers fetches from peers until bootPeers have answered, and returns how
+// many did and how many are known.
+func (c *Controller) askPeers(ctx context.Context, peers []string) (heard, asked int) {
+	peers = slices.Clone(peers)
+	for i := len(peers) - 1; i > 0; i-- {
+		j := min(int(c.Random()*float64(i+1)), i)
+		peers[i], peers[j] = peers[j], peers[i]
+	}
+	for _, peer := range peers {
+		if heard >= bootPeers || ctx.Err() != nil {
+			break
+		}
+		if c.fetch(ctx, peer, nil) == nil {
+			heard++
+		}
+	}
+	return heard, len(peers)
+}
+
+// fetchSoon fetches from a node unless a fetch is on its way already. What
+// that one leaves out is heard of again with the next exchange.
+func (c *Controller) fetchSoon(ctx context.Context, from string, services []string) {
+	c.mu.Lock()
+	busy := c.fetching
+	c.fetching = true
+	c.mu.Unlock()
+	if busy || c.Fetch == nil {
+		return
+	}
+	work := func() {
+		if err := c.fetch(ctx, from, services); err != nil {
+			c.log.Debug("fetch_failed", "from", from, "error", err)
+		}
+		c.mu.Lock()
+		c.fetching = false
+		c.mu.Unlock()
+	}
+	if c.Go != nil {
+		c.Go(work)
+		return
+	}
+	go work()
+}
+
+func (c *Controller) fetch(ctx context.Context, from string, services []string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	resp, err := c.Fetch(ctx, from, services)
+	if err != nil {
+		return err
+	}
+	c.Offer(Revision{Number: resp.GetRevision(), Digest: resp.GetDigest(), Document: resp.GetDocument()})
+	for _, p := range resp.GetPlans() {
+		c.OfferPlan(p.GetService(), p.GetDocument(), p.GetVersion())
+	}
+	return nil
+}
+
+func (c *Controller) verify(r Revision) (*schema.Set, error) {
+	if digest := Digest(r.Document); digest != r.Digest {
+		return nil, Invalid.New("the document has digest %s", digest)
+	}
+	set, err := c.parse(r.Document)
+	if err != nil {
+		return nil, Invalid.Wrap(err, "the document cannot be read")
+	}
+	return set, nil
+}
+
+// jitter returns a time between half and one and a half of d.
+func (c *Controller) jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + c.Random()) * float64(d))
+}
+
+func sortedKeys(plans map[string]plan) []string {
+	return slices.Sorted(maps.Keys(plans))
+}
--- /dev/null
+++ b/internal/config/plans.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"context"
+	"slices"
+
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+)
+
+// Plan returns the newest known owner plan of a service, and version 0 if none
+// is known. The caller must not change the document.
+func (c *Controller) Plan(service string) (document []byte, version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.plans[service]
+	return known.document, known.version
+}
+
+// Plans returns the versions of all known owner plans, by service.
+func (c *Controller) Plans() []*relaypb.PlanVersion {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	versions := make([]*relaypb.PlanVersion, 0, len(c.plans))
+	for _, service := range sortedKeys(c.plans) {
+		versions = append(versions, &relaypb.PlanVersion{Service: service, Version: c.plans[service].version})
+	}
+	return versions
+}
+
+// OfferPlan takes an owner plan if it is newer than the known one, and says
+// whether it did.
+func (c *Controller) OfferPlan(service string, document []byte, version int64) bool {
+	c.mu.Lock()
+	newer := version > c.plans[service].version
+	if newer {
+		c.plans[service] = plan{document: slices.Clone(document), version: version}
+	}
+	c.mu.Unlock()
+	if newer && c.OnPlan != nil {
+		c.OnPlan(service, document, version)
+	}
+	return newer
+}
+
+// HeardPlans notes the versions of owner plans that a node has, and fetches
+// those that are newer.
+func (c *Controller) HeardPlans(ctx context.Context, from string, versions []*relaypb.PlanVersion) {
+	var services []string
+	for _, heard := range versions {
+		if _, version := c.Plan(heard.GetService()); heard.GetVersion() > version {
+			services = append(services, heard.GetService())
+		}
+	}
+	if len(services) > 0 {
+		c.fetchSoon(ctx, from, services)
+	}
+}
+
+// CommitPlan replaces the owner plan of a service if its version is still the
+// expected one (0 for none), and returns the version it made. It returns
+// Conflict if another plan is there, and Unresolved if the platform did not
+// tell; the same CommitPlan may then be sent again.
+func (c *Controller) CommitPlan(ctx context.Context, service string, document []byte, expected int64) (version int64, err error) {
+	id := writeID("owners-"+service, Digest(document), expected)
+	change := plat.Change{Key: service, Value: document, Expected: expected}
+	version, err = c.store.Commit(ctx, plat.Write{Table: plansTable, ID: id, Changes: []plat.Change{change}})
+	switch {
+	case isConflict(err):
+		return 0, Conflict.Wrap(err, "the owner plan of %s has changed", service)
+	case err != nil:
+		return 0, Unresolved.Wrap(err, "whether the owner plan of %s was replaced is not known", service)
+	}
+	c.OfferPlan(service, document, version)
+	return version, nil
+}
+
+// PollPlan reads the owner plan of the node's own service.
+func (c *Controller) PollPlan(ctx context.Context) error {
+	if c.Service == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, err := c.store.Get(ctx, plansTable, c.Service)
+	if err != nil {
+		return err
+	}
+	if row.Version > 0 {
+		c.OfferPlan(c.Service, row.Value, row.Version)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/member/control.go
@@ -0,0 +1,537 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+)
+
+const (
+	// roundInterval is the mean time between two rounds of a node.
+	roundInterval = 300 * time.Millisecond
+	// roundPeers is how many members a round exchanges with.
+	roundPeers = 2
+	// sendTimeout bounds one exchange.
+	sendTimeout = time.Second
+	// maxInFlight bounds the exchanges of a node that wait for an answer.
+	maxInFlight = 8
+	// farShare is the share of rounds that cross into another region.
+	farShare = 0.25
+
+	// settleTime is how long views may differ before a node sends its whole
+	// view: by then deltas have ended every difference that they can.
+	settleTime = 2 * time.Second
+	// A whole view is sent at most once in fullPerMember times the number of
+	// members, and in fullInterval. At 530 members of about 130 bytes that is
+	// 69 KB in 13 s, 5 KB/s at worst.
+	fullPerMember = 25 * time.Millisecond
+	fullInterval  = time.Second
+
+	// knockShare is the share of rounds that ask a lapsed member, at most; it
+	// falls with knockMembers/n, so that n nodes do not flood one address.
+	knockShare   = 0.1
+	knockMembers = 3.0
+
+	// catchUpPeers is how many peers a node hears, if the platform does not
+	// answer, before it trusts its view.
+	catchUpPeers = 3
+
+	// leaveFanout is how many members a leaving node tells by itself.
+	leaveFanout = 64
+)
+
+// Controller keeps a View fresh. Its fields are set before its first use; its
+// methods are safe for concurrent use.
+type Controller struct {
+	// Send carries an exchange to the node at a relay address.
+	Send func(ctx context.Context, address string, req *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error)
+	// Store is the platform with the lease rows.
+	Store plat.Store
+	Clock clock.Clock
+	// Random draws from [0, 1).
+	Random func() float64
+	// Changed is called after the view changed. It may be nil.
+	Changed func()
+	Log     hclog.Logger
+
+	// Revision and Plans give what other packages have in force, and Heard
+	// what the node at a relay address has. They may be nil.
+	Revision func() int64
+	Plans    func() []*relaypb.PlanVersion
+	Heard    func(from string, revision int64, plans []*relaypb.PlanVersion)
+	// CatchUp is called before the node becomes ready, with the relay
+	// addresses of members, to learn the configuration in force. While it
+	// fails the node stays unready. It may be nil.
+	CatchUp func(ctx context.Context, peers []string) error
+	// Go runs work that may wait for others; nil starts a goroutine.
+	Go func(work func())
+
+	mu       sync.Mutex
+	view     *View
+	seeds    []string // relay addresses heard from before the view is ready
+	inFlight int
+	// mismatchFrom is since when no exchange found an equal view.
+	mismatchFrom time.Time
+	nextFull     time.Time
+	lastRound    time.Time
+	ready        bool
+	catchingUp   bool
+	answers      int // whole views received since the node was last unready
+
+	kick  chan struct{}
+	touch chan struct{}
+	lease lease
+}
+
+// New returns a controller for the node with that row.
+func New(self Member, store plat.Store, clk clock.Clock, log hclog.Logger) *Controller {
+	return &Controller{
+		Store:  store,
+		Clock:  clk,
+		Random: rand.Float64,
+		Log:    log,
+		view:   NewView(self),
+		kick:   make(chan struct{}, 1),
+		touch:  make(chan struct{}, 1),
+	}
+}
+
+// Run exchanges with others and keeps the lease until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { c.runLease(ctx) })
+	for ctx.Err() == nil {
+		c.Round(ctx)
+		select {
+		case <-c.Clock.After(c.jitter(roundInterval)):
+		case <-c.kick:
+		case <-ctx.Done():
+		}
+	}
+	loops.Wait()
+}
+
+// Kick asks for a round at once.
+func (c *Controller) Kick() {
+	signal(c.kick)
+}
+
+// Ready says whether the view can be trusted: it is false from the start, and
+// after a freeze that outlasted the lease, until the view and the revision
+// have been learned anew.
+func (c *Controller) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready && c.Clock.Now().Sub(c.lastRound) < LeaseDuration
+}
+
+// Self returns the node's own row.
+func (c *Controller) Self() Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Self()
+}
+
+// SetSelf changes the node's own row and spreads it.
+func (c *Controller) SetSelf(change func(*Member)) {
+	c.mu.Lock()
+	before := c.view.Self().Version
+	c.view.SetSelf(c.Clock.Now(), change)
+	changed := c.view.Self().Version != before
+	c.mu.Unlock()
+	if changed {
+		c.notify()
+		c.Kick()
+		signal(c.touch)
+	}
+}
+
+// All returns the members that are neither gone nor lapsed, the node itself
+// among them.
+func (c *Controller) All() []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.All(c.Clock.Now())
+}
+
+// Service returns those of All that stand beside targets of the service.
+func (c *Controller) Service(service string) []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Service(c.Clock.Now(), service)
+}
+
+// Superseded returns the later incarnation of the node's name, if there is one.
+func (c *Controller) Superseded() (Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Superseded()
+}
+
+// Hash returns the hash of the view.
+func (c *Controller) Hash() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Hash()
+}
+
+// Round does one round: it judges leases and exchanges with a few members.
+func (c *Controller) Round(ctx context.Context) {
+	c.mu.Lock()
+	now := c.Clock.Now()
+	c.checkFreeze(now)
+	c.lastRound = now
+	lapsed := c.view.Lapse(now)
+	addresses := c.pickPeers()
+	c.mu.Unlock()
+	for _, member := range lapsed {
+		c.Log.Info("lease_lapsed", "member", member.Name, "incarnation", member.Incarnation)
+	}
+	if len(lapsed) > 0 {
+		c.notify()
+	}
+	for _, address := range addresses {
+		c.spawn(func() { c.exchange(ctx, address, false) })
+	}
+}
+
+// Answer is the server's side of an exchange.
+func (c *Controller) Answer(req *relaypb.ExchangeRequest) *relaypb.ExchangeResponse {
+	revision, plans := c.inForce()
+	rows := fromWire(req.GetDeltas())
+	// A sender whose rows add up to its hash has sent all that it has, and is
+	// answered with just what it lacks.
+	whole := len(rows) > 1 && HashRows(rows) == req.GetViewHash()
+	c.mu.Lock()
+	now := c.Clock.Now()
+	changed := c.take(now, req.GetFrom(), req.GetRevision(), rows)
+	if !c.ready && !slices.Contains(c.seeds, req.GetFrom()) {
+		c.seeds = append(c.seeds, req.GetFrom())
+	}
+	resp := &relaypb.ExchangeResponse{
+		ViewHash: c.view.Hash(),
+		Revision: revision,
+		WantFull: !c.ready,
+		Plans:    plans,
+	}
+	switch {
+	case req.GetWantFull():
+		resp.Deltas = toWire(c.view.Full(now))
+	case whole:
+		resp.Deltas = toWire(lacking(rows, c.view.Full(now)))
+	default:
+		resp.Deltas = toWire(c.view.Deltas(now))
+	}
+	c.noteHash(now, req.GetViewHash())
+	c.mu.Unlock()
+	c.after(changed, req.GetFrom(), req.GetRevision(), req.GetPlans())
+	return resp
+}
+
+// Leave spreads that the node is leaving: to every member when they are few,
+// else to a part of them that the next rounds multiply. It does not need the
+// platform. It returns once the members were told or the context ended.
+func (c *Controller) Leave(ctx context.Context) {
+	c.announce(ctx, Leaving)
+}
+
+// Depart spreads that the node is gone, and deletes its lease row. It is the
+// last thing that a node does.
+func (c *Controller) Depart(ctx context.Context) {
+	c.announce(ctx, Gone)
+	c.deleteLease(ctx)
+}
+
+func (c *Controller) announce(ctx context.Context, state State) {
+	c.SetSelf(func(self *Member) { self.State = state })
+	c.mu.Lock()
+	addresses := c.others(func(Member) bool { return true })
+	c.mu.Unlock()
+	c.shuffle(addresses)
+	addresses = addresses[:min(len(addresses), leaveFanout)]
+	var told sync.WaitGroup
+	for _, address := range addresses {
+		told.Add(1)
+		c.run(func() {
+			defer told.Done()
+			c.exchange(ctx, address, false)
+		})
+	}
+	told.Wait()
+}
+
+// exchange swaps news with the node at the address.
+func (c *Controller) exchange(ctx context.Context, address string, asked bool) {
+	req, full := c.request(asked)
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	resp, err := c.Send(ctx, address, req)
+	if err != nil {
+		c.Log.Debug("exchange_failed", "address", address, "error", err)
+		return
+	}
+	c.mu.Lock()
+	now := c.Clock.Now()
+	changed := c.take(now, address, resp.GetRevision(), fromWire(resp.GetDeltas()))
+	c.noteHash(now, resp.GetViewHash())
+	if req.GetWantFull() && !resp.GetWantFull() {
+		c.answers++ // an unready peer's view counts for nothing
+	}
+	wanted := resp.GetWantFull() && !full && !asked && c.allowFull(now)
+	c.mu.Unlock()
+	c.after(changed, address, resp.GetRevision(), resp.GetPlans())
+	if wanted {
+		c.exchange(ctx, address, true)
+	}
+	c.becomeReady(ctx, false)
+}
+
+func (c *Controller) request(asked bool) (req *relaypb.ExchangeRequest, full bool) {
+	revision, plans := c.inForce()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	c.view.SetSelf(now, func(self *Member) { self.Revision = revision })
+	full = asked || c.differs(now) && c.allowFull(now)
+	rows := c.view.Deltas(now)
+	if full {
+		rows = c.view.Full(now)
+	}
+	return &relaypb.ExchangeRequest{
+		From:     c.view.Self().RelayAddress,
+		Deltas:   toWire(rows),
+		ViewHash: c.view.Hash(),
+		Revision: revision,
+		WantFull: !c.ready,
+		Plans:    plans,
+	}, full
+}
+
+// take merges what a node sent, and returns whether the view changed.
+func (c *Controller) take(now time.Time, from string, revision int64, rows []Member) bool {
+	changed := len(c.view.Merge(now, rows)) > 0
+	ended := c.view.Heard(now, from, revision)
+	return changed || ended
+}
+
+// after calls the hooks, without the lock held.
+func (c *Controller) after(changed bool, from string, revision int64, plans []*relaypb.PlanVersion) {
+	if changed {
+		c.notify()
+	}
+	if c.Heard != nil {
+		c.Heard(from, revision, plans)
+	}
+}
+
+func (c *Controller) noteHash(now time.Time, other uint64) {
+	switch {
+	case other == c.view.Hash():
+		c.mismatchFrom = time.Time{}
+	case c.mismatchFrom.IsZero():
+		c.mismatchFrom = now
+	}
+}
+
+func (c *Controller) differs(now time.Time) bool {
+	return !c.mismatchFrom.IsZero() && now.Sub(c.mismatchFrom) >= settleTime
+}
+
+func (c *Controller) allowFull(now time.Time) bool {
+	if now.Before(c.nextFull) {
+		return false
+	}
+	members := time.Duration(len(c.view.entries))
+	c.nextFull = now.Add(max(fullInterval, members*fullPerMember))
+	return true
+}
+
+// checkFreeze notices that the process stood still for longer than its lease.
+// What it knew may be void: it catches up before it is ready again, and gives
+// the others time to be heard before their leases are judged.
+func (c *Controller) checkFreeze(now time.Time) {
+	if c.lastRound.IsZero() || now.Sub(c.lastRound) < LeaseDuration {
+		return
+	}
+	c.Log.Warn("woke_after_freeze", "frozen", now.Sub(c.lastRound))
+	c.ready = false
+	c.answers = 0
+	c.view.PlatformDown()
+	signal(c.touch)
+}
+
+// becomeReady ends the start or the wake, once the platform's table or enough
+// peers have given their whole view.
+func (c *Controller) becomeReady(ctx context.Context, fromTable bool) {
+	c.mu.Lock()
+	peers := c.others(func(Member) bool { return true })
+	enough := fromTable || c.answers > 0 && c.answers >= min(catchUpPeers, len(peers))
+	if c.ready || c.catchingUp || !enough {
+		c.mu.Unlock()
+		return
+	}
+	c.catchingUp = true
+	c.mu.Unlock()
+
+	var err error
+	if c.CatchUp != nil {
+		err = c.CatchUp(ctx, peers)
+	}
+
+	c.mu.Lock()
+	c.catchingUp = false
+	c.ready = err == nil
+	if c.ready {
+		c.view.Settle()
+		c.seeds = nil
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.Log.Warn("catch_up_failed", "error", err)
+		return
+	}
+	c.Log.Info("view_ready", "members", len(peers)+1, "from_table", fromTable)
+	c.notify()
+}
+
+// pickPeers chooses the addresses for one round: one member of the own data
+// centre and one of all, or of another region in a share of the rounds. While
+// the node knows nobody it answers those that found it.
+func (c *Controller) pickPeers() []string {
+	self := c.view.Self()
+	all := c.others(func(Member) bool { return true })
+	if len(all) == 0 {
+		return slices.Clone(c.seeds)
+	}
+	near := c.others(func(m Member) bool { return m.DataCentre == self.DataCentre })
+	wide := all
+	if c.Random() < farShare {
+		far := c.others(func(m Member) bool { return m.Region != self.Region })
+		if len(far) > 0 {
+			wide = far
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	addresses := make([]string, 0, roundPeers+1)
+	addresses = append(addresses, c.choose(near))
+	if second := c.choose(wide); second != addresses[0] {
+		addresses = append(addresses, second)
+	}
+	if lapsed := c.view.Lapsed(); len(lapsed) > 0 && c.Random() < min(knockShare, knockMembers/float64(len(all))) {
+		addresses = append(addresses, lapsed[c.index(len(lapsed))].RelayAddress)
+	}
+	return addresses
+}
+
+func (c *Controller) others(keep func(Member) bool) []string {
+	self := c.view.Self()
+	var addresses []string
+	for _, name := range c.view.names() {
+		row := c.view.entries[name].row
+		if name != self.Name && keep(row) {
+			addresses = append(addresses, row.RelayAddress)
+		}
+	}
+	return addresses
+}
+
+func (c *Controller) inForce() (int64, []*relaypb.PlanVersion) {
+	var revision int64
+	var plans []*relaypb.PlanVersion
+	if c.Revision != nil {
+		revision = c.Revision()
+	}
+	if c.Plans != nil {
+		plans = c.Plans()
+	}
+	return revision, plans
+}
+
+// spawn runs an exchange unless too many wait already, as they do when members
+// are silent.
+func (c *Controller) spawn(work func()) {
+	c.mu.Lock()
+	full := c.inFlight >= maxInFlight
+	if !full {
+		c.inFlight++
+	}
+	c.mu.Unlock()
+	if full {
+		return
+	}
+	c.run(func() {
+		defer func() {
+			c.mu.Lock()
+			c.inFlight--
+			c.mu.Unlock()
+		}()
+		work()
+	})
+}
+
+func (c *Controller) run(work func()) {
+	if c.Go != nil {
+		c.Go(work)
+		return
+	}
+	go work()
+}
+
+func (c *Controller) notify() {
+	if c.Changed != nil {
+		c.Changed()
+	}
+}
+
+func (c *Controller) choose(addresses []string) string {
+	return addresses[c.index(len(addresses))]
+}
+
+func (c *Controller) index(n int) int {
+	return min(int(c.Random()*float64(n)), n-1)
+}
+
+func (c *Controller) shuffle(addresses []string) {
+	for i := len(addresses) - 1; i > 0; i-- {
+		j := c.index(i + 1)
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	}
+}
+
+// jitter returns a time between half and one and a half of d.
+func (c *Controller) jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + c.Random()) * float64(d))
+}
+
+// lacking returns the rows of ours that are newer than theirs.
+func lacking(theirs, ours []Member) []Member {
+	known := make(map[string]Member, len(theirs))
+	for _, row := range theirs {
+		known[row.Name] = row
+	}
+	var rows []Member
+	for _, row := range ours {
+		their, ok := known[row.Name]
+		if !ok || newer(row, their) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default: // one is waiting already
+	}
+}
