--- a/cmd/fieldlab/main.go
+++ b/cmd/fieldlab/main.go
@@ -1,8 +1,12 @@
 // Command fieldlab holds stand-ins, load and replay for trying dandelionfield.
 package main
 
-import "os"
+import (
+	"os"
+
+	"github.com/dandelionfield/dandelionfield/internal/lab"
+)
 
 func main() {
-	os.Exit(0)
+	os.Exit(lab.Main())
 }
--- /dev/null
+++ b/internal/lab/account.go
@@ -0,0 +1,282 @@
+package lab
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+const (
+	// recoveryBucket is the width of the intervals in which recovery is looked for.
+	recoveryBucket = 500 * time.Millisecond
+	// recoveryShare is how much of the goodput from before the trigger counts
+	// as recovered.
+	recoveryShare = 0.95
+	// recoveryRun is how many intervals in a row have to be recovered, so that
+	// one lucky interval is not taken for recovery.
+	recoveryRun = 3
+
+	// NotRecovered stands for a recovery time that the trace did not see.
+	NotRecovered = -1.0
+
+	longestLatency    = 10 * time.Minute
+	significantDigits = 3
+)
+
+type (
+	// Try is one attempt of a caller.
+	Try struct {
+		// Result is the name of the result code, or what the caller saw when
+		// there was none, such as "timeout" or "http_503".
+		Result string `json:"result"`
+		Code   int    `json:"code"`
+		Status int    `json:"status"`
+		// Torn is set for an answer that claimed success and was not whole.
+		Torn bool `json:"torn,omitempty"`
+		// Foreign is set for a whole answer that belongs to another request.
+		Foreign bool `json:"foreign,omitempty"`
+	}
+
+	// Outcome is what became of one whole request.
+	Outcome struct {
+		ID    string        `json:"id"`
+		Kind  string        `json:"kind"`
+		Phase string        `json:"phase"`
+		At    time.Duration `json:"at_ns"`
+		// Took runs from the first attempt to the last answer.
+		Took  time.Duration `json:"took_ns"`
+		Good  bool          `json:"good"`
+		Tries []Try         `json:"tries"`
+	}
+
+	// Line is the count of one kind in one phase.
+	Line struct {
+		Phase   string  `json:"phase"`
+		Kind    string  `json:"kind"`
+		Offered int     `json:"offered"`
+		Good    int     `json:"good"`
+		Share   float64 `json:"share"`
+		// GoodPerSecond is the goodput over the length of the phase.
+		GoodPerSecond float64 `json:"good_per_second"`
+		P50MS         float64 `json:"p50_ms"`
+		P99MS         float64 `json:"p99_ms"`
+	}
+
+	// Report is what a run showed.
+	Report struct {
+		Lines    []Line         `json:"lines"`
+		Offered  int            `json:"offered"`
+		Good     int            `json:"good"`
+		Refusals map[string]int `json:"refusals"`
+		// TriesPerRequest is the mean number of attempts of callers.
+		TriesPerRequest float64 `json:"tries_per_request"`
+		// CallsPerRequest is the mean number of calls that reached targets.
+		CallsPerRequest float64 `json:"calls_per_request"`
+		MostCalls       int     `json:"most_calls"`
+		WorkMS          int64   `json:"work_ms"`
+		// WastedMS is the work done for requests without a good answer.
+		WastedMS    int64   `json:"wasted_ms"`
+		RecoveryS   float64 `json:"recovery_s"`
+		Torn        int     `json:"torn"`
+		Foreign     int     `json:"foreign"`
+		DoubleRuns  int     `json:"double_runs"`
+		FalseNotRun int     `json:"false_not_run"`
+		// Silent names the targets whose executions could not be read; what
+		// they ran is missing from this report.
+		Silent []string `json:"silent,omitempty"`
+	}
+)
+
+// Account counts a run: the outcomes that callers saw against the executions
+// that the targets recorded.
+func Account(config LoadConfig, mesh Mesh, outcomes []Outcome, done []Executions) Report {
+	report := Report{Refusals: map[string]int{}, RecoveryS: Recovery(outcomes, config.Trigger)}
+	tries := 0
+	for _, outcome := range outcomes {
+		report.Offered++
+		tries += len(outcome.Tries)
+		if outcome.Good {
+			report.Good++
+		}
+		for _, try := range outcome.Tries {
+			report.addTry(try)
+		}
+	}
+	report.Lines = lines(config.Phases, outcomes)
+	report.addExecutions(mesh, outcomes, done)
+	if report.Offered > 0 {
+		report.TriesPerRequest = float64(tries) / float64(report.Offered)
+	}
+	return report
+}
+
+// Recovery returns the seconds from the end of the trigger until goodput is
+// back, or NotRecovered. Goodput is the share of arrivals of an interval that
+// ended well, so that the random number of arrivals does not move it.
+//
+// With 100% good before the trigger, and 40%, 80%, 96%, 97% and 99% in the half
+// seconds after its end, the recovery time is 1 s.
+func Recovery(outcomes []Outcome, trigger Trigger) float64 {
+	before := share(outcomes, 0, trigger.From)
+	last := time.Duration(0)
+	for _, outcome := range outcomes {
+		last = max(last, outcome.At)
+	}
+	run := 0
+	for from := trigger.To; from <= last; from += recoveryBucket {
+		if share(outcomes, from, from+recoveryBucket) < recoveryShare*before {
+			run = 0
+			continue
+		}
+		run++
+		if run == recoveryRun {
+			return (from - (recoveryRun-1)*recoveryBucket - trigger.To).Seconds()
+		}
+	}
+	return NotRecovered
+}
+
+// share returns the share of requests that arrived in [from, to) and ended
+// well; 1 when none arrived.
+func share(outcomes []Outcome, from, to time.Duration) float64 {
+	offered, good := 0, 0
+	for _, outcome := range outcomes {
+		if outcome.At < from || outcome.At >= to {
+			continue
+		}
+		offered++
+		if outcome.Good {
+			good++
+		}
+	}
+	if offered == 0 {
+		return 1
+	}
+	return float64(good) / float64(offered)
+}
+
+func (r *Report) addTry(try Try) {
+	if try.Torn {
+		r.Torn++
+	}
+	if try.Foreign {
+		r.Foreign++
+	}
+	if !try.good() {
+		r.Refusals[try.Result]++
+	}
+}
+
+func (t Try) good() bool {
+	return t.Status == statusOK && !t.Torn && !t.Foreign
+}
+
+func (t Try) notRun() bool {
+	return result.Code(t.Code).Family() == result.NotRun
+}
+
+// addExecutions counts what ran. A request of a kind that may never repeat ran
+// double when its work began twice under any of its attempts. An attempt whose
+// answer said "not run" was false when any target began work under its name.
+func (r *Report) addExecutions(mesh Mesh, outcomes []Outcome, done []Executions) {
+	good := make(map[string]bool, len(outcomes))
+	refused := make(map[string]bool)
+	for _, outcome := range outcomes {
+		good[outcome.ID] = outcome.Good
+		for i, try := range outcome.Tries {
+			if try.notRun() {
+				refused[attemptName(outcome.ID, i)] = true
+			}
+		}
+	}
+	calls := map[string]int{}
+	runs := map[string]int{}
+	ranFalsely := map[string]bool{}
+	for _, target := range done {
+		for attempt, executions := range target.ByRequest {
+			base := baseRequest(attempt)
+			for _, execution := range executions {
+				calls[base] += execution.Arrived
+				r.WorkMS += execution.WorkMS
+				if !good[base] {
+					r.WastedMS += execution.WorkMS
+				}
+				if kind := mesh.Kind(execution.Kind); kind != nil && kind.Never() {
+					runs[base+"/"+execution.Kind] += execution.Runs
+				}
+				if refused[attempt] && execution.Runs > 0 {
+					ranFalsely[attempt] = true
+				}
+			}
+		}
+	}
+	r.FalseNotRun = len(ranFalsely)
+	r.countCalls(calls, runs)
+}
+
+func (r *Report) countCalls(calls, runs map[string]int) {
+	for _, count := range runs {
+		if count > 1 {
+			r.DoubleRuns++
+		}
+	}
+	total := 0
+	for _, count := range calls {
+		total += count
+		r.MostCalls = max(r.MostCalls, count)
+	}
+	if r.Offered > 0 {
+		r.CallsPerRequest = float64(total) / float64(r.Offered)
+	}
+}
+
+// lines counts each kind in each phase, in the order of the phases and then of
+// the names.
+func lines(phases []Phase, outcomes []Outcome) []Line {
+	type cell struct{ phase, kind string }
+	found := map[cell]*Line{}
+	latency := map[cell]*hdrhistogram.Histogram{}
+	for _, outcome := range outcomes {
+		at := cell{outcome.Phase, outcome.Kind}
+		line := found[at]
+		if line == nil {
+			line = &Line{Phase: outcome.Phase, Kind: outcome.Kind}
+			found[at] = line
+			latency[at] = hdrhistogram.New(1, longestLatency.Microseconds(), significantDigits)
+		}
+		line.Offered++
+		if outcome.Good {
+			line.Good++
+			_ = latency[at].RecordValue(outcome.Took.Microseconds())
+		}
+	}
+	list := make([]Line, 0, len(found))
+	for at, line := range found {
+		index := slices.IndexFunc(phases, func(p Phase) bool { return p.Name == line.Phase })
+		if index >= 0 {
+			line.GoodPerSecond = float64(line.Good) / phases[index].Duration.Seconds()
+		}
+		line.Share = float64(line.Good) / float64(line.Offered)
+		line.P50MS = milliseconds(latency[at].ValueAtQuantile(50))
+		line.P99MS = milliseconds(latency[at].ValueAtQuantile(99))
+		list = append(list, *line)
+	}
+	place := func(l Line) int {
+		return slices.IndexFunc(phases, func(p Phase) bool { return p.Name == l.Phase })
+	}
+	slices.SortFunc(list, func(a, b Line) int {
+		if place(a) != place(b) {
+			return place(a) - place(b)
+		}
+		return strings.Compare(a.Kind, b.Kind)
+	})
+	return list
+}
+
+func milliseconds(microseconds int64) float64 {
+	return float64(microseconds) / 1000
+}
--- /dev/null
+++ b/internal/lab/naive.go
@@ -0,0 +1,120 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// naiveRetries is how often the naive relay repeats a failed call at each hop.
+const naiveRetries = 3
+
+type (
+	// NaiveConfig is the settings of one naive relay.
+	NaiveConfig struct {
+		Listen string `yaml:"listen"`
+		// Mesh is the directory of the firm's declarations.
+		Mesh    string `yaml:"mesh"`
+		Retries int    `yaml:"retries"`
+		// Targets holds the fixed list of addresses of each service.
+		Targets map[string][]string `yaml:"targets"`
+	}
+
+	// Naive is the relay to compare with: round robin over a fixed list,
+	// retries at every hop on any error or 5xx, no shedding. It is safe for
+	// concurrent use.
+	Naive struct {
+		config NaiveConfig
+		client *http.Client
+		next   map[string]*atomic.Uint64
+	}
+
+	naiveAnswer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+)
+
+// NewNaive returns a naive relay.
+func NewNaive(config NaiveConfig) *Naive {
+	next := make(map[string]*atomic.Uint64, len(config.Targets))
+	for service := range config.Targets {
+		next[service] = new(atomic.Uint64)
+	}
+	return &Naive{config: config, client: newClient(naiveIdle), next: next}
+}
+
+// naiveIdle is how many idle connections to one target are kept.
+const naiveIdle = 200
+
+// Handler returns the relay's HTTP door for the kinds of the mesh.
+func (n *Naive) Handler(mesh Mesh) http.Handler {
+	mux := http.NewServeMux()
+	for _, kind := range mesh.Kinds {
+		mux.HandleFunc(kind.Method+" "+kind.Path, func(w http.ResponseWriter, r *http.Request) {
+			n.serve(w, r, kind)
+		})
+	}
+	return mux
+}
+
+func (n *Naive) serve(w http.ResponseWriter, r *http.Request, kind Kind) {
+	ctx, cancel := context.WithTimeout(r.Context(), kind.Deadline)
+	defer cancel()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, "the request body ended early", http.StatusBadRequest)
+		return
+	}
+	answer := naiveAnswer{status: http.StatusBadGateway}
+	for try := 0; try <= n.config.Retries && ctx.Err() == nil; try++ {
+		got, err := n.try(ctx, r, kind, body)
+		if err != nil {
+			continue
+		}
+		answer = got
+		if answer.status < http.StatusInternalServerError {
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		answer = naiveAnswer{status: http.StatusGatewayTimeout}
+	}
+	for name, values := range answer.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body)
+}
+
+func (n *Naive) try(ctx context.Context, r *http.Request, kind Kind, body []byte) (naiveAnswer, error) {
+	targets := n.config.Targets[kind.Service]
+	if len(targets) == 0 {
+		return naiveAnswer{}, callError.New("no target of %s", kind.Service)
+	}
+	address := targets[n.next[kind.Service].Add(1)%uint64(len(targets))]
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return naiveAnswer{}, err
+	}
+	request.Header = r.Header.Clone()
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline).Milliseconds()
+		request.Header.Set(timeLeftHeader, strconv.FormatInt(left, 10))
+	}
+	response, err := n.client.Do(request)
+	if err != nil {
+		return naiveAnswer{}, err
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		return naiveAnswer{}, err
+	}
+	return naiveAnswer{status: response.StatusCode, header: response.Header, body: got}, nil
+}
--- /dev/null
+++ b/internal/lab/trace.go
@@ -0,0 +1,133 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+)
+
+type (
+	// Phase is a stretch of a trace with one rate of arrivals.
+	Phase struct {
+		Name     string        `yaml:"name" json:"name"`
+		Duration time.Duration `yaml:"duration" json:"duration_ns"`
+		// Rate is the mean number of whole requests a second.
+		Rate float64 `yaml:"rate" json:"rate"`
+		// Mix stands in place of the trace's mix when it is given.
+		Mix map[string]float64 `yaml:"mix,omitempty" json:"mix,omitempty"`
+	}
+
+	// Fault switches targets, or the platform, at a time of the trace.
+	Fault struct {
+		At time.Duration `yaml:"at" json:"at_ns"`
+		// Targets holds names of targets or of services.
+		Targets  []string       `yaml:"targets,omitempty" json:"targets,omitempty"`
+		Platform bool           `yaml:"platform,omitempty" json:"platform,omitempty"`
+		Switch   map[string]any `yaml:"switch" json:"switch"`
+	}
+
+	// Trigger is the time within a trace in which the surge or fault lasts.
+	// Recovery is counted from its end.
+	Trigger struct {
+		From time.Duration `yaml:"from" json:"from_ns"`
+		To   time.Duration `yaml:"to" json:"to_ns"`
+	}
+
+	// Arrival is one whole request of a trace.
+	Arrival struct {
+		ID    string        `json:"id"`
+		At    time.Duration `json:"at_ns"`
+		Phase string        `json:"phase"`
+		Kind  string        `json:"kind"`
+		// Entry is the index of the first node that the caller asks; it asks
+		// the following ones when it repeats.
+		Entry int `json:"entry"`
+	}
+)
+
+// NewTrace draws the arrivals of a trace. They are Poisson arrivals: the gaps
+// are exponential and independent of any answer. The same seed draws the same
+// trace.
+func NewTrace(config LoadConfig) []Arrival {
+	random := rand.New(rand.NewPCG(config.Seed, 0))
+	var arrivals []Arrival
+	start := time.Duration(0)
+	for _, phase := range config.Phases {
+		mix := phase.Mix
+		if len(mix) == 0 {
+			mix = config.Mix
+		}
+		end := start + phase.Duration
+		at := start
+		for phase.Rate > 0 {
+			at += time.Duration(random.ExpFloat64() / phase.Rate * float64(time.Second))
+			if at >= end {
+				break
+			}
+			arrivals = append(arrivals, Arrival{
+				ID:    fmt.Sprintf("%d-%d", config.Seed, len(arrivals)),
+				At:    at,
+				Phase: phase.Name,
+				Kind:  drawKind(random, mix),
+				Entry: random.IntN(max(len(config.Entries), 1)),
+			})
+		}
+		start = end
+	}
+	return arrivals
+}
+
+// WriteTrace keeps a trace in a file.
+func WriteTrace(path string, arrivals []Arrival) error {
+	text, err := json.Marshal(arrivals)
+	if err != nil {
+		return badTrace.Wrap(err, "write %s", path)
+	}
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		return badTrace.Wrap(err, "write trace")
+	}
+	return nil
+}
+
+// ReadTrace reads a trace that WriteTrace kept.
+func ReadTrace(path string) ([]Arrival, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, badTrace.Wrap(err, "read trace")
+	}
+	var arrivals []Arrival
+	if err := json.Unmarshal(text, &arrivals); err != nil {
+		return nil, badTrace.Wrap(err, "%s", path)
+	}
+	return arrivals, nil
+}
+
+// drawKind draws a kind by weight. Kinds are taken in the order of their names,
+// since the order of a map changes from run to run.
+func drawKind(random *rand.Rand, mix map[string]float64) string {
+	names := make([]string, 0, len(mix))
+	total := 0.0
+	for name, weight := range mix {
+		names = append(names, name)
+		total += weight
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	// The sum of weights depends in its last bits on the order of the map, so
+	// the draw is scaled to a whole number of millionths.
+	left := float64(random.IntN(millionths)) / millionths * total
+	for _, name := range names {
+		left -= mix[name]
+		if left < 0 {
+			return name
+		}
+	}
+	return names[len(names)-1]
+}
+
+const millionths = 1_000_000
