--- /dev/null
+++ b/internal/once/next.go
@@ -0,0 +1,337 @@
+package once
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+type (
+	// draft is a plan under change.
+	draft struct {
+		plan    Plan
+		nowMS   int64
+		self    Node
+		living  []Node
+		rules   Rules
+		changed bool
+	}
+
+	// share is how many slots a living node holds.
+	share struct {
+		node  Node
+		slots int
+	}
+)
+
+const (
+	// minTenure is the least time for which a slot is held before it is given
+	// to another node for balance, so that a flapping member moves few slots.
+	minTenure = 5 * time.Second
+	// A holding is renewed once less than renewNumerator/renewDenominator of
+	// the lease is left.
+	renewNumerator   = 3
+	renewDenominator = 4
+	// freeMargins is the number of clock margins before its end from which a
+	// holding is no longer renewed and the slot may be claimed.
+	freeMargins = 4
+)
+
+// Next returns the plan as self should change it, and false when nothing is to
+// be written. The outer layer hands the plan to Ledger.Promise and then
+// commits it, if the table still has the version of p.
+//
+// A node changes only its own holdings and those of a former incarnation at its
+// own address, and claims slots whose last holding has ended or is about to.
+func Next(now time.Time, p Plan, self Node, members []Node, rules Rules) (Plan, bool) {
+	d := &draft{plan: p.clone(), nowMS: now.UnixMilli(), self: self, rules: rules}
+	d.living = livingNodes(self, members)
+	if d.superseded(members) {
+		return p, false
+	}
+	if len(d.plan.Slots) == 0 {
+		d.plan.Slots = make([]Slot, rules.Slots)
+	}
+	d.closePredecessors()
+	if self.Leaving {
+		d.closeOwn()
+	} else {
+		d.renew()
+		d.giveUpSurplus()
+		d.claim()
+	}
+	if !d.changed {
+		return p, false
+	}
+	return d.finish(), true
+}
+
+// HandOver returns the plan after from has closed its ledger by Export and to
+// has imported every record: to keeps the records of all that from kept, and
+// the slots that from still holds become free.
+func HandOver(now time.Time, p Plan, from, to Node, rules Rules) (Plan, bool) {
+	d := &draft{plan: p.clone(), nowMS: now.UnixMilli(), self: from, rules: rules}
+	d.closeOwn()
+	for i := range d.plan.Slots {
+		for j := range d.plan.Slots[i].Holdings {
+			h := &d.plan.Slots[i].Holdings[j]
+			if h.Keeper() == from.Incarnation {
+				h.Records = to.Incarnation
+				d.changed = true
+			}
+		}
+	}
+	if !d.changed {
+		return p, false
+	}
+	return d.finish(), true
+}
+
+// superseded says whether a later incarnation has taken over at the address.
+func (d *draft) superseded(members []Node) bool {
+	for _, member := range members {
+		if d.sameAddress(member.Name, member.Address, member.Incarnation) && member.StartedMS >= d.self.StartedMS {
+			return true
+		}
+	}
+	for _, slot := range d.plan.Slots {
+		for _, h := range slot.Holdings {
+			if d.sameAddress(h.Name, h.Address, h.Incarnation) && h.StartedMS >= d.self.StartedMS {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sameAddress says whether the incarnation is another one of the same node at
+// the same address.
+func (d *draft) sameAddress(name, address, incarnation string) bool {
+	return name == d.self.Name && address == d.self.Address && incarnation != d.self.Incarnation
+}
+
+// closePredecessors ends the holdings of a former incarnation at this address.
+// It accepted nothing after the start of this one, and nothing minted more than
+// a margin ahead of its clock, which was at most a margin ahead of this one's.
+//
+// With Margin 1000 and a start at 50000: the last key accepted was minted at
+// 52000 at the latest, so the holding ends at 52001.
+func (d *draft) closePredecessors() {
+	closeMS := d.self.StartedMS + 2*d.marginMS() + 1
+	d.closeLast(closeMS, func(h Holding) bool {
+		return h.Records == "" && d.sameAddress(h.Name, h.Address, h.Incarnation)
+	})
+}
+
+// closeOwn ends the node's own holdings, as it is leaving.
+func (d *draft) closeOwn() {
+	d.closeLast(d.cutMS(), d.isOwn)
+}
+
+// closeLast ends the last holdings that match at closeMS, and removes those
+// that would begin only then.
+func (d *draft) closeLast(closeMS int64, match func(Holding) bool) {
+	for i := range d.plan.Slots {
+		slot := &d.plan.Slots[i]
+		for {
+			last, ok := slot.last()
+			if !ok || last.UntilMS <= closeMS || !match(last) {
+				break
+			}
+			d.changed = true
+			if last.FromMS < closeMS {
+				slot.Holdings[len(slot.Holdings)-1].UntilMS = closeMS
+				break
+			}
+			slot.Holdings = slot.Holdings[:len(slot.Holdings)-1]
+		}
+	}
+}
+
+// renew extends all of the node's holdings once one of them is due.
+func (d *draft) renew() {
+	dueMS := d.nowMS + d.leaseMS()*renewNumerator/renewDenominator
+	due := false
+	for _, slot := range d.plan.Slots {
+		last, ok := slot.last()
+		if ok && d.isOwn(last) && !d.isFree(slot) && last.UntilMS < dueMS {
+			due = true
+		}
+	}
+	if !due {
+		return
+	}
+	for i, slot := range d.plan.Slots {
+		last, ok := slot.last()
+		if ok && d.isOwn(last) && !d.isFree(slot) {
+			d.extend(i)
+		}
+	}
+}
+
+// giveUpSurplus ends holdings early while another living node holds at least
+// two slots less. It waits until the slots given up before are claimed.
+func (d *draft) giveUpSurplus() {
+	if slices.ContainsFunc(d.plan.Slots, d.isFree) {
+		return
+	}
+	surplus := d.surplus()
+	for i := range d.plan.Slots {
+		if surplus == 0 {
+			return
+		}
+		last := &d.plan.Slots[i].Holdings[len(d.plan.Slots[i].Holdings)-1]
+		tenureMS := d.nowMS - last.FromMS
+		if d.isOwn(*last) && tenureMS >= minTenure.Milliseconds() && last.UntilMS > d.cutMS() {
+			last.UntilMS = d.cutMS()
+			d.changed = true
+			surplus--
+		}
+	}
+}
+
+// surplus returns how many slots the node gives up to level the shares, as if
+// it were the only one that gives.
+func (d *draft) surplus() int {
+	shares := d.shares()
+	mine := slices.IndexFunc(shares, func(s share) bool { return s.node.Incarnation == d.self.Incarnation })
+	surplus := 0
+	for {
+		least := leastShare(shares)
+		if shares[mine].slots-shares[least].slots < 2 {
+			return surplus
+		}
+		shares[mine].slots--
+		shares[least].slots++
+		surplus++
+	}
+}
+
+// claim takes the free slots that fall to this node. Every node computes the
+// same distribution, so that those with the same view seldom collide.
+func (d *draft) claim() {
+	shares := d.shares()
+	for i, slot := range d.plan.Slots {
+		if !d.isFree(slot) {
+			continue
+		}
+		least := leastShare(shares)
+		shares[least].slots++
+		if shares[least].node.Incarnation == d.self.Incarnation {
+			d.take(i)
+		}
+	}
+}
+
+// take appends a holding that begins where the last one ends. The mint times in
+// between belonged to nobody, so that no key waits for an owner for ever.
+func (d *draft) take(i int) {
+	slot := &d.plan.Slots[i]
+	fromMS := d.nowMS
+	if last, ok := slot.last(); ok {
+		if d.isOwn(last) {
+			d.extend(i)
+			return
+		}
+		fromMS = last.UntilMS
+	}
+	slot.Holdings = append(slot.Holdings, Holding{
+		Name:        d.self.Name,
+		Incarnation: d.self.Incarnation,
+		Address:     d.self.Address,
+		StartedMS:   d.self.StartedMS,
+		FromMS:      fromMS,
+		UntilMS:     max(fromMS, d.nowMS) + d.leaseMS(),
+	})
+	d.changed = true
+}
+
+func (d *draft) extend(i int) {
+	holdings := d.plan.Slots[i].Holdings
+	holdings[len(holdings)-1].UntilMS = d.nowMS + d.leaseMS()
+	d.changed = true
+}
+
+// finish drops the holdings whose keys are too old at every node, but for the
+// last of each slot, which says where the next one begins.
+func (d *draft) finish() Plan {
+	oldestMS := d.nowMS - d.rules.KeyAge.Milliseconds() - 2*d.marginMS()
+	for i := range d.plan.Slots {
+		slot := &d.plan.Slots[i]
+		for len(slot.Holdings) > 1 && slot.Holdings[0].UntilMS < oldestMS {
+			slot.Holdings = slot.Holdings[1:]
+		}
+	}
+	d.plan.Version++
+	return d.plan
+}
+
+func (d *draft) isOwn(h Holding) bool {
+	return h.Incarnation == d.self.Incarnation && h.Records == ""
+}
+
+// isFree says whether the slot's last holding has ended or was cut to end soon.
+func (d *draft) isFree(slot Slot) bool {
+	last, ok := slot.last()
+	return !ok || last.UntilMS <= d.nowMS+freeMargins*d.marginMS()
+}
+
+// cutMS is the end of a holding that is closed now: above the mint time of
+// every key that the holder has accepted.
+func (d *draft) cutMS() int64 {
+	return d.nowMS + 2*d.marginMS() + 1
+}
+
+// shares counts the slots of each living node that are not free.
+func (d *draft) shares() []share {
+	held := make(map[string]int)
+	for _, slot := range d.plan.Slots {
+		if last, ok := slot.last(); ok && !d.isFree(slot) && last.Records == "" {
+			held[last.Incarnation]++
+		}
+	}
+	shares := make([]share, 0, len(d.living))
+	for _, node := range d.living {
+		shares = append(shares, share{node, held[node.Incarnation]})
+	}
+	return shares
+}
+
+func (d *draft) marginMS() int64 {
+	return d.rules.Margin.Milliseconds()
+}
+
+func (d *draft) leaseMS() int64 {
+	return d.rules.Lease.Milliseconds()
+}
+
+func leastShare(shares []share) int {
+	least := 0
+	for i, s := range shares {
+		if s.slots < shares[least].slots {
+			least = i
+		}
+	}
+	return least
+}
+
+// livingNodes returns self and the members that may hold slots, by name, with
+// the latest incarnation only of each name and address.
+func livingNodes(self Node, members []Node) []Node {
+	var living []Node
+	for _, node := range append([]Node{self}, members...) {
+		known := slices.IndexFunc(living, func(n Node) bool {
+			return n.Name == node.Name && n.Address == node.Address
+		})
+		if known < 0 {
+			living = append(living, node)
+		} else if node.StartedMS > living[known].StartedMS {
+			living[known] = node
+		}
+	}
+	living = slices.DeleteFunc(living, func(n Node) bool { return n.Leaving })
+	slices.SortFunc(living, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return living
+}
