--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,135 @@
+// Package call holds what a request carries along its call chain.
+package call
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/budget"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Call is one call of one kind: a request at its entry node, or a call that a
+// target makes while it serves another.
+type Call struct {
+	// RequestID is the same for all calls that one request causes.
+	RequestID string
+	Kind      *schema.Kind
+	// Importance and Position are fixed at the entry and inherited by every
+	// call of the request, so that all of them share one order of refusal.
+	Importance schema.Importance
+	Position   uint16
+	Deadline   time.Time
+	Tokens     *Tokens
+	// Key is the idempotency key, empty when the caller gave none.
+	Key string
+	// KeyFresh is set when the caller says that it never sent the key before.
+	KeyFresh bool
+	// Parent is the attempt that the calling target serves, nil at the entry.
+	Parent *Serving
+
+	Method string
+	// Path holds the path and the query.
+	Path     string
+	Header   http.Header
+	Body     []byte
+	Limits   schema.Limits
+	Revision int64
+}
+
+// Answer is what became of a call.
+type Answer struct {
+	Code   result.Code
+	Detail string
+	// Status, Header and Body are the target's, whole, or zero when the code
+	// says that there is no such answer.
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Tokens shares one purse of retry tokens among the calls that a target makes
+// at the same time.
+type Tokens struct {
+	mu    sync.Mutex
+	purse budget.Purse
+}
+
+// Serving is an attempt that the target beside this node is at work on. Calls
+// that the target makes find it by its handle.
+type Serving struct {
+	RequestID  string
+	Importance schema.Importance
+	Position   uint16
+	Deadline   time.Time
+	Tokens     *Tokens
+
+	mu      sync.Mutex
+	pending int
+	ran     bool
+}
+
+// NewTokens returns a purse with n tokens.
+func NewTokens(n int) *Tokens {
+	return &Tokens{purse: budget.Purse{Tokens: n}}
+}
+
+// Spend takes one token for a repeat and says whether there was one.
+func (t *Tokens) Spend() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.purse.Spend()
+}
+
+// Lend takes the tokens that go with an attempt.
+func (t *Tokens) Lend() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.purse.Lend()
+}
+
+// Return puts back what an answer brought of a loan.
+func (t *Tokens) Return(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.purse.Return(n)
+}
+
+// Left returns the number of tokens in the purse.
+func (t *Tokens) Left() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.purse.Tokens
+}
+
+// ChildSent notes that the target makes a call of its own.
+func (s *Serving) ChildSent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending++
+}
+
+// ChildEnded notes what became of a call that the target made.
+func (s *Serving) ChildEnded(code result.Code) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending--
+	if code.Family() != result.NotRun {
+		s.ran = true
+	}
+}
+
+// ChildrenRan says whether any call of the target ran or may have run. A call
+// that has not ended counts, because it may be running.
+func (s *Serving) ChildrenRan() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran || s.pending > 0
+}
+
+// Refuse returns an answer that carries a code and the reason in words.
+func Refuse(code result.Code, detail string) *Answer {
+	return &Answer{Code: code, Detail: detail}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,255 @@
+// Package entry sends calls to the nodes beside their targets: it chooses the
+// target, lends retry tokens, learns the fate of attempts whose connection was
+// lost, and decides whether an attempt is worth repeating.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/budget"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Sender sends calls for one node.
+type Sender struct {
+	// DataCentre is where this node is.
+	DataCentre string
+	Clock      clock.Clock
+	Metrics    *metric.Set
+	Log        hclog.Logger
+	Client     *relay.Client
+	Route      route.Settings
+	Backoff    budget.Backoff
+	// Owner returns the incarnation that runs a key of a service, or the code
+	// that says why there is none. Fresh keys were never sent before.
+	Owner func(service string, key once.Key, fresh bool) (string, result.Code)
+	// RetryShare returns the declared share of repeats at a service.
+	RetryShare func(service string) float64
+	// Moved is called when an attempt shows that the view of members or plans
+	// is behind: the incarnation it was addressed to is gone.
+	Moved func()
+
+	mu       sync.Mutex
+	services map[string]*service
+	door     *admit.Door
+}
+
+// service is what a sender knows of one service.
+type service struct {
+	table     *route.Table
+	allowance *budget.Allowance
+	targets   map[string]route.Target
+	latency   time.Duration
+}
+
+const (
+	// retryBurst is how many repeats a service allows before any call of it
+	// has completed.
+	retryBurst = 10
+	// latencyWeight is the weight of a new reading in the smoothed latency.
+	latencyWeight = 0.2
+)
+
+// Init makes the sender ready for use.
+func (s *Sender) Init(door *admit.Door) {
+	s.services = map[string]*service{}
+	s.door = door
+}
+
+// Update puts the targets of a service in place.
+func (s *Sender) Update(name string, targets []route.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.service(name)
+	known.table.Update(s.Clock.Now(), targets)
+	known.targets = make(map[string]route.Target, len(targets))
+	for _, target := range targets {
+		known.targets[target.Incarnation] = target
+	}
+}
+
+// Allows says whether all of these services take requests of an order now; if
+// not, it names the one that does not.
+func (s *Sender) Allows(services []string, order uint32) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.door.Allows(s.Clock.Now(), services, order)
+}
+
+// Levels returns what is known of the floors of services, to be passed on.
+func (s *Sender) Levels(now time.Time) []*relaypb.Level {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	floors := s.door.Floors(now)
+	levels := make([]*relaypb.Level, 0, len(floors))
+	for _, floor := range floors {
+		levels = append(levels, &relaypb.Level{
+			Service: floor.Service,
+			Node:    floor.Node,
+			Floor:   floor.Floor,
+			AgeMs:   uint32(floor.Age.Milliseconds()),
+		})
+	}
+	return levels
+}
+
+// FloorsByNode returns the known floors by the incarnation of the node.
+func (s *Sender) FloorsByNode(now time.Time) map[string]uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byNode := map[string]uint32{}
+	for _, floor := range s.door.Floors(now) {
+		byNode[floor.Node] = floor.Floor
+	}
+	return byNode
+}
+
+// Targets returns the state of a service's targets, for status.
+func (s *Sender) Targets(name string) []route.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service(name).table.Targets(s.Clock.Now())
+}
+
+// Send carries a call to its end: complete, not run, or unknown.
+func (s *Sender) Send(ctx context.Context, c *call.Call) *call.Answer {
+	sending := &sending{sender: s, call: c, tried: map[string]bool{}}
+	return sending.run(ctx)
+}
+
+// service returns what is known of a service. The lock is held.
+func (s *Sender) service(name string) *service {
+	known, ok := s.services[name]
+	if !ok {
+		known = &service{
+			table:     route.New(s.Route),
+			allowance: budget.NewAllowance(s.RetryShare(name), retryBurst),
+			targets:   map[string]route.Target{},
+		}
+		s.services[name] = known
+	}
+	return known
+}
+
+// choose picks the target of the next attempt. A keyed call of a kind that may
+// run only once goes to the owner of its key and nowhere else.
+func (s *Sender) choose(c *call.Call, tried map[string]bool) (route.Target, result.Code) {
+	if c.Key != "" && c.Kind.Repeat == schema.Never {
+		return s.owner(c)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	target, ok := s.service(c.Kind.Service).table.Choose(s.Clock.Now(), tried)
+	if !ok {
+		return route.Target{}, result.NoTarget
+	}
+	return target, result.OK
+}
+
+func (s *Sender) owner(c *call.Call) (route.Target, result.Code) {
+	key, err := once.ParseKey(c.Key)
+	if err != nil {
+		return route.Target{}, result.KeyInvalid
+	}
+	keeper, code := s.Owner(c.Kind.Service, key, c.KeyFresh)
+	if code != result.OK {
+		return route.Target{}, code
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	target, ok := s.service(c.Kind.Service).table.ChooseNamed(s.Clock.Now(), keeper)
+	switch {
+	case ok:
+		return target, result.OK
+	case c.KeyFresh:
+		return route.Target{}, result.NoOwner
+	}
+	return route.Target{}, result.OwnerGone
+}
+
+// ended tells the route and the allowance what an attempt showed.
+func (s *Sender) ended(c *call.Call, target route.Target, report route.Report) {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.service(c.Kind.Service)
+	known.table.Ended(now, target.Name, report)
+	if report.Outcome != route.Complete {
+		return
+	}
+	known.allowance.Completed(now)
+	known.latency += time.Duration(latencyWeight * float64(report.Latency-known.latency))
+}
+
+func (s *Sender) learn(levels []*relaypb.Level) {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, level := range levels {
+		age := time.Duration(level.AgeMs) * time.Millisecond
+		s.door.Learn(now, level.Service, level.Node, level.Floor, age)
+	}
+}
+
+// mayRepeat says whether the service's allowance and the time left admit one
+// more repeat after a delay.
+func (s *Sender) mayRepeat(c *call.Call, delay time.Duration) bool {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.service(c.Kind.Service)
+	if !budget.Worthwhile(now, c.Deadline, delay, known.latency) {
+		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
+		return false
+	}
+	if !known.allowance.TryRepeat(now) {
+		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "allowance").Inc()
+		return false
+	}
+	return true
+}
+
+func (s *Sender) request(c *call.Call, target route.Target, tokens int) *relaypb.CarryRequest {
+	return &relaypb.CarryRequest{
+		AttemptId:        uuid.Must(uuid.NewV7()).String(),
+		RequestId:        c.RequestID,
+		Incarnation:      target.Incarnation,
+		Service:          c.Kind.Service,
+		Kind:             c.Kind.Name,
+		Importance:       uint32(c.Importance),
+		Position:         uint32(c.Position),
+		Tokens:           uint32(tokens),
+		TimeLeftMs:       uint32(max(c.Deadline.Sub(s.Clock.Now()).Milliseconds(), 0)),
+		Key:              c.Key,
+		Method:           c.Method,
+		Path:             c.Path,
+		Headers:          local.Pack(c.Header),
+		Body:             c.Body,
+		OriginDataCentre: s.DataCentre,
+		Revision:         c.Revision,
+	}
+}
+
+func (s *Sender) carry(ctx context.Context, target route.Target, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
+	response, err := s.Client.To(target.Address).Carry(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
--- /dev/null
+++ b/internal/entry/send.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// sending is one call on its way through its attempts.
+type sending struct {
+	sender *Sender
+	call   *call.Call
+	tried  map[string]bool
+	// unknown is the last answer that leaves open whether the call ran. Once
+	// there is one, no later refusal may say "not run".
+	unknown *call.Answer
+	repeats int
+}
+
+const (
+	// fateWait is how long one question about an attempt may wait at the other
+	// node for the attempt to end.
+	fateWait = time.Second
+	// fateTimeout bounds one question when the other node does not answer.
+	fateTimeout = 1500 * time.Millisecond
+	// fateQuestions is how often a lost attempt is asked for when the other
+	// node cannot be reached.
+	fateQuestions = 3
+	// fatePause is the time between two such questions.
+	fatePause = 100 * time.Millisecond
+)
+
+func (s *sending) run(ctx context.Context) *call.Answer {
+	for {
+		answer := s.attempt(ctx)
+		if answer.Code.Family() == result.Complete {
+			return answer
+		}
+		if answer.Code.Family() == result.Unknown {
+			s.unknown = answer
+		}
+		if !s.again(ctx, answer) {
+			return s.final(answer)
+		}
+	}
+}
+
+// final returns the answer for the caller: "not run" only when that holds for
+// every attempt of the call.
+func (s *sending) final(last *call.Answer) *call.Answer {
+	if last.Code.Family() == result.NotRun && s.unknown != nil {
+		return s.unknown
+	}
+	return last
+}
+
+// again decides on one more attempt, pays for it, and waits out the backoff.
+func (s *sending) again(ctx context.Context, answer *call.Answer) bool {
+	if !s.repeatable(answer.Code) || ctx.Err() != nil {
+		return false
+	}
+	delay := s.sender.Backoff.Delay(s.repeats)
+	if !s.sender.mayRepeat(s.call, delay) {
+		return false
+	}
+	if !s.call.Tokens.Spend() {
+		s.sender.Metrics.RetriesDenied.WithLabelValues(s.call.Kind.Service, "tokens").Inc()
+		return false
+	}
+	s.repeats++
+	s.sender.Metrics.Retries.WithLabelValues(s.call.Kind.Service, answer.Code.String()).Inc()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.sender.Clock.After(delay):
+		return true
+	}
+}
+
+// repeatable says whether a call that ended with a code may be sent again.
+func (s *sending) repeatable(code result.Code) bool {
+	switch code {
+	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetShed, result.MemoryBound:
+		// The service is overloaded: only another target may take the call,
+		// and only while the service as a whole does not refuse its order.
+		return s.elsewhere()
+	case result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned:
+		s.sender.Moved()
+		return true
+	case result.NoOwner, result.OwnerGone:
+		return s.reowned()
+	case result.Lost, result.AnswerTruncated, result.TargetFailed, result.PartlyRun:
+		return s.call.Kind.Repeat == schema.Safe
+	}
+	return false
+}
+
+// reowned says whether the key has another living owner than the one that was
+// tried. An owner runs a key only if no other one may, so that sending the key
+// to the owner of a newer plan is safe whatever became of it before.
+func (s *sending) reowned() bool {
+	s.sender.Moved()
+	target, code := s.sender.choose(s.call, s.tried)
+	if code != result.OK {
+		return false
+	}
+	s.sender.ended(s.call, target, route.Report{Outcome: route.Refused})
+	return !s.tried[target.Name]
+}
+
+// elsewhere says whether a refused call has another target to go to.
+func (s *sending) elsewhere() bool {
+	if s.call.Key != "" && s.call.Kind.Repeat == schema.Never {
+		return false
+	}
+	s.sender.mu.Lock()
+	targets := len(s.sender.service(s.call.Kind.Service).targets)
+	s.sender.mu.Unlock()
+	if len(s.tried) >= targets {
+		return false
+	}
+	order := admit.Order(s.call.Importance, s.call.Position)
+	_, ok := s.sender.Allows([]string{s.call.Kind.Service}, order)
+	return ok
+}
+
+// attempt sends the call once.
+func (s *sending) attempt(ctx context.Context) *call.Answer {
+	target, code := s.sender.choose(s.call, s.tried)
+	if code != result.OK {
+		return call.Refuse(code, "")
+	}
+	s.tried[target.Name] = true
+	lent := s.call.Tokens.Lend()
+	request := s.sender.request(s.call, target, lent)
+	s.sender.Metrics.Attempts.WithLabelValues(s.call.Kind.Service).Inc()
+	began := s.sender.Clock.Now()
+	response, err := s.sender.carry(ctx, target, request)
+	if err != nil {
+		response, code = s.settle(ctx, target, request, err)
+	}
+	took := s.sender.Clock.Now().Sub(began)
+	s.sender.Metrics.RelaySeconds.WithLabelValues(s.call.Kind.Service).Observe(took.Seconds())
+	if response == nil {
+		s.sender.ended(s.call, target, route.Report{Outcome: silence(code), Latency: took})
+		return call.Refuse(code, "")
+	}
+	return s.take(target, request, response, took, lent)
+}
+
+// take checks an answer and learns from it.
+func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, lent int) *call.Answer {
+	s.sender.learn(response.Levels)
+	code := result.Code(response.Code)
+	report := route.Report{Outcome: outcome(code), Latency: took}
+	if load := response.Load; load != nil {
+		report.Known = true
+		report.InFlight = int(load.InFlight)
+		report.Limit = int(load.Limit)
+		report.Queued = int(load.Queued)
+		report.Leaving = load.Leaving
+	}
+	s.sender.ended(s.call, target, report)
+	if !s.whole(request, response) {
+		// A foreign or damaged answer says nothing of this attempt; the loan
+		// is forfeited with it.
+		return call.Refuse(result.AnswerTruncated, "the answer's digest or attempt does not match")
+	}
+	s.call.Tokens.Return(min(int(response.TokensLeft), lent))
+	return &call.Answer{
+		Code:   code,
+		Detail: response.Detail,
+		Status: int(response.Status),
+		Header: local.Unpack(response.Headers),
+		Body:   response.Body,
+	}
+}
+
+// whole says whether an answer belongs to the attempt and is undamaged.
+func (s *sending) whole(request *relaypb.CarryRequest, response *relaypb.CarryResponse) bool {
+	if response.AttemptId != request.AttemptId {
+		return false
+	}
+	if response.Status == 0 {
+		return len(response.Body) == 0
+	}
+	return xxhash.Sum64(response.Body) == response.Digest
+}
+
+// settle finds out what became of an attempt that brought no answer. It
+// returns the answer when the other node still has it.
+func (s *sending) settle(ctx context.Context, target route.Target, request *relaypb.CarryRequest, err error) (*relaypb.CarryResponse, result.Code) {
+	if relay.NeverSent(err) {
+		return nil, result.Unreachable
+	}
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return nil, result.AnswerTooLarge
+	}
+	for question := 0; question < fateQuestions; {
+		if ctx.Err() != nil {
+			break
+		}
+		fate, err := s.ask(ctx, target, request)
+		if err != nil {
+			question++
+			s.pause(ctx)
+			continue
+		}
+		s.sender.Metrics.FateAsked.WithLabelValues(fate.State.String()).Inc()
+		switch fate.State {
+		case relaypb.FateState_FATE_STATE_NEVER_SEEN:
+			return nil, result.Unreachable
+		case relaypb.FateState_FATE_STATE_DONE:
+			return fate.Answer, result.OK
+		case relaypb.FateState_FATE_STATE_OTHER_INCARNATION:
+			return nil, result.Lost
+		}
+	}
+	return nil, s.lost(ctx)
+}
+
+// lost is the code for an attempt that may have run and whose answer is not to be had.
+func (s *sending) lost(ctx context.Context) result.Code {
+	switch {
+	case !s.sender.Clock.Now().Before(s.call.Deadline):
+		return result.TimedOut
+	case ctx.Err() != nil:
+		return result.CancelledLate
+	}
+	return result.Lost
+}
+
+func (s *sending) ask(ctx context.Context, target route.Target, request *relaypb.CarryRequest) (*relaypb.FateResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, fateTimeout)
+	defer cancel()
+	response, err := s.sender.Client.To(target.Address).Fate(ctx, connect.NewRequest(&relaypb.FateRequest{
+		AttemptId:   request.AttemptId,
+		Incarnation: request.Incarnation,
+		WaitMs:      uint32(fateWait.Milliseconds()),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func (s *sending) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.sender.Clock.After(fatePause):
+	}
+}
+
+func outcome(code result.Code) route.Outcome {
+	switch code.Family() {
+	case result.Complete:
+		return route.Complete
+	case result.NotRun:
+		return route.Refused
+	}
+	return route.Failed
+}
+
+func silence(code result.Code) route.Outcome {
+	if code == result.Unreachable {
+		return route.Unreachable
+	}
+	return route.Silent
+}
--- /dev/null
+++ b/internal/filter/inward.go
@@ -0,0 +1,206 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Rules are the declarations in force, compiled for use on requests.
+type Rules struct {
+	Revision int64
+	Limits   schema.Limits
+	Match    func(method, path string) (*schema.Kind, bool)
+	// Chain returns the services that a kind is known to call, its own first.
+	Chain func(kind string) []string
+}
+
+// Inward makes the filters of a node.
+type Inward struct {
+	Clock   clock.Clock
+	Metrics *metric.Set
+	Log     hclog.Logger
+	// Rules returns the rules in force, nil before there are any.
+	Rules func() *Rules
+	// Serving finds the attempt that a context handle stands for.
+	Serving func(handle string) (*call.Serving, bool)
+	// TargetHost is the IP number from which context handles are accepted.
+	TargetHost string
+	// Allows asks the door about all services of a chain.
+	Allows func(services []string, order uint32) (string, bool)
+}
+
+// Headers of callers' requests and of the answers to them.
+const (
+	KeyHeader = "Idempotency-Key"
+	// FreshHeader says that the caller never sent the key before.
+	FreshHeader    = "Dandelion-Key-Fresh"
+	DeadlineHeader = "Dandelion-Deadline"
+	CodeHeader     = "Dandelion-Code"
+	ResultHeader   = "Dandelion-Result"
+	RequestHeader  = "Dandelion-Request"
+)
+
+// Filters returns the filters in the order in which they run.
+func (f *Inward) Filters() []Filter {
+	return []Filter{
+		{Name: "record", Run: f.record},
+		{Name: "classify", Run: f.classify},
+		{Name: "inherit", Run: f.inherit},
+		{Name: "key", Run: f.key},
+		{Name: "body", Run: f.body},
+		{Name: "door", Run: f.door},
+	}
+}
+
+// record counts and logs every request with its result.
+func (f *Inward) record(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	began := f.Clock.Now()
+	answer := next(ctx, exchange)
+	kind := "unknown"
+	if exchange.Call.Kind != nil {
+		kind = exchange.Call.Kind.Name
+	}
+	f.Metrics.Requests.WithLabelValues(kind, answer.Code.String()).Inc()
+	f.Log.Debug("request_ended",
+		"request", exchange.Call.RequestID,
+		"kind", kind,
+		"result", answer.Code.String(),
+		"status", answer.Status,
+		"took_ms", f.Clock.Now().Sub(began).Milliseconds(),
+		"detail", answer.Detail,
+	)
+	return answer
+}
+
+// classify finds the declared kind and fixes the deadline.
+func (f *Inward) classify(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	rules := f.Rules()
+	if rules == nil {
+		return call.Refuse(result.NoConfiguration, "")
+	}
+	request := exchange.Request
+	kind, ok := rules.Match(request.Method, request.URL.Path)
+	if !ok {
+		return call.Refuse(result.UnknownKind, request.Method+" "+request.URL.Path)
+	}
+	deadline, err := f.deadline(request, kind)
+	if err != nil {
+		return call.Refuse(result.BadRequest, DeadlineHeader+": "+err.Error())
+	}
+	c := exchange.Call
+	c.Kind = kind
+	c.Limits = rules.Limits
+	c.Revision = rules.Revision
+	c.Method = request.Method
+	c.Path = request.URL.RequestURI()
+	c.Header = request.Header
+	c.Deadline = deadline
+	c.Importance = kind.Importance
+	return next(ctx, exchange)
+}
+
+// deadline is the declared one, or the caller's where that is shorter.
+func (f *Inward) deadline(request *http.Request, kind *schema.Kind) (time.Time, error) {
+	left := kind.Deadline
+	if text := request.Header.Get(DeadlineHeader); text != "" {
+		wanted, err := time.ParseDuration(text)
+		if err != nil {
+			return time.Time{}, err
+		}
+		left = min(left, wanted)
+	}
+	return f.Clock.Now().Add(left), nil
+}
+
+// inherit gives a target's own call the importance, the deadline and the
+// tokens of the call that the target serves. A handle counts only when it
+// comes from the target's host; otherwise the call is a new request.
+func (f *Inward) inherit(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	c := exchange.Call
+	handle := exchange.Request.Header.Get(local.ContextHeader)
+	parent, ok := f.Serving(handle)
+	if handle == "" || !ok || exchange.Remote != f.TargetHost {
+		c.RequestID = uuid.NewString()
+		c.Position = admit.Position(c.RequestID, f.Clock.Now())
+		c.Tokens = call.NewTokens(c.Kind.Retries)
+		return next(ctx, exchange)
+	}
+	c.Parent = parent
+	c.RequestID = parent.RequestID
+	c.Position = parent.Position
+	c.Tokens = parent.Tokens
+	c.Importance = max(c.Importance, parent.Importance)
+	if parent.Deadline.Before(c.Deadline) {
+		c.Deadline = parent.Deadline
+	}
+	parent.ChildSent()
+	answer := next(ctx, exchange)
+	parent.ChildEnded(answer.Code)
+	return answer
+}
+
+// key checks the idempotency key of a kind that never repeats.
+func (f *Inward) key(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	text := exchange.Request.Header.Get(KeyHeader)
+	if text == "" {
+		return next(ctx, exchange)
+	}
+	if exchange.Call.Kind.Repeat == schema.Never {
+		key, err := once.ParseKey(text)
+		if err != nil {
+			return call.Refuse(result.KeyInvalid, err.Error())
+		}
+		text = key.Text
+	}
+	exchange.Call.Key = text
+	exchange.Call.KeyFresh = exchange.Request.Header.Get(FreshHeader) == "true"
+	return next(ctx, exchange)
+}
+
+// body takes the request's body whole, within the declared size.
+func (f *Inward) body(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	most := exchange.Call.Limits.MaxRequestBytes
+	body, err := io.ReadAll(http.MaxBytesReader(nil, exchange.Request.Body, most))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return call.Refuse(result.BodyTooLarge, err.Error())
+	case err != nil:
+		return call.Refuse(result.BadRequest, err.Error())
+	}
+	exchange.Call.Body = body
+	return next(ctx, exchange)
+}
+
+// door refuses a new request that a service of its chain would refuse later,
+// before any work is done for it. A call of a request that is under way is not
+// refused here: work has been done for it, and the target's node decides.
+func (f *Inward) door(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	c := exchange.Call
+	if c.Parent == nil {
+		services := f.Rules().Chain(c.Kind.Name)
+		order := admit.Order(c.Importance, c.Position)
+		if service, ok := f.Allows(services, order); !ok {
+			f.Metrics.Refusals.WithLabelValues(service, result.DoorClosed.String()).Inc()
+			return call.Refuse(result.DoorClosed, service)
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	return next(ctx, exchange)
+}
--- /dev/null
+++ b/internal/local/attempt.go
@@ -0,0 +1,314 @@
+package local
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// attempt is one attempt from its arrival to its answer. It runs by itself, so
+// that a sender whose connection was lost can come back and wait for it.
+type attempt struct {
+	server  *Server
+	request *relaypb.CarryRequest
+	kind    *schema.Kind
+	serving *call.Serving
+	handle  string
+	key     once.Key
+	keyed   bool
+	admit   chan admit.Release
+	done    chan struct{}
+	answer  *relaypb.CarryResponse
+
+	mu      sync.Mutex
+	waiters int
+	idle    *time.Timer
+	cancel  context.CancelFunc
+}
+
+// join counts one more party that waits for the answer.
+func (a *attempt) join() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiters++
+	if a.idle != nil {
+		a.idle.Stop()
+	}
+}
+
+// part counts one party less. A call that may be repeated is cancelled when
+// nobody has waited for it for a while; one that may not goes on to its end,
+// because its record is what a repeated key will ask for.
+func (a *attempt) part() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiters--
+	if a.waiters > 0 || a.kind == nil || a.kind.Repeat == schema.Never {
+		return
+	}
+	a.idle = time.AfterFunc(abandonAfter, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.waiters == 0 && a.cancel != nil {
+			a.cancel()
+		}
+	})
+}
+
+func (a *attempt) run() {
+	defer a.server.running.Done()
+	ctx, cancel := context.WithDeadline(context.Background(), a.serving.Deadline)
+	defer cancel()
+	a.mu.Lock()
+	a.cancel = cancel
+	a.mu.Unlock()
+	a.end(a.perform(ctx))
+}
+
+// perform takes the attempt through the record of its key, the gate and the
+// target, in that order.
+func (a *attempt) perform(ctx context.Context) *relaypb.CarryResponse {
+	if a.kind == nil {
+		return a.refusal(result.UnknownKind)
+	}
+	if a.request.Key != "" && a.kind.Repeat == schema.Never {
+		if answer := a.claim(ctx); answer != nil {
+			return answer
+		}
+	}
+	if code := a.admission(ctx); code != result.OK {
+		return a.refusal(code)
+	}
+	return a.serve(ctx)
+}
+
+// claim asks the ledger whether the key may run here. It returns nil when the
+// attempt is the one that runs it.
+func (a *attempt) claim(ctx context.Context) *relaypb.CarryResponse {
+	key, err := once.ParseKey(a.request.Key)
+	if err != nil {
+		return a.refusal(result.KeyInvalid)
+	}
+	s := a.server
+	s.mu.Lock()
+	verdict, recorded, code := s.settings.Ledger.Accept(s.settings.Clock.Now(), key, a.kind.Name, a.requestHash())
+	if verdict == once.Run {
+		a.key = key
+		a.keyed = true
+		s.byKey[key.Text] = a
+	}
+	first := s.byKey[key.Text]
+	s.mu.Unlock()
+	switch verdict {
+	case once.Run:
+		return nil
+	case once.Done:
+		return a.replay(recorded)
+	case once.Running:
+		return a.follow(ctx, first)
+	}
+	return a.refusal(code)
+}
+
+// follow waits for another attempt that runs the same key.
+func (a *attempt) follow(ctx context.Context, first *attempt) *relaypb.CarryResponse {
+	if first == nil {
+		return a.refusal(result.RunningStill)
+	}
+	select {
+	case <-first.done:
+		return a.replay(first.answer)
+	case <-ctx.Done():
+		return a.refusal(result.RunningStill)
+	}
+}
+
+func (a *attempt) replay(recorded *relaypb.CarryResponse) *relaypb.CarryResponse {
+	if recorded == nil {
+		return a.refusal(result.Lost)
+	}
+	a.server.settings.Metrics.Replayed.Inc()
+	code := recorded.Code
+	if result.Code(code) == result.OK {
+		code = uint32(result.Replayed)
+	}
+	return &relaypb.CarryResponse{
+		Code:       code,
+		Status:     recorded.Status,
+		Headers:    recorded.Headers,
+		Body:       recorded.Body,
+		Digest:     recorded.Digest,
+		Detail:     recorded.Detail,
+		TokensLeft: a.request.Tokens,
+		Replayed:   true,
+	}
+}
+
+// admission asks the gate for a slot and waits in its queue. It returns OK
+// when the call has one.
+func (a *attempt) admission(ctx context.Context) result.Code {
+	s := a.server
+	id := a.request.AttemptId
+	s.mu.Lock()
+	if s.refusing {
+		s.mu.Unlock()
+		return result.Leaving
+	}
+	decision := s.settings.Gate.Offer(s.settings.Clock.Now(), admit.Call{
+		ID:         id,
+		Importance: a.serving.Importance,
+		Position:   a.serving.Position,
+		Deadline:   a.serving.Deadline,
+	})
+	if decision.Verdict == admit.Queued {
+		s.waiting[id] = a
+	}
+	s.release(decision.Released)
+	s.mu.Unlock()
+	switch decision.Verdict {
+	case admit.Admitted:
+		return result.OK
+	case admit.Refused:
+		return decision.Code
+	}
+	return a.queued(ctx)
+}
+
+func (a *attempt) queued(ctx context.Context) result.Code {
+	select {
+	case release := <-a.admit:
+		return admission(release)
+	case <-ctx.Done():
+	}
+	s := a.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, waits := s.waiting[a.request.AttemptId]
+	if !waits {
+		// The gate decided at the same moment; its decision stands, since it
+		// may have given the call a slot that has to be returned.
+		return admission(<-a.admit)
+	}
+	delete(s.waiting, a.request.AttemptId)
+	s.release(s.settings.Gate.Cancel(s.settings.Clock.Now(), a.request.AttemptId))
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return result.DeadlinePassed
+	}
+	return result.Cancelled
+}
+
+func admission(release admit.Release) result.Code {
+	if release.Verdict == admit.Admitted {
+		return result.OK
+	}
+	return release.Code
+}
+
+// serve calls the target in the slot that the attempt holds.
+func (a *attempt) serve(ctx context.Context) *relaypb.CarryResponse {
+	s := a.server
+	s.mu.Lock()
+	s.serving[a.handle] = a.serving
+	s.mu.Unlock()
+	reply := s.settings.Target.Call(ctx, a.handle, a.request, s.settings.Limits())
+	s.mu.Lock()
+	delete(s.serving, a.handle)
+	s.mu.Unlock()
+	facts := reply.Facts
+	facts.ShedStatus = s.settings.ShedStatus()
+	facts.ChildrenRan = a.serving.ChildrenRan()
+	code := fate.Classify(facts)
+	s.mu.Lock()
+	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, outcome(code)))
+	s.mu.Unlock()
+	answer := &relaypb.CarryResponse{
+		Code:       uint32(code),
+		Detail:     reply.Detail,
+		TokensLeft: uint32(a.serving.Tokens.Left()),
+	}
+	if reply.Facts.BodyWhole {
+		answer.Status = uint32(reply.Status)
+		answer.Headers = reply.Headers
+		answer.Body = reply.Body
+		answer.Digest = xxhash.Sum64(reply.Body)
+	}
+	return answer
+}
+
+// end records the answer and wakes everyone who waits for it.
+func (a *attempt) end(answer *relaypb.CarryResponse) {
+	s := a.server
+	answer = s.dress(a.request, answer)
+	code := result.Code(answer.Code)
+	if code.Family() == result.NotRun {
+		s.settings.Metrics.Refusals.WithLabelValues(s.settings.Service, code.String()).Inc()
+	}
+	now := s.settings.Clock.Now()
+	size := len(answer.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.keyed {
+		a.record(now, code, answer, size)
+		delete(s.byKey, a.key.Text)
+	}
+	s.settings.Book.End(now, a.request.AttemptId, answer, size)
+	delete(s.attempts, a.request.AttemptId)
+	a.answer = answer
+	close(a.done)
+}
+
+// record tells the ledger how the run of the key ended. The lock is held.
+func (a *attempt) record(now time.Time, code result.Code, answer *relaypb.CarryResponse, size int) {
+	ledger := a.server.settings.Ledger
+	switch {
+	case code.Family() == result.NotRun:
+		ledger.Abandon(now, a.key)
+	case code == result.OK:
+		ledger.Finish(now, a.key, answer, size)
+	default:
+		ledger.Lost(now, a.key)
+	}
+}
+
+func (a *attempt) refusal(code result.Code) *relaypb.CarryResponse {
+	return &relaypb.CarryResponse{
+		Code:       uint32(code),
+		TokensLeft: uint32(a.serving.Tokens.Left()),
+	}
+}
+
+// requestHash tells requests apart that use the same key by mistake.
+func (a *attempt) requestHash() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{a.request.Kind, a.request.Method, a.request.Path} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(a.request.Body)
+	return digest.Sum64()
+}
+
+// outcome tells the gate what an answer says about the target's load.
+func outcome(code result.Code) admit.Outcome {
+	switch code {
+	case result.OK, result.AnswerTooLarge:
+		return admit.Completed
+	case result.TargetShed, result.PartlyRun:
+		return admit.Shed
+	case result.TimedOut:
+		return admit.TimedOut
+	case result.Cancelled, result.CancelledLate:
+		return admit.Abandoned
+	}
+	return admit.Failed
+}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,318 @@
+// Package local carries attempts to the target beside this node. It has the
+// last word on admission and is the only witness of what ran at the target.
+package local
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Settings are what a Server is made of.
+type Settings struct {
+	Incarnation string
+	Service     string
+	Target      *Target
+	Clock       clock.Clock
+	Metrics     *metric.Set
+	Log         hclog.Logger
+	Gate        *admit.Gate
+	Book        *fate.Book[*relaypb.CarryResponse]
+	Ledger      *once.Ledger[*relaypb.CarryResponse]
+	// Kind returns the declared kind of that name, or nil.
+	Kind func(name string) *schema.Kind
+	// Limits returns the declared bounds in force.
+	Limits func() schema.Limits
+	// ShedStatus returns the status by which the target says that it shed a call.
+	ShedStatus func() int
+	// Levels returns what this node knows of the floors of other services.
+	Levels func(now time.Time) []*relaypb.Level
+	// Revision returns the configuration revision in force here.
+	Revision func() int64
+}
+
+// Server runs attempts at the target beside this node. One lock guards the
+// gate, the book and the ledger, whose methods only compute.
+type Server struct {
+	settings Settings
+
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	waiting  map[string]*attempt
+	serving  map[string]*call.Serving
+	byKey    map[string]*attempt
+	// refusing is set once a leaving node takes no new work.
+	refusing bool
+	leaving  bool
+	running  sync.WaitGroup
+}
+
+const (
+	// tickPeriod is how often the gate drops expired calls and adapts.
+	tickPeriod = 10 * time.Millisecond
+	// forgetPeriod is how often old records are dropped.
+	forgetPeriod = time.Second
+	// abandonAfter is how long a safe call goes on with nobody waiting for
+	// it: long enough for a sender whose connection went silent to ask for it.
+	abandonAfter = 1500 * time.Millisecond
+)
+
+// New returns a server that admits work from the start.
+func New(settings Settings) *Server {
+	return &Server{
+		settings: settings,
+		attempts: map[string]*attempt{},
+		waiting:  map[string]*attempt{},
+		serving:  map[string]*call.Serving{},
+		byKey:    map[string]*attempt{},
+	}
+}
+
+// Run keeps the gate and the records up to date until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	forget := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.settings.Clock.After(tickPeriod):
+		}
+		s.tick()
+		forget += tickPeriod
+		if forget >= forgetPeriod {
+			forget = 0
+			s.forget()
+		}
+	}
+}
+
+// Carry takes an attempt that a node addressed to this one and waits for its
+// answer. An attempt that came before is joined, never run again.
+func (s *Server) Carry(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
+	if request.Incarnation != s.settings.Incarnation {
+		return s.refuse(request, result.OtherIncarnation)
+	}
+	now := s.settings.Clock.Now()
+	s.mu.Lock()
+	verdict, recorded := s.settings.Book.Begin(now, request.AttemptId)
+	switch verdict {
+	case fate.Tombstoned, fate.Invalid, fate.Expired, fate.NeverSeen:
+		s.mu.Unlock()
+		return s.refuse(request, result.Tombstoned)
+	case fate.Full:
+		s.mu.Unlock()
+		return s.refuse(request, result.MemoryBound)
+	case fate.Done:
+		s.mu.Unlock()
+		return recorded
+	case fate.Dropped:
+		s.mu.Unlock()
+		return s.refuse(request, result.Lost)
+	case fate.Running:
+		running := s.attempts[request.AttemptId]
+		s.mu.Unlock()
+		return s.wait(ctx, running)
+	}
+	a := s.start(now, request)
+	s.mu.Unlock()
+	return s.wait(ctx, a)
+}
+
+// Fate says what became of an attempt, and waits for one that is running.
+func (s *Server) Fate(ctx context.Context, request *relaypb.FateRequest) *relaypb.FateResponse {
+	if request.Incarnation != s.settings.Incarnation {
+		return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_OTHER_INCARNATION}
+	}
+	s.mu.Lock()
+	state, recorded := s.settings.Book.Ask(s.settings.Clock.Now(), request.AttemptId)
+	running := s.attempts[request.AttemptId]
+	s.mu.Unlock()
+	switch state {
+	case fate.NeverSeen:
+		return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_NEVER_SEEN}
+	case fate.Done:
+		return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_DONE, Answer: recorded}
+	case fate.Dropped, fate.Expired, fate.Invalid:
+		// It may have run, and its answer is gone.
+		return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_OTHER_INCARNATION}
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond)
+	defer cancel()
+	if answer := s.wait(ctx, running); answer != nil {
+		return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_DONE, Answer: answer}
+	}
+	return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_RUNNING}
+}
+
+// Serving returns the attempt that a handle of the target stands for.
+func (s *Server) Serving(handle string) (*call.Serving, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	serving, ok := s.serving[handle]
+	return serving, ok
+}
+
+// Leave marks the node as leaving: its answers say so from now on.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.settings.Ledger.Leave(s.settings.Clock.Now())
+}
+
+// RefuseNew ends admission; what was admitted or queued goes on.
+func (s *Server) RefuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+}
+
+// Drained returns a channel that is closed when no attempt is left.
+func (s *Server) Drained() <-chan struct{} {
+	drained := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(drained)
+	}()
+	return drained
+}
+
+// Load returns what the target is at work on.
+func (s *Server) Load() admit.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settings.Gate.Load(s.settings.Clock.Now())
+}
+
+// Floor returns the target's level of admission.
+func (s *Server) Floor() uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settings.Gate.Floor(s.settings.Clock.Now())
+}
+
+// Resize puts another declaration of the service in force.
+func (s *Server) Resize(settings admit.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings.Gate.Resize(s.settings.Clock.Now(), settings)
+}
+
+// Ledger runs a function on the idempotency records under the server's lock.
+func (s *Server) Ledger(use func(ledger *once.Ledger[*relaypb.CarryResponse])) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	use(s.settings.Ledger)
+}
+
+func (s *Server) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.settings.Clock.Now()
+	s.release(s.settings.Gate.Tick(now))
+	load := s.settings.Gate.Load(now)
+	s.settings.Metrics.InFlight.Set(float64(load.InFlight))
+	s.settings.Metrics.Limit.Set(float64(load.Limit))
+	s.settings.Metrics.Queued.Set(float64(load.Queued))
+	s.settings.Metrics.Floor.Set(float64(s.settings.Gate.Floor(now)))
+}
+
+func (s *Server) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.settings.Clock.Now()
+	s.settings.Book.Forget(now)
+	s.settings.Ledger.Forget(now)
+	bytes := s.settings.Book.Stats().Bytes + s.settings.Ledger.Stats().Bytes
+	s.settings.Metrics.RecordBytes.Set(float64(bytes))
+}
+
+// start begins an attempt of which the book has just been told. The lock is held.
+func (s *Server) start(now time.Time, request *relaypb.CarryRequest) *attempt {
+	a := &attempt{
+		server:  s,
+		request: request,
+		kind:    s.settings.Kind(request.Kind),
+		handle:  uuid.NewString(),
+		done:    make(chan struct{}),
+		admit:   make(chan admit.Release, 1),
+		serving: &call.Serving{
+			RequestID:  request.RequestId,
+			Importance: schema.Importance(request.Importance),
+			Position:   uint16(request.Position),
+			Deadline:   now.Add(time.Duration(request.TimeLeftMs) * time.Millisecond),
+			Tokens:     call.NewTokens(int(request.Tokens)),
+		},
+	}
+	s.attempts[request.AttemptId] = a
+	s.running.Add(1)
+	go a.run()
+	return a
+}
+
+// release passes on the gate's decisions about queued calls. The lock is held.
+func (s *Server) release(releases []admit.Release) {
+	for _, release := range releases {
+		if a, ok := s.waiting[release.ID]; ok {
+			delete(s.waiting, release.ID)
+			a.admit <- release
+		}
+	}
+}
+
+// wait returns the attempt's answer, or nil when the context ends first.
+func (s *Server) wait(ctx context.Context, a *attempt) *relaypb.CarryResponse {
+	if a == nil {
+		return nil
+	}
+	a.join()
+	defer a.part()
+	select {
+	case <-a.done:
+		return a.answer
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (s *Server) refuse(request *relaypb.CarryRequest, code result.Code) *relaypb.CarryResponse {
+	s.settings.Metrics.Refusals.WithLabelValues(s.settings.Service, code.String()).Inc()
+	return s.dress(request, &relaypb.CarryResponse{Code: uint32(code), TokensLeft: request.Tokens})
+}
+
+// dress adds to an answer what every answer tells of the node.
+func (s *Server) dress(request *relaypb.CarryRequest, answer *relaypb.CarryResponse) *relaypb.CarryResponse {
+	now := s.settings.Clock.Now()
+	levels := s.settings.Levels(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.settings.Gate.Load(now)
+	answer.AttemptId = request.AttemptId
+	answer.Revision = s.settings.Revision()
+	answer.Levels = append(levels, &relaypb.Level{
+		Service: s.settings.Service,
+		Node:    s.settings.Incarnation,
+		Floor:   s.settings.Gate.Floor(now),
+	})
+	answer.Load = &relaypb.Load{
+		InFlight: uint32(load.InFlight),
+		Limit:    uint32(load.Limit),
+		Queued:   uint32(load.Queued),
+		Cold:     load.Cold,
+		Leaving:  s.leaving,
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/local/target.go
@@ -0,0 +1,190 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Target is the door to the target beside this node.
+type Target struct {
+	address   string
+	transport *http.Transport
+	held      *Held
+}
+
+// Held bounds the memory for answers that are held until they are whole.
+type Held struct {
+	bytes atomic.Int64
+	limit func() int64
+}
+
+// Reply is what came of a call to the target.
+type Reply struct {
+	Facts   fate.Facts
+	Status  int
+	Headers []*relaypb.Header
+	Body    []byte
+	Detail  string
+}
+
+// Headers by which a node and its target speak about a call.
+const (
+	ContextHeader  = "Dandelion-Context"
+	TimeLeftHeader = "Dandelion-Time-Left"
+)
+
+const (
+	// targetDialTimeout bounds the opening of a connection, about 1 ms.
+	targetDialTimeout = 500 * time.Millisecond
+	// targetIdleTimeout is shorter than what targets use, so that a connection
+	// is seldom closed by the target at the moment a call is written to it.
+	targetIdleTimeout = 5 * time.Second
+	// readChunkBytes is the step in which an answer's memory is taken.
+	readChunkBytes = 32 << 10
+)
+
+var errHeldFull = errors.New("the bound on held answers is reached")
+
+// NewTarget returns the door to the target at an address, with a bound on the
+// connections that it accepts.
+func NewTarget(address string, connections int, held *Held) *Target {
+	return &Target{
+		address: address,
+		held:    held,
+		transport: &http.Transport{
+			DialContext:         dialer(targetDialTimeout),
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     targetIdleTimeout,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// NewHeld returns a bound that is read anew at each use.
+func NewHeld(limit func() int64) *Held {
+	return &Held{limit: limit}
+}
+
+// Bytes returns how much memory is held.
+func (h *Held) Bytes() int64 {
+	return h.bytes.Load()
+}
+
+// Call sends one attempt and holds the answer until it is whole.
+func (t *Target) Call(ctx context.Context, handle string, attempt *relaypb.CarryRequest, limits schema.Limits) *Reply {
+	reply := &Reply{}
+	request, err := t.request(ctx, handle, attempt)
+	if err != nil {
+		reply.Detail = err.Error()
+		return reply
+	}
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		// From here on bytes may reach the target, so the call may run.
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	response, err := t.transport.RoundTrip(request)
+	reply.Facts.Sent = sent.Load()
+	if err != nil {
+		reply.Detail = err.Error()
+		t.interrupted(ctx, reply)
+		return reply
+	}
+	defer response.Body.Close()
+	reply.Status = response.StatusCode
+	reply.Facts.Status = response.StatusCode
+	reply.Headers = pack(response.Header)
+	t.read(ctx, reply, response.Body, limits.MaxAnswerBytes)
+	return reply
+}
+
+// read takes the body whole, or says in the facts why it could not.
+func (t *Target) read(ctx context.Context, reply *Reply, body io.Reader, most int64) {
+	var buffer bytes.Buffer
+	defer func() { t.held.bytes.Add(-int64(buffer.Cap())) }()
+	for {
+		before := int64(buffer.Cap())
+		if t.held.bytes.Load() > t.held.limit() {
+			reply.Facts.TooLarge = true
+			reply.Detail = errHeldFull.Error()
+			return
+		}
+		n, err := io.CopyN(&buffer, body, readChunkBytes)
+		t.held.bytes.Add(int64(buffer.Cap()) - before)
+		if int64(buffer.Len()) > most {
+			reply.Facts.TooLarge = true
+			return
+		}
+		if errors.Is(err, io.EOF) {
+			reply.Facts.BodyWhole = true
+			reply.Body = buffer.Bytes()
+			return
+		}
+		if err != nil {
+			reply.Detail = err.Error()
+			t.interrupted(ctx, reply)
+			return
+		}
+		if n == 0 {
+			return
+		}
+	}
+}
+
+// interrupted says whether the call ended because its time or its caller did.
+func (t *Target) interrupted(ctx context.Context, reply *Reply) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reply.Facts.TimedOut = true
+	case ctx.Err() != nil:
+		reply.Facts.Cancelled = true
+	}
+}
+
+func (t *Target) request(ctx context.Context, handle string, attempt *relaypb.CarryRequest) (*http.Request, error) {
+	// The body's type hides that it could be read again, so that net/http
+	// never repeats the call by itself on another connection.
+	body := io.NopCloser(struct{ io.Reader }{bytes.NewReader(attempt.Body)})
+	request, err := http.NewRequestWithContext(ctx, attempt.Method, "http://"+t.address+attempt.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(attempt.Body))
+	for _, header := range attempt.Headers {
+		request.Header.Add(header.Name, header.Value)
+	}
+	request.Header.Set(ContextHeader, handle)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline).Milliseconds()
+		request.Header.Set(TimeLeftHeader, strconv.FormatInt(left, 10))
+	}
+	return request, nil
+}
+
+// pack turns HTTP headers into the form in which they travel, without those
+// that belong to one connection only.
+func pack(header http.Header) []*relaypb.Header {
+	packed := make([]*relaypb.Header, 0, len(header))
+	for name, values := range header {
+		if hopByHop[name] {
+			continue
+		}
+		for _, value := range values {
+			packed = append(packed, &relaypb.Header{Name: name, Value: value})
+		}
+	}
+	return packed
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,82 @@
+// Package metric holds the counters and gauges of a node.
+package metric
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Set is every metric of one node, in a registry of its own.
+type Set struct {
+	Registry *prometheus.Registry
+
+	Requests      *prometheus.CounterVec
+	Refusals      *prometheus.CounterVec
+	Retries       *prometheus.CounterVec
+	RetriesDenied *prometheus.CounterVec
+	Attempts      *prometheus.CounterVec
+	FateAsked     *prometheus.CounterVec
+	Replayed      prometheus.Counter
+	RelaySeconds  *prometheus.HistogramVec
+	InFlight      prometheus.Gauge
+	Limit         prometheus.Gauge
+	Queued        prometheus.Gauge
+	Floor         prometheus.Gauge
+	Revision      prometheus.Gauge
+	Members       prometheus.Gauge
+	HeldBytes     prometheus.Gauge
+	RecordBytes   prometheus.Gauge
+}
+
+const namespace = "dandelionfield"
+
+// New returns the metrics of one node, registered together with the usual
+// process and runtime collectors.
+func New() *Set {
+	s := &Set{Registry: prometheus.NewRegistry()}
+	s.Requests = counters("requests_total", "Requests answered to callers and targets, by kind and result.", "kind", "result")
+	s.Refusals = counters("refusals_total", "Calls refused, by service and reason.", "service", "reason")
+	s.Retries = counters("retries_total", "Repeated attempts sent, by service and the reason of the repeat.", "service", "reason")
+	s.RetriesDenied = counters("retries_denied_total", "Repeats that were not sent, by service and what forbade them.", "service", "reason")
+	s.Attempts = counters("attempts_total", "Attempts sent to nodes, by service.", "service")
+	s.FateAsked = counters("fate_asked_total", "Attempts whose connection was lost, by what the other node said.", "answer")
+	s.Replayed = prometheus.NewCounter(options("replayed_total", "Answers taken from the record of an idempotency key."))
+	s.RelaySeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "attempt_seconds",
+		Help:      "Time from sending an attempt to its answer, by service.",
+		Buckets:   prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"service"})
+	s.InFlight = gauge("in_flight", "Calls that the target is at work on.")
+	s.Limit = gauge("limit", "Calls that the target is given at the same time.")
+	s.Queued = gauge("queued", "Calls that wait for the target.")
+	s.Floor = gauge("floor", "Order below which calls are refused.")
+	s.Revision = gauge("revision", "Configuration revision in force.")
+	s.Members = gauge("members", "Nodes in the view.")
+	s.HeldBytes = gauge("held_bytes", "Bytes of answers held until whole.")
+	s.RecordBytes = gauge("record_bytes", "Bytes of idempotency and attempt records.")
+	s.register()
+	return s
+}
+
+func (s *Set) register() {
+	s.Registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Attempts, s.FateAsked,
+		s.Replayed, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
+		s.Revision, s.Members, s.HeldBytes, s.RecordBytes,
+	)
+}
+
+func options(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(options(name, help), labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dandelionfield/dandelionfield/internal/admin"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+func (n *Node) adminServer() *admin.Server {
+	return &admin.Server{
+		Log:      n.log.Named("admin"),
+		Token:    n.settings.OperatorToken,
+		Registry: n.metrics.Registry,
+		Apply:    n.apply,
+		Current:  n.current,
+		Watch:    n.watch,
+		Status:   n.describe,
+		Drain: func(context.Context) error {
+			n.Drain()
+			return nil
+		},
+		Ready: n.ready,
+	}
+}
+
+// ready says whether the node takes work.
+func (n *Node) ready() bool {
+	return n.rules.Load() != nil && n.members.Ready() && !n.leaving.Load()
+}
+
+func (n *Node) current() (int64, *schema.Set, []byte) {
+	current := n.config.Current()
+	if current == nil {
+		return 0, nil, nil
+	}
+	return current.Number, current.Set, current.Document
+}
+
+func (n *Node) apply(ctx context.Context, document []byte, expected int64, dryRun bool) (admin.Applied, error) {
+	number, _, _ := n.current()
+	if dryRun {
+		if expected != number {
+			return admin.Applied{}, admin.NewConflict(expected, number)
+		}
+		return admin.Applied{Revision: number, DryRun: true}, nil
+	}
+	revision, err := n.config.Commit(ctx, document, expected)
+	if err != nil {
+		return admin.Applied{}, err
+	}
+	n.log.Info("revision_accepted", "revision", revision.Number, "digest", revision.Digest)
+	n.members.Kick()
+	return admin.Applied{Revision: revision.Number, Digest: revision.Digest}, nil
+}
+
+// describe is the node's status.
+func (n *Node) describe(context.Context) admin.Status {
+	self := n.members.Self()
+	now := n.clock.Now()
+	reachable, silent := n.platform.state(now)
+	status := admin.Status{
+		Node:              n.settings.Name,
+		Incarnation:       n.incarnation,
+		DataCentre:        n.settings.DataCentre,
+		Region:            n.settings.Region,
+		Service:           n.settings.Service,
+		State:             self.State.String(),
+		RevisionAgeMS:     n.status.age(now).Milliseconds(),
+		PlatformReachable: reachable,
+		PlatformSilentMS:  silent.Milliseconds(),
+		Refusals:          counts(n.metrics.Refusals, "reason"),
+		Retries:           counts(n.metrics.Retries, "reason"),
+	}
+	if current := n.config.Current(); current != nil {
+		status.Revision = current.Number
+		status.Digest = current.Digest
+		status.Services = n.describeServices(current.Set, now)
+	}
+	for _, m := range n.members.All() {
+		status.Members = append(status.Members, describeMember(m))
+	}
+	status.Complete()
+	return status
+}
+
+func describeMember(m member.Member) admin.Member {
+	return admin.Member{
+		Name:         m.Name,
+		Incarnation:  m.Incarnation,
+		DataCentre:   m.DataCentre,
+		Service:      m.Service,
+		State:        m.State.String(),
+		Revision:     m.Revision,
+		AdminAddress: m.AdminAddress,
+	}
+}
+
+func (n *Node) describeServices(set *schema.Set, now time.Time) []admin.Service {
+	floors := n.sender.FloorsByNode(now)
+	services := make([]admin.Service, 0, len(set.Services))
+	for _, declared := range set.Services {
+		service := admin.Service{Name: declared.Name}
+		states := map[string]string{}
+		for _, m := range n.members.Service(declared.Name) {
+			states[m.Incarnation] = targetState(m.State)
+		}
+		for _, state := range n.sender.Targets(declared.Name) {
+			service.Targets = append(service.Targets, admin.Target{
+				Node:     state.Target.Name,
+				State:    states[state.Target.Incarnation],
+				InFlight: state.InFlight,
+				Limit:    state.Limit,
+				Queued:   state.Queued,
+				Floor:    floors[state.Target.Incarnation],
+				Ejected:  state.EjectedUntil.After(now),
+			})
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
+func targetState(state member.State) string {
+	if state == member.Active || state == member.Cold {
+		return admin.StateReady
+	}
+	return state.String()
+}
+
+// counts adds up a counter by one of its labels.
+func counts(counter *prometheus.CounterVec, label string) []admin.Count {
+	metrics := make(chan prometheus.Metric)
+	go func() {
+		counter.Collect(metrics)
+		close(metrics)
+	}()
+	sums := map[string]int64{}
+	var order []string
+	for m := range metrics {
+		var sample dto.Metric
+		if m.Write(&sample) != nil {
+			continue
+		}
+		for _, pair := range sample.Label {
+			if pair.GetName() != label {
+				continue
+			}
+			if _, ok := sums[pair.GetValue()]; !ok {
+				order = append(order, pair.GetValue())
+			}
+			sums[pair.GetValue()] += int64(sample.Counter.GetValue())
+		}
+	}
+	list := make([]admin.Count, 0, len(order))
+	for _, reason := range order {
+		list = append(list, admin.Count{Reason: reason, Count: sums[reason]})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,235 @@
+// Package node wires one node together: its listeners, its filter chain and
+// the controllers that keep its state up to date.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/entry"
+	"github.com/dandelionfield/dandelionfield/internal/filter"
+	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
+	"github.com/dandelionfield/dandelionfield/internal/setup"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Node is one process beside one target.
+type Node struct {
+	settings *setup.Node
+	log      hclog.Logger
+	clock    clock.Clock
+	metrics  *metric.Set
+
+	incarnation string
+	started     time.Time
+	store       plat.Store
+	client      *relay.Client
+	config      *config.Controller
+	members     *member.Controller
+	sender      *entry.Sender
+	local       *local.Server
+	held        *local.Held
+	rules       atomic.Pointer[filter.Rules]
+	plans       plans
+	status      tracker
+	platform    health
+
+	callers sync.WaitGroup
+	leaving atomic.Bool
+	drain   chan struct{}
+	once    sync.Once
+}
+
+// listeners are bound before anything else: on one host, binding proves that
+// an earlier process of the same node accepts nothing any more.
+type listeners struct {
+	caller net.Listener
+	relay  net.Listener
+	admin  net.Listener
+}
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send its headers.
+	readHeaderTimeout = 5 * time.Second
+	// leaveGrace is how long a leaving node still takes work, so that the news
+	// reaches everybody before it begins to refuse.
+	leaveGrace = 2 * time.Second
+	// closeTimeout bounds the closing of the listeners after the drain.
+	closeTimeout = 2 * time.Second
+)
+
+// Run runs a node until the context ends, and then drains it.
+func Run(ctx context.Context, settings *setup.Node, log hclog.Logger) error {
+	bound, err := listen(settings)
+	if err != nil {
+		return err
+	}
+	n := New(settings, log, clock.System{})
+	return n.run(ctx, bound)
+}
+
+// New puts a node together without starting anything.
+func New(settings *setup.Node, log hclog.Logger, clk clock.Clock) *Node {
+	n := &Node{
+		settings:    settings,
+		log:         log,
+		clock:       clk,
+		metrics:     metric.New(),
+		incarnation: uuid.NewString(),
+		started:     clk.Now(),
+		client:      relay.NewClient(),
+		drain:       make(chan struct{}),
+	}
+	n.platform.answered = n.started
+	n.store = n.platform.observed(plat.NewClient(settings.PlatformAddress, plat.Limits{}), clk.Now)
+	n.config = n.newConfig()
+	n.members = n.newMembers()
+	n.sender = n.newSender()
+	n.local = n.newLocal()
+	return n
+}
+
+// Drain makes the node leave, as the end of its context does.
+func (n *Node) Drain() {
+	n.once.Do(func() { close(n.drain) })
+}
+
+func (n *Node) run(ctx context.Context, bound *listeners) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers := n.serve(bound)
+	go n.local.Run(work)
+	go n.members.Run(work)
+	go n.start(work)
+	n.log.Info("node_started",
+		"node", n.settings.Name,
+		"incarnation", n.incarnation,
+		"service", n.settings.Service,
+		"data_centre", n.settings.DataCentre,
+		"callers", n.settings.CallerListen,
+		"relay", n.settings.RelayListen,
+		"admin", n.settings.AdminListen,
+	)
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+	case err := <-servers.failed:
+		return err
+	}
+	n.leave(work)
+	servers.close()
+	n.log.Info("node_stopped", "node", n.settings.Name, "incarnation", n.incarnation)
+	return nil
+}
+
+// start takes the node from its binding to its first call.
+func (n *Node) start(ctx context.Context) {
+	if err := n.config.Boot(ctx, n.peers); err != nil {
+		n.log.Error("boot_failed", "error", err)
+	}
+	go n.config.Run(ctx)
+	go n.keepRules(ctx)
+	go n.keepPlan(ctx)
+}
+
+// peers returns the relay addresses of all other nodes.
+func (n *Node) peers() []string {
+	var addresses []string
+	for _, m := range n.members.All() {
+		if m.Name != n.settings.Name {
+			addresses = append(addresses, m.RelayAddress)
+		}
+	}
+	return addresses
+}
+
+// servers are the three HTTP servers of a node.
+type servers struct {
+	all    []*http.Server
+	failed chan error
+}
+
+func (n *Node) serve(bound *listeners) *servers {
+	s := &servers{failed: make(chan error, 3)}
+	chain := filter.Chain(n.inward().Filters(), n.end)
+	s.start(bound.caller, &http.Server{Handler: n.counted(filter.Handler(chain))})
+	s.start(bound.relay, &http.Server{
+		Handler:   n.relayHandler(),
+		Protocols: relay.Protocols(),
+		HTTP2:     relay.HTTP2(),
+	})
+	s.start(bound.admin, &http.Server{Handler: n.adminServer().Handler()})
+	return s
+}
+
+func (s *servers) start(listener net.Listener, server *http.Server) {
+	server.ReadHeaderTimeout = readHeaderTimeout
+	s.all = append(s.all, server)
+	go func() {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- err
+		}
+	}()
+}
+
+func (s *servers) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range s.all {
+		_ = server.Shutdown(ctx)
+	}
+}
+
+// counted keeps count of the requests under way, so that a stop waits for them.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.callers.Add(1)
+		defer n.callers.Done()
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) limits() schema.Limits {
+	rules := n.rules.Load()
+	if rules == nil {
+		return schema.DefaultLimits()
+	}
+	return rules.Limits
+}
+
+func listen(settings *setup.Node) (*listeners, error) {
+	bound := &listeners{}
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{settings.RelayListen, &bound.relay},
+		{settings.CallerListen, &bound.caller},
+		{settings.AdminListen, &bound.admin},
+	} {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return nil, err
+		}
+		*one.into = listener
+	}
+	return bound, nil
+}
--- /dev/null
+++ b/internal/node/owner.go
@@ -0,0 +1,289 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// plans are the owner plans that the node knows, decoded.
+type plans struct {
+	mu    sync.RWMutex
+	byService map[string]once.Plan
+}
+
+const (
+	// ownerSlots is the number of shares into which the keys of a service fall.
+	ownerSlots = 12
+	// planPeriod is how often a node looks whether its plan should change.
+	planPeriod = 500 * time.Millisecond
+	// planTimeout bounds one change of the plan.
+	planTimeout = 3 * time.Second
+	// handoverTimeout bounds the handover of records to one successor.
+	handoverTimeout = 3 * time.Second
+	// handoverBatch is how many records travel in one message.
+	handoverBatch = 500
+)
+
+func ownerRules(limits schema.Limits) once.Rules {
+	return once.Rules{
+		Slots:  ownerSlots,
+		Lease:  limits.OwnerLease,
+		Margin: limits.ClockMargin,
+		KeyAge: limits.KeyAge,
+	}
+}
+
+// owner is this node as a plan names it.
+func (n *Node) owner() once.Node {
+	return once.Node{
+		Name:        n.settings.Name,
+		Incarnation: n.incarnation,
+		Address:     n.settings.RelayListen,
+		StartedMS:   n.started.UnixMilli(),
+		Leaving:     n.leaving.Load(),
+	}
+}
+
+// learnPlan takes in an owner plan that has been committed.
+func (n *Node) learnPlan(service string, document []byte, _ int64) {
+	plan, err := once.DecodePlan(document)
+	if err != nil {
+		n.log.Error("plan_unreadable", "service", service, "error", err)
+		return
+	}
+	n.plans.put(service, plan)
+	if service == n.settings.Service {
+		n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) { ledger.Learn(plan) })
+	}
+}
+
+// keepPlan renews this node's holdings in its service's plan until the context
+// ends, as long as the service has kinds that never repeat.
+func (n *Node) keepPlan(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.needsPlan() {
+			n.changePlan(ctx, n.nextPlan)
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.clock.After(planPeriod):
+		}
+	}
+}
+
+func (n *Node) nextPlan(now time.Time, plan once.Plan) (once.Plan, bool) {
+	return once.Next(now, plan, n.owner(), n.owners(), ownerRules(n.limits()))
+}
+
+// changePlan commits a change of the plan, if there is one to make. The ledger
+// honours what the change takes away before the table can know of it.
+func (n *Node) changePlan(ctx context.Context, change func(now time.Time, plan once.Plan) (once.Plan, bool)) bool {
+	ctx, cancel := context.WithTimeout(ctx, planTimeout)
+	defer cancel()
+	service := n.settings.Service
+	document, version := n.config.Plan(service)
+	plan := once.Plan{Service: service}
+	if version > 0 {
+		decoded, err := once.DecodePlan(document)
+		if err != nil {
+			n.log.Error("plan_unreadable", "service", service, "error", err)
+			return false
+		}
+		plan = decoded
+	}
+	now := n.clock.Now()
+	next, changed := change(now, plan)
+	if !changed {
+		return true
+	}
+	promised := false
+	n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) { promised = ledger.Promise(now, next) })
+	if !promised {
+		return false
+	}
+	if _, err := n.config.CommitPlan(ctx, service, next.Encode(), version); err != nil {
+		n.log.Debug("plan_not_committed", "service", service, "error", err)
+		_ = n.config.PollPlan(ctx)
+		return false
+	}
+	return true
+}
+
+// needsPlan says whether the node's service runs kinds that never repeat.
+func (n *Node) needsPlan() bool {
+	current := n.config.Current()
+	if current == nil || !n.members.Ready() {
+		return false
+	}
+	for _, kind := range current.Set.Kinds {
+		if kind.Service == n.settings.Service && kind.Repeat == schema.Never {
+			return true
+		}
+	}
+	return false
+}
+
+// owners returns the nodes that may hold keys of this node's service.
+func (n *Node) owners() []once.Node {
+	var nodes []once.Node
+	for _, m := range n.members.Service(n.settings.Service) {
+		if m.State == member.Starting {
+			continue
+		}
+		nodes = append(nodes, once.Node{
+			Name:        m.Name,
+			Incarnation: m.Incarnation,
+			Address:     m.RelayAddress,
+			StartedMS:   m.StartedMS,
+			Leaving:     m.State == member.Leaving,
+		})
+	}
+	return nodes
+}
+
+// keeper finds the incarnation that runs a key, or the truthful code when
+// there is none.
+func (n *Node) keeper(service string, key once.Key, fresh bool) (string, result.Code) {
+	living := func(incarnation string) bool {
+		for _, m := range n.members.Service(service) {
+			if m.Incarnation == incarnation {
+				return true
+			}
+		}
+		return false
+	}
+	plan := n.plans.get(service)
+	holding, code := once.Route(n.clock.Now(), plan, key, !fresh, living, ownerRules(n.limits()))
+	if code != 0 {
+		return "", code
+	}
+	return holding.Keeper(), result.OK
+}
+
+// handOver gives this node's records to a successor before it goes.
+func (n *Node) handOver(ctx context.Context) {
+	if !n.needsPlan() {
+		return
+	}
+	var records []once.Record[*relaypb.CarryResponse]
+	n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) { records = ledger.Export() })
+	for _, successor := range n.owners() {
+		if successor.Leaving || successor.Incarnation == n.incarnation {
+			continue
+		}
+		if !n.send(ctx, successor, records) {
+			continue
+		}
+		n.commitHandover(ctx, successor)
+		return
+	}
+	n.log.Warn("handover_failed", "records", len(records))
+}
+
+func (n *Node) commitHandover(ctx context.Context, successor once.Node) {
+	const tries = 5
+	change := func(now time.Time, plan once.Plan) (once.Plan, bool) {
+		return once.HandOver(now, plan, n.owner(), successor, ownerRules(n.limits()))
+	}
+	for range tries {
+		if n.changePlan(ctx, change) {
+			n.log.Info("handed_over", "successor", successor.Name)
+			return
+		}
+	}
+	n.log.Warn("handover_not_committed", "successor", successor.Name)
+}
+
+// send moves records to a successor, in batches.
+func (n *Node) send(ctx context.Context, successor once.Node, records []once.Record[*relaypb.CarryResponse]) bool {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	for {
+		batch := records[:min(handoverBatch, len(records))]
+		records = records[len(batch):]
+		request := &relaypb.HandoverRequest{
+			FromIncarnation: n.incarnation,
+			ToIncarnation:   successor.Incarnation,
+			Records:         packRecords(n.settings.Service, batch),
+			Last:            len(records) == 0,
+		}
+		response, err := n.client.To(successor.Address).Handover(ctx, connect.NewRequest(request))
+		if err != nil || !response.Msg.Accepted {
+			return false
+		}
+		if len(records) == 0 {
+			return true
+		}
+	}
+}
+
+// takeOver imports the records of a leaving node.
+func (n *Node) takeOver(request *relaypb.HandoverRequest) bool {
+	if request.ToIncarnation != n.incarnation || n.leaving.Load() {
+		return false
+	}
+	accepted := false
+	n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) {
+		accepted = ledger.Import(request.FromIncarnation, unpackRecords(request.Records))
+	})
+	return accepted
+}
+
+func packRecords(service string, records []once.Record[*relaypb.CarryResponse]) []*relaypb.OwnerRecord {
+	packed := make([]*relaypb.OwnerRecord, 0, len(records))
+	for _, record := range records {
+		packed = append(packed, &relaypb.OwnerRecord{
+			Key:         record.Key.Text,
+			Service:     service,
+			Kind:        record.Kind,
+			RequestHash: record.RequestHash,
+			Answer:      record.Answer,
+			Unknown:     record.Unknown,
+			MintedMs:    record.Key.Minted.UnixMilli(),
+		})
+	}
+	return packed
+}
+
+func unpackRecords(packed []*relaypb.OwnerRecord) []once.Record[*relaypb.CarryResponse] {
+	records := make([]once.Record[*relaypb.CarryResponse], 0, len(packed))
+	for _, record := range packed {
+		key, err := once.ParseKey(record.Key)
+		if err != nil {
+			continue
+		}
+		records = append(records, once.Record[*relaypb.CarryResponse]{
+			Key:         key,
+			Kind:        record.Kind,
+			RequestHash: record.RequestHash,
+			Unknown:     record.Unknown,
+			Answer:      record.Answer,
+			Size:        len(record.GetAnswer().GetBody()),
+		})
+	}
+	return records
+}
+
+func (p *plans) put(service string, plan once.Plan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byService == nil {
+		p.byService = map[string]once.Plan{}
+	}
+	p.byService[service] = plan
+}
+
+func (p *plans) get(service string) once.Plan {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.byService[service]
+}
--- /dev/null
+++ b/internal/node/parts.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/budget"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/entry"
+	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/filter"
+	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+const (
+	// attemptKeep is how long ended attempts and tombstones are kept: longer
+	// than any deadline, so that no attempt arrives after it was forgotten.
+	attemptKeep = 30 * time.Second
+	// backoffBase and backoffMax bound the wait before a repeat.
+	backoffBase = 25 * time.Millisecond
+	backoffMax  = 500 * time.Millisecond
+	// bookShare is the share of a node's memory for records of attempts.
+	bookShare = 4
+)
+
+func (n *Node) newConfig() *config.Controller {
+	c := config.New(n.store, parseDocument, n.clock, n.log.Named("config"))
+	c.Service = n.settings.Service
+	c.Fetch = n.fetch
+	c.OnRevision = n.enforce
+	c.OnPlan = n.learnPlan
+	return c
+}
+
+func (n *Node) newMembers() *member.Controller {
+	c := member.New(member.Member{
+		Name:          n.settings.Name,
+		Incarnation:   n.incarnation,
+		StartedMS:     n.started.UnixMilli(),
+		RelayAddress:  n.settings.RelayListen,
+		CallerAddress: n.settings.CallerListen,
+		AdminAddress:  n.settings.AdminListen,
+		DataCentre:    n.settings.DataCentre,
+		Region:        n.settings.Region,
+		Service:       n.settings.Service,
+		State:         member.Starting,
+	}, n.store, n.clock, n.log.Named("member"))
+	c.Send = n.client.Exchange
+	c.Changed = n.membersChanged
+	c.Revision = n.config.Number
+	c.Plans = n.config.Plans
+	c.Heard = func(from string, revision int64, plans []*relaypb.PlanVersion) {
+		ctx := context.Background()
+		n.config.Heard(ctx, from, revision)
+		n.config.HeardPlans(ctx, from, plans)
+	}
+	c.CatchUp = func(ctx context.Context, peers []string) error {
+		return n.config.Boot(ctx, func() []string { return peers })
+	}
+	return c
+}
+
+func (n *Node) newSender() *entry.Sender {
+	s := &entry.Sender{
+		DataCentre: n.settings.DataCentre,
+		Clock:      n.clock,
+		Metrics:    n.metrics,
+		Log:        n.log.Named("entry"),
+		Client:     n.client,
+		Route: route.Settings{
+			DataCentre: n.settings.DataCentre,
+			Region:     n.settings.Region,
+			Random:     rand.Float64,
+		},
+		Backoff:    budget.Backoff{Base: backoffBase, Max: backoffMax, Random: rand.Float64},
+		Owner:      n.keeper,
+		RetryShare: n.retryShare,
+		Moved:      n.members.Kick,
+	}
+	s.Init(admit.NewDoor())
+	return s
+}
+
+func (n *Node) newLocal() *local.Server {
+	n.held = local.NewHeld(func() int64 { return n.limits().HeldBytes })
+	service := schema.DefaultService()
+	bookBytes := n.settings.MemoryBytes / bookShare
+	return local.New(local.Settings{
+		Incarnation: n.incarnation,
+		Service:     n.settings.Service,
+		Target:      local.NewTarget(n.settings.TargetAddress, service.Connections, n.held),
+		Clock:       n.clock,
+		Metrics:     n.metrics,
+		Log:         n.log.Named("local"),
+		Gate:        admit.NewGate(n.gateSettings(service)),
+		Book:        fate.New[*relaypb.CarryResponse](fate.Settings{Keep: attemptKeep, MaxBytes: bookBytes}),
+		Ledger:      once.NewLedger[*relaypb.CarryResponse](n.owner(), ownerRules(schema.DefaultLimits()), bookBytes),
+		Kind:        n.kind,
+		Limits:      n.limits,
+		ShedStatus:  n.shedStatus,
+		Levels:      n.sender.Levels,
+		Revision:    n.config.Number,
+	})
+}
+
+func (n *Node) inward() *filter.Inward {
+	host, _, _ := net.SplitHostPort(n.settings.TargetAddress)
+	return &filter.Inward{
+		Clock:      n.clock,
+		Metrics:    n.metrics,
+		Log:        n.log.Named("filter"),
+		Rules:      n.rules.Load,
+		Serving:    n.local.Serving,
+		TargetHost: host,
+		Allows:     n.sender.Allows,
+	}
+}
+
+// end is what the filter chain leads to.
+func (n *Node) end(ctx context.Context, exchange *filter.Exchange) *call.Answer {
+	return n.sender.Send(ctx, exchange.Call)
+}
+
+func (n *Node) gateSettings(service schema.Service) admit.Settings {
+	return admit.Settings{
+		Slots:     service.Slots,
+		Queue:     service.Queue,
+		QueueWait: service.QueueWait,
+		ColdStart: service.ColdStart,
+		Started:   n.started,
+	}
+}
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
+)
+
+// relayService answers the other nodes.
+type relayService struct {
+	node *Node
+}
+
+func (n *Node) relayHandler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := relaypbconnect.NewRelayHandler(&relayService{node: n})
+	mux.Handle(path, handler)
+	return mux
+}
+
+// Carry runs an attempt, or joins it when it came before.
+func (r *relayService) Carry(ctx context.Context, request *connect.Request[relaypb.CarryRequest]) (*connect.Response[relaypb.CarryResponse], error) {
+	answer := r.node.local.Carry(ctx, request.Msg)
+	if answer == nil {
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Fate says what became of an attempt.
+func (r *relayService) Fate(ctx context.Context, request *connect.Request[relaypb.FateRequest]) (*connect.Response[relaypb.FateResponse], error) {
+	return connect.NewResponse(r.node.local.Fate(ctx, request.Msg)), nil
+}
+
+// Exchange swaps membership news.
+func (r *relayService) Exchange(_ context.Context, request *connect.Request[relaypb.ExchangeRequest]) (*connect.Response[relaypb.ExchangeResponse], error) {
+	return connect.NewResponse(r.node.members.Answer(request.Msg)), nil
+}
+
+// Fetch hands over the configuration in force and the owner plans asked for.
+func (r *relayService) Fetch(_ context.Context, request *connect.Request[relaypb.FetchRequest]) (*connect.Response[relaypb.FetchResponse], error) {
+	return connect.NewResponse(r.node.config.Answer(request.Msg)), nil
+}
+
+// Handover takes over the idempotency records of a leaving node.
+func (r *relayService) Handover(_ context.Context, request *connect.Request[relaypb.HandoverRequest]) (*connect.Response[relaypb.HandoverResponse], error) {
+	accepted := r.node.takeOver(request.Msg)
+	return connect.NewResponse(&relaypb.HandoverResponse{Accepted: accepted}), nil
+}
+
+// fetch asks another node for its configuration and plans.
+func (n *Node) fetch(ctx context.Context, address string, plans []string) (*relaypb.FetchResponse, error) {
+	response, err := n.client.To(address).Fetch(ctx, connect.NewRequest(&relaypb.FetchRequest{Plans: plans}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
--- /dev/null
+++ b/internal/node/rules.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/filter"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// tracker wakes everybody who waits for the next revision.
+type tracker struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	since   time.Time
+}
+
+func parseDocument(document []byte) (*schema.Set, error) {
+	return schema.Parse("configuration", document)
+}
+
+// enforce compiles a revision and puts it in force for requests.
+func (n *Node) enforce(revision *config.Revision) {
+	set := revision.Set
+	matcher := schema.NewMatcher(set)
+	chains := make(map[string][]string, len(set.Kinds))
+	for _, kind := range set.Kinds {
+		chains[kind.Name] = set.Chain(kind.Name)
+	}
+	n.rules.Store(&filter.Rules{
+		Revision: revision.Number,
+		Limits:   set.Limits,
+		Match:    matcher.Match,
+		Chain:    func(kind string) []string { return chains[kind] },
+	})
+	if service := set.Service(n.settings.Service); service != nil {
+		n.local.Resize(n.gateSettings(*service))
+	}
+	n.members.SetSelf(func(self *member.Member) { self.Revision = revision.Number })
+	n.membersChanged()
+	n.status.advance(n.clock.Now())
+	n.metrics.Revision.Set(float64(revision.Number))
+	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest)
+}
+
+// membersChanged gives the sender the targets of every declared service.
+func (n *Node) membersChanged() {
+	n.checkSuperseded()
+	current := n.config.Current()
+	if current == nil {
+		return
+	}
+	byService := map[string][]route.Target{}
+	all := n.members.All()
+	for _, m := range all {
+		if m.State != member.Active && m.State != member.Cold && m.State != member.Leaving {
+			continue
+		}
+		byService[m.Service] = append(byService[m.Service], route.Target{
+			Name:        m.Name,
+			Incarnation: m.Incarnation,
+			Address:     m.RelayAddress,
+			DataCentre:  m.DataCentre,
+			Region:      m.Region,
+			Leaving:     m.State == member.Leaving,
+			Cold:        m.State == member.Cold,
+		})
+	}
+	for _, service := range current.Set.Services {
+		n.sender.Update(service.Name, byService[service.Name])
+	}
+	n.metrics.Members.Set(float64(len(all)))
+}
+
+// checkSuperseded stops the node when a later process bears its name.
+func (n *Node) checkSuperseded() {
+	if later, ok := n.members.Superseded(); ok {
+		n.log.Warn("superseded", "node", n.settings.Name, "by", later.Incarnation)
+		n.Drain()
+	}
+}
+
+func (n *Node) kind(name string) *schema.Kind {
+	current := n.config.Current()
+	if current == nil {
+		return nil
+	}
+	return current.Set.Kind(name)
+}
+
+func (n *Node) declared(service string) schema.Service {
+	if current := n.config.Current(); current != nil {
+		if declared := current.Set.Service(service); declared != nil {
+			return *declared
+		}
+	}
+	return schema.DefaultService()
+}
+
+func (n *Node) shedStatus() int {
+	return n.declared(n.settings.Service).ShedStatus
+}
+
+func (n *Node) retryShare(service string) float64 {
+	return n.declared(service).RetryShare
+}
+
+// watch blocks until a revision above after is in force.
+func (n *Node) watch(ctx context.Context, after int64) (int64, *schema.Set, error) {
+	for {
+		changed := n.status.wait()
+		if current := n.config.Current(); current != nil && current.Number > after {
+			return current.Number, current.Set, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// advance notes a new revision and wakes those who wait.
+func (t *tracker) advance(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.since = now
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+}
+
+// wait returns a channel that is closed at the next revision.
+func (t *tracker) wait() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+// age returns the time since the revision in force was taken up.
+func (t *tracker) age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.since.IsZero() {
+		return 0
+	}
+	return now.Sub(t.since)
+}
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -59,3 +59,8 @@
 	// NotFound means that there is no such object.
 	NotFound = namespace.NewType("not_found")
 )
+
+// IsUnavailable says whether an error means that the platform did not answer.
+func IsUnavailable(err error) bool {
+	return errorx.IsOfType(err, Unavailable) || errorx.IsOfType(err, Unresolved)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,123 @@
+// Package relay is the connection between nodes: a connect-go client that
+// drops silent connections, and the server's transport settings to match.
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
+)
+
+// Client speaks to all other nodes. It keeps a transport for each of them, so
+// that a silent connection to one can be dropped without touching the others.
+type Client struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	transport *http.Transport
+	client    relaypbconnect.RelayClient
+}
+
+const (
+	// A connection on which nothing arrives for pingAfter is pinged, and
+	// dropped when the ping is not answered within pingTimeout. Together they
+	// find a silent connection in 600 ms, whatever the kernel believes.
+	pingAfter   = 300 * time.Millisecond
+	pingTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the opening of a connection, which takes about 1 ms.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout closes connections to nodes that are seldom called.
+	idleTimeout = 30 * time.Second
+	// maxMessageBytes bounds one message between nodes.
+	maxMessageBytes = 16 << 20
+	// streamsPerConnection is how many attempts share one connection.
+	streamsPerConnection = 250
+)
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{peers: map[string]*peer{}}
+}
+
+// To returns the client for the node at an address. Nothing is sent yet.
+func (c *Client) To(address string) relaypbconnect.RelayClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = newPeer(address)
+		c.peers[address] = p
+	}
+	return p.client
+}
+
+// Drop forgets the node at an address and closes its idle connections.
+func (c *Client) Drop(address string) {
+	c.mu.Lock()
+	p := c.peers[address]
+	delete(c.peers, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.transport.CloseIdleConnections()
+	}
+}
+
+// Exchange swaps membership news with the node at an address.
+func (c *Client) Exchange(ctx context.Context, address string, request *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+	response, err := c.To(address).Exchange(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// NeverSent says whether an error proves that nothing reached the other node:
+// the connection could not be opened at all.
+func NeverSent(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
+// HTTP2 returns the transport settings that both ends of a relay connection use.
+func HTTP2() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams: streamsPerConnection,
+		SendPingTimeout:      pingAfter,
+		PingTimeout:          pingTimeout,
+	}
+}
+
+// Protocols returns the one protocol between nodes: HTTP/2 without TLS.
+func Protocols() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+func newPeer(address string) *peer {
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols:       Protocols(),
+		HTTP2:           HTTP2(),
+		IdleConnTimeout: idleTimeout,
+		// The other node compresses nothing, so nothing is asked for.
+		DisableCompression: true,
+	}
+	client := relaypbconnect.NewRelayClient(
+		&http.Client{Transport: transport},
+		"http://"+address,
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithSendCompression(""),
+	)
+	return &peer{transport: transport, client: client}
+}
