--- a/cmd/dandelionfield/main.go
+++ b/cmd/dandelionfield/main.go
@@ -2,20 +2,12 @@
 package main
 
 import (
-	"context"
 	"os"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/dandelionfield/dandelionfield/internal/cli"
-	"github.com/dandelionfield/dandelionfield/internal/setup"
+	"github.com/dandelionfield/dandelionfield/internal/node"
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{RunNode: runNode}))
-}
-
-// runNode runs the node with these settings until the context ends.
-func runNode(_ context.Context, _ *setup.Node, _ hclog.Logger) error {
-	return cli.Failed.New("this build has no node")
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{RunNode: node.Run}))
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -115,9 +115,9 @@
 			service.Targets = append(service.Targets, admin.Target{
 				Node:     state.Target.Name,
 				State:    states[state.Target.Incarnation],
-				InFlight: state.InFlight,
-				Limit:    state.Limit,
-				Queued:   state.Queued,
+				InFlight: state.Reported.InFlight,
+				Limit:    state.Reported.Limit,
+				Queued:   state.Reported.Queued,
 				Floor:    floors[state.Target.Incarnation],
 				Ejected:  state.EjectedUntil.After(now),
 			})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 		n.log.Error("boot_failed", "error", err)
 	}
 	go n.config.Run(ctx)
-	go n.keepRules(ctx)
+	go n.becomeActive(ctx)
 	go n.keepPlan(ctx)
 }
 
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -19,6 +19,9 @@
 	since   time.Time
 }
 
+// readyPeriod is how often a starting node looks whether it is ready.
+const readyPeriod = 20 * time.Millisecond
+
 func parseDocument(document []byte) (*schema.Set, error) {
 	return schema.Parse("configuration", document)
 }
@@ -47,6 +50,24 @@
 	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest)
 }
 
+// becomeActive announces the node as a target once it has the configuration
+// and a view of the others.
+func (n *Node) becomeActive(ctx context.Context) {
+	for !n.ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.clock.After(readyPeriod):
+		}
+	}
+	n.members.SetSelf(func(self *member.Member) {
+		if self.State == member.Starting {
+			self.State = member.Active
+		}
+	})
+	n.log.Info("node_active", "node", n.settings.Name, "revision", n.config.Number())
+}
+
 // membersChanged gives the sender the targets of every declared service.
 func (n *Node) membersChanged() {
 	n.checkSuperseded()
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -43,6 +43,7 @@
 	// reported is the load that the target's node gave last, at reportedAt.
 	reported    int
 	limitGiven  int
+	lastReport  Report
 	reportedAt  time.Time
 	sentSince   int
 	refusedAt   time.Time
@@ -74,6 +75,7 @@
 	if r.Known {
 		e.reported = r.InFlight + r.Queued
 		e.limitGiven = r.Limit
+		e.lastReport = r
 		e.reportedAt = now
 		e.sentSince = 0
 		e.target.Leaving = e.target.Leaving || r.Leaving
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -81,6 +81,8 @@
 		Latency time.Duration
 		// Pressure is the estimated load relative to the target's limit.
 		Pressure float64
+		// Reported is the last report that told of the target's load.
+		Reported Report
 	}
 
 	// Table holds the targets of one service.
@@ -163,6 +165,7 @@
 			EjectedUntil: e.ejectedUntil,
 			Latency:      e.latency,
 			Pressure:     e.pressure(now),
+			Reported:     e.lastReport,
 		})
 	}
 	slices.SortFunc(states, func(a, b State) int { return strings.Compare(a.Target.Name, b.Target.Name) })
