--- /dev/null
+++ b/scripts/common.sh
@@ -0,0 +1,85 @@
+# Starting and ending the processes of one firm; sourced by the other scripts.
+# Every process is started in the background and ended by its own id.
+
+declare -a started=()
+declare -A pid_of=()
+
+# start NAME COMMAND...: runs the command with its output in $out/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$out/$name.log" 2>&1 &
+  started+=("$!")
+  pid_of[$name]=$!
+}
+
+# stop_all ends what start started and waits for it.
+stop_all() {
+  local pid
+  for pid in "${started[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${started[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+  started=()
+  pid_of=()
+}
+
+# setting FILE NAME: prints one top-level value of a settings file.
+setting() {
+  sed -n "s/^$2: *//p" "$1"
+}
+
+# wait_port IP:PORT: waits until something listens there.
+wait_port() {
+  local host=${1%:*} port=${1##*:} try
+  for try in $(seq 100); do
+    if (exec 3<>"/dev/tcp/$host/$port") 2>/dev/null; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "nothing listens on $1 after 10 s" >&2
+  return 1
+}
+
+# start_targets: starts the stand-ins for the targets of the firm in $out.
+start_targets() {
+  local file
+  for file in "$out"/target-*.yaml; do
+    start "$(basename "$file" .yaml)" bin/fieldlab target --config "$file"
+  done
+  for file in "$out"/target-*.yaml; do
+    wait_port "$(setting "$file" listen)"
+  done
+}
+
+# start_naive: starts the naive relays.
+start_naive() {
+  local file
+  for file in "$out"/naive-*.yaml; do
+    start "$(basename "$file" .yaml)" bin/fieldlab naive --config "$file"
+  done
+  for file in "$out"/naive-*.yaml; do
+    wait_port "$(setting "$file" listen)"
+  done
+}
+
+# start_nodes FIRM: starts the platform and the nodes, and applies the firm's
+# declarations.
+start_nodes() {
+  local file first
+  first=$(ls "$out"/node-*.yaml | head -n 1)
+  start platform bin/fieldlab platform --listen "$(setting "$first" platform_address)"
+  wait_port "$(setting "$first" platform_address)"
+  for file in "$out"/node-*.yaml; do
+    start "$(basename "$file" .yaml)" bin/dandelionfield node --config "$file"
+  done
+  for file in "$out"/node-*.yaml; do
+    wait_port "$(setting "$file" caller_listen)"
+  done
+  bin/dandelionfield apply -f "$1/mesh" --node "$(setting "$first" admin_listen)" \
+    --token "$(setting "$first" operator_token)" --wait
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Shows one firm's mesh on loopback in a calm spell, in a surge with a slowed
+# deep service, and in calm again. Takes under a minute and leaves nothing running.
+#
+#   scripts/demo.sh [cannelle|kiudvali]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/common.sh
+
+firm=${1:-cannelle}
+out=run/$firm
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+rm -rf "$out"
+bin/fieldlab layout --firm "examples/$firm" --out "$out"
+start_targets
+start_nodes "examples/$firm"
+sleep 3 # the stand-ins are cold for their first 3 s
+bin/fieldlab load --config "$out/load-demo.yaml"
