--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -66,12 +66,31 @@
 		P99MS         float64 `json:"p99_ms"`
 	}
 
+	// Spell is the part of a run before, during or after the trigger.
+	Spell struct {
+		Name            string  `json:"name"`
+		Seconds         float64 `json:"seconds"`
+		Offered         int     `json:"offered"`
+		Good            int     `json:"good"`
+		CriticalOffered int     `json:"critical_offered"`
+		CriticalGood    int     `json:"critical_good"`
+		// Useful is how many calls a second of each service went into good
+		// requests, by the calls that their kinds declare.
+		Useful map[string]float64 `json:"useful"`
+	}
+
 	// Report is what a run showed.
 	Report struct {
-		Lines    []Line         `json:"lines"`
-		Offered  int            `json:"offered"`
-		Good     int            `json:"good"`
-		Refusals map[string]int `json:"refusals"`
+		// Label says what ran, for a table of several reports.
+		Label  []string `json:"label,omitempty"`
+		Spells []Spell  `json:"spells"`
+		// Capacity is how many calls a second each service can work on when
+		// nothing slows it.
+		Capacity map[string]float64 `json:"capacity,omitempty"`
+		Lines    []Line             `json:"lines"`
+		Offered  int                `json:"offered"`
+		Good     int                `json:"good"`
+		Refusals map[string]int     `json:"refusals"`
 		// TriesPerRequest is the mean number of attempts of callers.
 		TriesPerRequest float64 `json:"tries_per_request"`
 		// CallsPerRequest is the mean number of calls that reached targets.
@@ -94,7 +113,12 @@
 // Account counts a run: the outcomes that callers saw against the executions
 // that the targets recorded.
 func Account(config LoadConfig, mesh Mesh, outcomes []Outcome, done []Executions) Report {
-	report := Report{Refusals: map[string]int{}, RecoveryS: Recovery(outcomes, config.Trigger)}
+	report := Report{
+		Refusals:  map[string]int{},
+		Spells:    spells(config, mesh, outcomes),
+		Capacity:  config.Capacity,
+		RecoveryS: Recovery(outcomes, config.Trigger),
+	}
 	tries := 0
 	for _, outcome := range outcomes {
 		report.Offered++
--- /dev/null
+++ b/internal/lab/added.go
@@ -0,0 +1,198 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+)
+
+// ticksPerSecond is the unit of processor time in /proc/<id>/stat.
+const ticksPerSecond = 100
+
+type (
+	// Added measures the time that a mesh adds to a call: it alternates direct
+	// and relayed calls in one run, since on a busy host the direct time alone
+	// moves more between runs than the mesh adds.
+	Added struct {
+		Entry  string
+		Target string
+		Path   string
+		Pairs  int
+		// Workers is how many pairs are under way at once.
+		Workers int
+		// Gap is the pause of a worker between two pairs.
+		Gap time.Duration
+		// Processes holds the ids of the mesh's processes, whose processor
+		// time is reported per relayed call.
+		Processes []int
+		Clock     clock.Clock
+	}
+
+	// AddedReport is what the pairs showed. Times are in milliseconds.
+	AddedReport struct {
+		Pairs  int `json:"pairs"`
+		Failed int `json:"failed"`
+		// DirectP50MS and DirectP99MS are the control.
+		DirectP50MS  float64 `json:"direct_p50_ms"`
+		DirectP99MS  float64 `json:"direct_p99_ms"`
+		RelayedP50MS float64 `json:"relayed_p50_ms"`
+		RelayedP99MS float64 `json:"relayed_p99_ms"`
+		// AddedP50MS and AddedP99MS are quantiles of the difference in each pair.
+		AddedP50MS float64 `json:"added_p50_ms"`
+		AddedP99MS float64 `json:"added_p99_ms"`
+		// ProcessorMS is processor time per relayed call, idle work of the
+		// processes included.
+		ProcessorMS float64 `json:"processor_ms"`
+	}
+
+	pair struct {
+		direct  time.Duration
+		relayed time.Duration
+		failed  bool
+	}
+)
+
+// Run makes the pairs and reports them. It ends early when the context ends.
+func (a *Added) Run(ctx context.Context) AddedReport {
+	client := newClient(a.Workers)
+	before := processorTime(a.Processes)
+	var mu sync.Mutex
+	var pairs []pair
+	var workers sync.WaitGroup
+	for worker := range a.Workers {
+		workers.Go(func() {
+			for i := worker; i < a.Pairs && ctx.Err() == nil; i += a.Workers {
+				one := a.pair(ctx, client, i)
+				mu.Lock()
+				pairs = append(pairs, one)
+				mu.Unlock()
+				<-a.Clock.After(a.Gap)
+			}
+		})
+	}
+	workers.Wait()
+	report := summarise(pairs)
+	if len(pairs) > 0 {
+		report.ProcessorMS = (processorTime(a.Processes) - before).Seconds() * 1000 / float64(len(pairs))
+	}
+	return report
+}
+
+// pair makes a direct and a relayed call, in turns the one first or the other.
+func (a *Added) pair(ctx context.Context, client *http.Client, index int) pair {
+	var one pair
+	var first, second error
+	attempt := "added-" + strconv.Itoa(index) + ".1"
+	if index%2 == 0 {
+		one.direct, first = a.call(ctx, client, a.Target, attempt)
+		one.relayed, second = a.call(ctx, client, a.Entry, attempt)
+	} else {
+		one.relayed, first = a.call(ctx, client, a.Entry, attempt)
+		one.direct, second = a.call(ctx, client, a.Target, attempt)
+	}
+	one.failed = first != nil || second != nil
+	return one
+}
+
+func (a *Added) call(ctx context.Context, client *http.Client, address, attempt string) (time.Duration, error) {
+	url := "http://" + address + fillPath(a.Path, baseRequest(attempt))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set(RequestHeader, attempt)
+	begun := a.Clock.Now()
+	answer, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return 0, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return 0, callError.New("%s answered %s", address, answer.Status)
+	}
+	return a.Clock.Now().Sub(begun), nil
+}
+
+// Print writes the report for people.
+func (r AddedReport) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "pairs: %d, failed: %d\n", r.Pairs, r.Failed)
+	_, _ = fmt.Fprintf(w, "direct:  p50 %.3f ms, p99 %.3f ms\n", r.DirectP50MS, r.DirectP99MS)
+	_, _ = fmt.Fprintf(w, "relayed: p50 %.3f ms, p99 %.3f ms\n", r.RelayedP50MS, r.RelayedP99MS)
+	_, _ = fmt.Fprintf(w, "added (paired difference): p50 %.3f ms, p99 %.3f ms\n", r.AddedP50MS, r.AddedP99MS)
+	_, _ = fmt.Fprintf(w, "processor time per relayed call: %.3f ms\n", r.ProcessorMS)
+}
+
+func summarise(pairs []pair) AddedReport {
+	report := AddedReport{Pairs: len(pairs)}
+	var direct, relayed, added []time.Duration
+	for _, one := range pairs {
+		if one.failed {
+			report.Failed++
+			continue
+		}
+		direct = append(direct, one.direct)
+		relayed = append(relayed, one.relayed)
+		added = append(added, one.relayed-one.direct)
+	}
+	report.DirectP50MS, report.DirectP99MS = quantile(direct, 0.5), quantile(direct, 0.99)
+	report.RelayedP50MS, report.RelayedP99MS = quantile(relayed, 0.5), quantile(relayed, 0.99)
+	report.AddedP50MS, report.AddedP99MS = quantile(added, 0.5), quantile(added, 0.99)
+	return report
+}
+
+// quantile returns a quantile in milliseconds. Differences may be negative,
+// which a histogram of the usual kind cannot hold, so the values are sorted.
+func quantile(values []time.Duration, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	index := int(q * float64(len(values)-1))
+	return values[index].Seconds() * 1000
+}
+
+// processorTime returns the processor time that the processes have used. One
+// that is gone counts as nothing.
+func processorTime(ids []int) time.Duration {
+	total := time.Duration(0)
+	for _, id := range ids {
+		text, err := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
+		if err != nil {
+			continue
+		}
+		total += parseStat(string(text))
+	}
+	return total
+}
+
+// parseStat reads user and system time from a line of /proc/<id>/stat. They
+// are the 12th and 13th field after the name, which ends at the last bracket.
+func parseStat(line string) time.Duration {
+	const user, system = 11, 12
+	_, rest, _ := strings.Cut(line[strings.LastIndex(line, ")")+1:], " ")
+	fields := strings.Fields(rest)
+	if len(fields) <= system {
+		return 0
+	}
+	ticks := 0
+	for _, field := range []int{user, system} {
+		count, err := strconv.Atoi(fields[field])
+		if err != nil {
+			return 0
+		}
+		ticks += count
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
--- /dev/null
+++ b/internal/lab/answer.go
@@ -0,0 +1,67 @@
+package lab
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// Execution is what one attempt of a request made a target do in one kind.
+	Execution struct {
+		Kind string `json:"kind"`
+		// Arrived counts the calls that reached the target, also shed ones.
+		Arrived int `json:"arrived"`
+		// Runs counts the calls whose work began.
+		Runs   int   `json:"runs"`
+		WorkMS int64 `json:"work_ms"`
+	}
+
+	// Executions is every execution at one target, by the value of
+	// RequestHeader and by idempotency key.
+	Executions struct {
+		ByRequest map[string][]Execution `json:"by_request"`
+		ByKey     map[string][]Execution `json:"by_key"`
+	}
+
+	// Answer is the body of a whole answer.
+	Answer struct {
+		Request string `json:"request"`
+		Kind    string `json:"kind"`
+		Target  string `json:"target"`
+		Payload string `json:"payload"`
+		// Checksum is over all other fields.
+		Checksum string `json:"checksum"`
+	}
+)
+
+// NewAnswer returns a whole answer to the attempt.
+func NewAnswer(attempt, kind, target string, payloadBytes int) Answer {
+	answer := Answer{Request: attempt, Kind: kind, Target: target}
+	answer.Payload = strings.Repeat(kind+" ", payloadBytes/(len(kind)+1)+1)
+	answer.Checksum = answer.sum()
+	return answer
+}
+
+// Whole reports whether the answer is complete and unchanged.
+func (a Answer) Whole() bool {
+	return a.Checksum == a.sum()
+}
+
+func (a Answer) sum() string {
+	text := strings.Join([]string{a.Request, a.Kind, a.Target, a.Payload}, "\n")
+	return strconv.FormatUint(xxhash.Sum64String(text), 16)
+}
+
+func addExecution(list []Execution, delta Execution) []Execution {
+	for i := range list {
+		if list[i].Kind == delta.Kind {
+			list[i].Arrived += delta.Arrived
+			list[i].Runs += delta.Runs
+			list[i].WorkMS += delta.WorkMS
+			return list
+		}
+	}
+	return append(list, delta)
+}
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
 )
 
 // stopTimeout bounds how long a stand-in finishes its calls when it is stopped.
@@ -28,7 +29,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(targetCommand(), naiveCommand(), layoutCommand(), loadCommand())
+	root.AddCommand(platformCommand(), targetCommand(), naiveCommand(), layoutCommand(),
+		loadCommand(), addedCommand(), tableCommand())
 	return root
 }
 
@@ -45,6 +47,21 @@
 	return 0
 }
 
+func platformCommand() *cobra.Command {
+	var listen string
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Stand in for the platform's table and object store, in memory",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serve(command.Context(), listen, &http.Server{Handler: NewPlatform(plat.NewMemory())})
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "", "IP:PORT to listen on")
+	_ = command.MarkFlagRequired("listen")
+	return command
+}
+
 func targetCommand() *cobra.Command {
 	var path string
 	command := &cobra.Command{
@@ -89,6 +106,7 @@
 func layoutCommand() *cobra.Command {
 	var firm, out string
 	var seed uint64
+	var fixed time.Duration
 	command := &cobra.Command{
 		Use:   "layout",
 		Short: "Write the settings of every process of a firm",
@@ -101,6 +119,9 @@
 			if command.Flags().Changed("seed") {
 				layout.Seed = seed
 			}
+			if fixed > 0 {
+				layout.FixTime(fixed)
+			}
 			meshDir, err := filepath.Abs(filepath.Join(firm, "mesh"))
 			if err != nil {
 				return err
@@ -116,6 +137,7 @@
 	command.Flags().StringVar(&firm, "firm", "", "directory with layout.yaml and mesh/")
 	command.Flags().StringVar(&out, "out", "", "directory to write to")
 	command.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the layout's")
+	command.Flags().DurationVar(&fixed, "fixed-time", 0, "one service time for all stand-ins")
 	_ = command.MarkFlagRequired("firm")
 	_ = command.MarkFlagRequired("out")
 	return command
@@ -123,6 +145,7 @@
 
 func loadCommand() *cobra.Command {
 	var path, record, replay string
+	var label []string
 	var asJSON bool
 	command := &cobra.Command{
 		Use:   "load",
@@ -141,6 +164,7 @@
 			if err != nil {
 				return err
 			}
+			report.Label = label
 			if asJSON {
 				return json.NewEncoder(os.Stdout).Encode(report)
 			}
@@ -149,12 +173,68 @@
 		},
 	}
 	addConfigFlag(command, &path)
+	command.Flags().StringSliceVar(&label, "label", nil, "words that name the run in a table")
 	command.Flags().StringVar(&record, "record", "", "file to keep the trace in")
 	command.Flags().StringVar(&replay, "replay", "", "file with a kept trace to send")
 	command.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
 	return command
 }
 
+func addedCommand() *cobra.Command {
+	added := &Added{Clock: clock.System{}}
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "added",
+		Short: "Measure the time that the mesh adds to a call",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			report := added.Run(command.Context())
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(report)
+			}
+			report.Print(os.Stdout)
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&added.Entry, "entry", "", "IP:PORT of the node that relays")
+	flags.StringVar(&added.Target, "target", "", "IP:PORT of the target that is called directly")
+	flags.StringVar(&added.Path, "path", "", "declared path of a GET kind")
+	flags.IntVar(&added.Pairs, "pairs", 2000, "pairs of calls")
+	flags.IntVar(&added.Workers, "workers", 4, "pairs under way at once")
+	flags.DurationVar(&added.Gap, "gap", 5*time.Millisecond, "pause of a worker between pairs")
+	flags.IntSliceVar(&added.Processes, "process", nil, "process ids whose processor time is counted")
+	flags.BoolVar(&asJSON, "json", false, "print the report as JSON")
+	for _, name := range []string{"entry", "target", "path"} {
+		_ = command.MarkFlagRequired(name)
+	}
+	return command
+}
+
+func tableCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "table REPORT...",
+		Short: "Print reports of load as one table in markdown",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, paths []string) error {
+			reports := make([]Report, 0, len(paths))
+			for _, path := range paths {
+				text, err := os.ReadFile(path)
+				if err != nil {
+					return badFile.Wrap(err, "read report")
+				}
+				var report Report
+				if err := json.Unmarshal(text, &report); err != nil {
+					return badFile.Wrap(err, "%s", path)
+				}
+				reports = append(reports, report)
+			}
+			PrintMarkdown(os.Stdout, reports)
+			return nil
+		},
+	}
+}
+
 func loadTrace(config LoadConfig, record, replay string) ([]Arrival, error) {
 	if replay != "" {
 		return ReadTrace(replay)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -61,6 +61,10 @@
 	return k.Repeat == "never"
 }
 
+func (k Kind) critical() bool {
+	return k.Importance == "critical"
+}
+
 // ReadMesh reads the services and request kinds from the YAML files in a
 // directory. It checks no more than the YAML itself: checking declarations is
 // the node's part.
--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -162,7 +162,7 @@
 		}
 	}
 	for name := range l.Load.Traces {
-		if err := writeYAML(filepath.Join(out, "load-"+name+".yaml"), l.load(name, meshDir)); err != nil {
+		if err := writeYAML(filepath.Join(out, "load-"+name+".yaml"), l.load(name, mesh, meshDir)); err != nil {
 			return err
 		}
 	}
@@ -261,7 +261,7 @@
 	}
 }
 
-func (l *Layout) load(name, meshDir string) LoadConfig {
+func (l *Layout) load(name string, mesh Mesh, meshDir string) LoadConfig {
 	trace := l.Load.Traces[name]
 	config := LoadConfig{
 		Seed:     l.Seed,
@@ -272,10 +272,14 @@
 		Phases:   trace.Phases,
 		Faults:   trace.Faults,
 		Trigger:  trace.Trigger,
+		Capacity: map[string]float64{},
 	}
 	if trace.Callers != nil {
 		config.Callers = *trace.Callers
 	}
+	for _, service := range l.Services {
+		config.Capacity[service.Name] = l.capacity(mesh, service)
+	}
 	for _, host := range l.Hosts() {
 		config.Entries = append(config.Entries, l.address(host.IP, callerPort))
 		config.Targets = append(config.Targets, LoadTarget{
@@ -287,6 +291,25 @@
 	return config
 }
 
+// capacity returns how many calls a second the slots of a service can work on.
+// Slots that wait for calls of their own are not taken off.
+func (l *Layout) capacity(mesh Mesh, service LayoutService) float64 {
+	declared := mesh.Service(service.Name)
+	if declared == nil || service.ServiceTime <= 0 {
+		return 0
+	}
+	return float64(declared.Slots*len(l.DataCentres)) / service.ServiceTime.Seconds()
+}
+
+// FixTime gives every stand-in the same fixed service time.
+func (l *Layout) FixTime(d time.Duration) {
+	for i := range l.Services {
+		l.Services[i].ServiceTime = d
+		l.Services[i].Distribution = Fixed
+		l.Services[i].ColdFactor = 1
+	}
+}
+
 func writeYAML(path string, settings any) error {
 	text, err := yaml.Marshal(settings)
 	if err != nil {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -51,6 +51,8 @@
 		Phases   []Phase            `yaml:"phases"`
 		Faults   []Fault            `yaml:"faults"`
 		Trigger  Trigger            `yaml:"trigger"`
+		// Capacity is how many calls a second each service can work on.
+		Capacity map[string]float64 `yaml:"capacity"`
 	}
 
 	// LoadTarget is a target whose switches and counters the load tool uses.
--- /dev/null
+++ b/internal/lab/spell.go
@@ -0,0 +1,54 @@
+package lab
+
+import "time"
+
+// spells counts a run before, during and after its trigger, by arrival.
+func spells(config LoadConfig, mesh Mesh, outcomes []Outcome) []Spell {
+	length := time.Duration(0)
+	for _, phase := range config.Phases {
+		length += phase.Duration
+	}
+	bounds := []time.Duration{0, config.Trigger.From, config.Trigger.To, length}
+	var list []Spell
+	for i, name := range []string{"before", "during", "after"} {
+		from, to := bounds[i], bounds[i+1]
+		if to > from {
+			list = append(list, spell(name, from, to, mesh, outcomes))
+		}
+	}
+	return list
+}
+
+func spell(name string, from, to time.Duration, mesh Mesh, outcomes []Outcome) Spell {
+	counted := Spell{Name: name, Seconds: (to - from).Seconds(), Useful: map[string]float64{}}
+	for _, outcome := range outcomes {
+		kind := mesh.Kind(outcome.Kind)
+		if kind == nil || outcome.At < from || outcome.At >= to {
+			continue
+		}
+		counted.Offered++
+		if kind.critical() {
+			counted.CriticalOffered++
+		}
+		if !outcome.Good {
+			continue
+		}
+		counted.Good++
+		if kind.critical() {
+			counted.CriticalGood++
+		}
+		mesh.addCalls(counted.Useful, kind, 1/counted.Seconds)
+	}
+	return counted
+}
+
+// addCalls adds share to every service that a request of the kind calls, once
+// for each call down its whole chain.
+func (m *Mesh) addCalls(useful map[string]float64, kind *Kind, share float64) {
+	useful[kind.Service] += share
+	for _, name := range kind.Calls {
+		if called := m.Kind(name); called != nil && called.Name != kind.Name {
+			m.addCalls(useful, called, share)
+		}
+	}
+}
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -18,6 +18,7 @@
 			line.Offered, line.Good, 100*line.Share, line.GoodPerSecond, line.P50MS, line.P99MS)
 	}
 	_ = table.Flush()
+	r.printSpells(w)
 	_, _ = fmt.Fprintf(w, "goodput: %d of %d requests; recovery: %s\n", r.Good, r.Offered, r.recovery())
 	_, _ = fmt.Fprintf(w, "attempts per request: %.2f by callers; calls at targets per request: %.2f, most %d\n",
 		r.TriesPerRequest, r.CallsPerRequest, r.MostCalls)
@@ -47,3 +48,75 @@
 	}
 	return strings.Join(words, " ")
 }
+
+// PrintMarkdown writes one row a report.
+func PrintMarkdown(w io.Writer, reports []Report) {
+	_, _ = fmt.Fprintln(w, "| run | good/s before | during | after | critical good during | recovery |"+
+		" attempts/request | calls at targets/request (most) | wasted work | torn, foreign | double runs | false not run |")
+	_, _ = fmt.Fprintln(w, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+	for _, report := range reports {
+		_, _ = fmt.Fprintln(w, "| "+strings.Join(report.cells(), " | ")+" |")
+	}
+	for _, report := range reports {
+		if len(report.Silent) > 0 {
+			_, _ = fmt.Fprintf(w, "\n%s: could not ask %s what they ran.\n",
+				strings.Join(report.Label, " "), strings.Join(report.Silent, ", "))
+		}
+	}
+}
+
+func (r Report) cells() []string {
+	wasted := 0.0
+	if r.WorkMS > 0 {
+		wasted = 100 * float64(r.WastedMS) / float64(r.WorkMS)
+	}
+	during := r.spell("during")
+	return []string{
+		strings.Join(r.Label, " "),
+		r.spell("before").rate(),
+		during.rate(),
+		r.spell("after").rate(),
+		during.criticalShare(),
+		r.recovery(),
+		fmt.Sprintf("%.2f", r.TriesPerRequest),
+		fmt.Sprintf("%.2f (%d)", r.CallsPerRequest, r.MostCalls),
+		fmt.Sprintf("%.1f%%", wasted),
+		fmt.Sprintf("%d, %d", r.Torn, r.Foreign),
+		fmt.Sprint(r.DoubleRuns),
+		fmt.Sprint(r.FalseNotRun),
+	}
+}
+
+func (r Report) spell(name string) Spell {
+	for _, spell := range r.Spells {
+		if spell.Name == name {
+			return spell
+		}
+	}
+	return Spell{}
+}
+
+func (s Spell) rate() string {
+	if s.Seconds == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f of %.0f", float64(s.Good)/s.Seconds, float64(s.Offered)/s.Seconds)
+}
+
+func (s Spell) criticalShare() string {
+	if s.CriticalOffered == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(s.CriticalGood)/float64(s.CriticalOffered))
+}
+
+func (r Report) printSpells(w io.Writer) {
+	for _, spell := range r.Spells {
+		_, _ = fmt.Fprintf(w, "%s the trigger: good %s a second; critical good %s; useful calls a second:",
+			spell.Name, spell.rate(), spell.criticalShare())
+		for _, service := range slices.Sorted(maps.Keys(spell.Useful)) {
+			_, _ = fmt.Fprintf(w, " %s=%.0f/%.0f", service, spell.Useful[service], r.Capacity[service])
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+}
--- a/internal/lab/target.go
+++ b/internal/lab/target.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -91,33 +90,6 @@
 		WastedMS   int64          `json:"wasted_ms"`
 	}
 
-	// Execution is what one attempt of a request made a target do in one kind.
-	Execution struct {
-		Kind string `json:"kind"`
-		// Arrived counts the calls that reached the target, also shed ones.
-		Arrived int `json:"arrived"`
-		// Runs counts the calls whose work began.
-		Runs   int   `json:"runs"`
-		WorkMS int64 `json:"work_ms"`
-	}
-
-	// Executions is every execution at one target, by the value of
-	// RequestHeader and by idempotency key.
-	Executions struct {
-		ByRequest map[string][]Execution `json:"by_request"`
-		ByKey     map[string][]Execution `json:"by_key"`
-	}
-
-	// Answer is the body of a whole answer.
-	Answer struct {
-		Request string `json:"request"`
-		Kind    string `json:"kind"`
-		Target  string `json:"target"`
-		Payload string `json:"payload"`
-		// Checksum is over all other fields.
-		Checksum string `json:"checksum"`
-	}
-
 	// Target is the stand-in for one target. It is safe for concurrent use.
 	Target struct {
 		config TargetConfig
@@ -166,7 +138,7 @@
 	}
 	mux.HandleFunc("POST /-/faults", t.serveFaults)
 	mux.HandleFunc("GET /-/healthz", t.serveHealth)
-	mux.HandleFunc("GET /-/stats", func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, t.Stats()) })
+	mux.HandleFunc("GET /-/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Stats(), nil) })
 	mux.HandleFunc("GET /-/executions", t.serveExecutions)
 	return mux
 }
@@ -480,42 +452,7 @@
 	t.mu.Lock()
 	body, err := json.Marshal(t.done)
 	t.mu.Unlock()
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(body)
-}
-
-// NewAnswer returns a whole answer to the attempt.
-func NewAnswer(attempt, kind, target string, payloadBytes int) Answer {
-	answer := Answer{Request: attempt, Kind: kind, Target: target}
-	answer.Payload = strings.Repeat(kind+" ", payloadBytes/(len(kind)+1)+1)
-	answer.Checksum = answer.sum()
-	return answer
-}
-
-// Whole reports whether the answer is complete and unchanged.
-func (a Answer) Whole() bool {
-	return a.Checksum == a.sum()
-}
-
-func (a Answer) sum() string {
-	text := strings.Join([]string{a.Request, a.Kind, a.Target, a.Payload}, "\n")
-	return strconv.FormatUint(xxhash.Sum64String(text), 16)
-}
-
-func addExecution(list []Execution, delta Execution) []Execution {
-	for i := range list {
-		if list[i].Kind == delta.Kind {
-			list[i].Arrived += delta.Arrived
-			list[i].Runs += delta.Runs
-			list[i].WorkMS += delta.WorkMS
-			return list
-		}
-	}
-	return append(list, delta)
+	writeJSON(w, json.RawMessage(body), err)
 }
 
 func withTimeLeft(r *http.Request) (context.Context, context.CancelFunc) {
@@ -538,8 +475,3 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
-
-func sendJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -4,7 +4,8 @@
 #
 #   scripts/bench.sh [--trace NAME]... [--firm NAME]... [--mesh NAME]... [--seed N]
 #
-# Traces: surge slow both frozen platform centre. Meshes: naive dandelionfield.
+# Traces: surge slow both frozen platform centre added. Meshes: naive
+# dandelionfield. The trace "added" measures the time that a mesh adds to a call.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source scripts/common.sh
@@ -23,7 +24,7 @@
   esac
   shift 2
 done
-[ ${#traces[@]} -gt 0 ] || traces=(surge slow both frozen platform centre)
+[ ${#traces[@]} -gt 0 ] || traces=(surge slow both frozen platform centre added)
 [ ${#firms[@]} -gt 0 ] || firms=(cannelle kiudvali)
 [ ${#meshes[@]} -gt 0 ] || meshes=(naive dandelionfield)
 reports=run/bench
@@ -49,13 +50,52 @@
   signal_centre CONT
 }
 
+# mesh_ids PREFIX: prints the ids of the mesh's processes, joined by commas.
+mesh_ids() {
+  local name ids=""
+  for name in "${!pid_of[@]}"; do
+    case $name in
+      "$1"-*) ids+="${ids:+,}${pid_of[$name]}" ;;
+    esac
+  done
+  echo "$ids"
+}
+
+# run_added FIRM MESH: stand-ins answer after a fixed short time, so that the
+# difference between direct and relayed calls is the mesh's own.
+run_added() {
+  local firm=examples/$1 prefix=node file service
+  out=run/$1
+  rm -rf "$out"
+  bin/fieldlab layout --firm "$firm" --out "$out" --seed "$seed" --fixed-time 5ms >/dev/null
+  start_stand_ins
+  case $2 in
+    naive)
+      prefix=naive
+      start_naive
+      ;;
+    dandelionfield) start_nodes "$firm" >&2 ;;
+  esac
+  sleep 4
+  service=rounds
+  [ "$1" = cannelle ] || service=stock
+  file=$out/target-$service-1.yaml
+  {
+    echo
+    echo "$1 added $2:"
+    bin/fieldlab added --entry "$(setting "$out/node-$service-2.yaml" caller_listen)" \
+      --target "$(setting "$file" listen)" --path "/$service/{id}" --process "$(mesh_ids $prefix)"
+  } | tee "$reports/$1-$2-added-$seed.txt"
+  stop_all
+}
+
 # run_one FIRM MESH TRACE
 run_one() {
   local firm=examples/$1 lost=""
   out=run/$1
   rm -rf "$out"
   bin/fieldlab layout --firm "$firm" --out "$out" --seed "$seed" >/dev/null
-  start_targets
+  start_stand_ins
   case $2 in
     naive) start_naive ;;
     dandelionfield) start_nodes "$firm" >&2 ;;
@@ -65,7 +105,7 @@
     lose_centre &
     lost=$!
   fi
-  bin/fieldlab load --config "$out/load-$3.yaml" --json >"$reports/$1-$2-$3-$seed.json"
+  bin/fieldlab load --config "$out/load-$3.yaml" --json --label "$1,$3,$2" >"$reports/$1-$2-$3-$seed.json"
   if [ -n "$lost" ]; then
     wait "$lost"
   fi
@@ -76,7 +116,11 @@
   for trace in "${traces[@]}"; do
     for mesh in "${meshes[@]}"; do
       echo "== $firm $trace $mesh seed $seed" >&2
-      run_one "$firm" "$mesh" "$trace"
+      if [ "$trace" = added ]; then
+        run_added "$firm" "$mesh"
+      else
+        run_one "$firm" "$mesh" "$trace"
+      fi
     done
   done
 done
@@ -84,9 +128,12 @@
 files=()
 for firm in "${firms[@]}"; do
   for trace in "${traces[@]}"; do
+    [ "$trace" != added ] || continue
     for mesh in "${meshes[@]}"; do
       files+=("$reports/$firm-$mesh-$trace-$seed.json")
     done
   done
 done
-bin/fieldlab table "${files[@]}" | tee "$reports/table-$seed.md"
+if [ ${#files[@]} -gt 0 ]; then
+  bin/fieldlab table "${files[@]}" | tee "$reports/table-$seed.md"
+fi
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -13,20 +13,36 @@
   pid_of[$name]=$!
 }
 
-# stop_all ends what start started and waits for it.
+# stop_all ends what start started and waits for it. What has not ended after
+# 15 s is killed.
 stop_all() {
-  local pid
+  local pid try
   for pid in "${started[@]}"; do
     kill -CONT "$pid" 2>/dev/null || true
     kill -TERM "$pid" 2>/dev/null || true
   done
+  for try in $(seq 150); do
+    any_alive || break
+    sleep 0.1
+  done
   for pid in "${started[@]}"; do
+    kill -KILL "$pid" 2>/dev/null || true
     wait "$pid" 2>/dev/null || true
   done
   started=()
   pid_of=()
 }
 
+any_alive() {
+  local pid
+  for pid in "${started[@]}"; do
+    if kill -0 "$pid" 2>/dev/null; then
+      return 0
+    fi
+  done
+  return 1
+}
+
 # setting FILE NAME: prints one top-level value of a settings file.
 setting() {
   sed -n "s/^$2: *//p" "$1"
@@ -45,9 +61,13 @@
   return 1
 }
 
-# start_targets: starts the stand-ins for the targets of the firm in $out.
-start_targets() {
-  local file
+# start_stand_ins: starts the stand-ins for the platform and the targets of
+# the firm in $out.
+start_stand_ins() {
+  local file platform
+  platform=$(setting "$(ls "$out"/node-*.yaml | head -n 1)" platform_address)
+  start platform bin/fieldlab platform --listen "$platform"
+  wait_port "$platform"
   for file in "$out"/target-*.yaml; do
     start "$(basename "$file" .yaml)" bin/fieldlab target --config "$file"
   done
@@ -67,13 +87,10 @@
   done
 }
 
-# start_nodes FIRM: starts the platform and the nodes, and applies the firm's
-# declarations.
+# start_nodes FIRM: starts the nodes and applies the firm's declarations.
 start_nodes() {
   local file first
   first=$(ls "$out"/node-*.yaml | head -n 1)
-  start platform bin/fieldlab platform --listen "$(setting "$first" platform_address)"
-  wait_port "$(setting "$first" platform_address)"
   for file in "$out"/node-*.yaml; do
     start "$(basename "$file" .yaml)" bin/dandelionfield node --config "$file"
   done
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,7 @@
 
 rm -rf "$out"
 bin/fieldlab layout --firm "examples/$firm" --out "$out"
-start_targets
+start_stand_ins
 start_nodes "examples/$firm"
 sleep 3 # the stand-ins are cold for their first 3 s
 bin/fieldlab load --config "$out/load-demo.yaml"
