Give a gate that was made before its declaration the declared limit

Cause: the node makes its gate before it has a configuration; the limit was scaled from zero slots and stayed at one call in flight for ever. Ruled out: the cold-start ramp (3 s, over before the load began) and the floors (they followed from the limit). The test fails without the change.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -143,8 +143,14 @@
 // beyond a smaller bound leave with the next Tick.
 func (g *Gate) Resize(now time.Time, s Settings) {
 	g.limiter.advance(now)
-	if s.Slots > 0 && g.settings.Slots > 0 {
-		g.limiter.limit *= float64(s.Slots) / float64(g.settings.Slots)
+	if g.settings.Slots > 0 {
+		scale := float64(s.Slots) / float64(g.settings.Slots)
+		g.limiter.limit *= scale
+		g.limiter.growth *= scale
+	} else {
+		// A gate made before its declaration was known starts anew.
+		g.limiter = newLimiter(s)
+		g.limiter.grownAt = now
 	}
 	g.settings = s
 	g.limiter.settings = s
--- /dev/null
+++ b/internal/admit/resize_test.go
@@ -0,0 +1,27 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A node makes its gate before it has a configuration. The limit that was
+// scaled from zero slots stayed at one call in flight for ever.
+func TestResizeFromNoSlotsGivesTheDeclaredLimit(t *testing.T) {
+	is := is.New(t)
+	started := time.Unix(1000, 0)
+	g := NewGate(Settings{Started: started})
+	g.Resize(started, Settings{Slots: 120, Started: started})
+	is.Equal(g.Load(started).Limit, 120)
+}
+
+func TestResizeKeepsTheShareThatTheTargetTakes(t *testing.T) {
+	is := is.New(t)
+	started := time.Unix(1000, 0)
+	g := NewGate(Settings{Slots: 100, Started: started})
+	g.limiter.cut(40, shedGrowthShare)
+	g.Resize(started, Settings{Slots: 50, Started: started})
+	is.Equal(g.Load(started).Limit, 20)
+}
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -166,6 +166,7 @@
 	}
 	decision := s.settings.Gate.Offer(s.settings.Clock.Now(), admit.Call{
 		ID:         id,
+		Kind:       a.kind.Name,
 		Importance: a.serving.Importance,
 		Position:   a.serving.Position,
 		Deadline:   a.serving.Deadline,
