--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -16,6 +16,7 @@
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 // stopTimeout bounds how long a stand-in finishes its calls when it is stopped.
@@ -92,7 +93,7 @@
 			if err := ReadYAML(path, &config); err != nil {
 				return err
 			}
-			mesh, err := ReadMesh(config.Mesh)
+			mesh, err := schema.ParseDir(config.Mesh)
 			if err != nil {
 				return err
 			}
@@ -247,7 +248,7 @@
 }
 
 func runLoad(ctx context.Context, config LoadConfig, arrivals []Arrival) (Report, error) {
-	mesh, err := ReadMesh(config.Mesh)
+	mesh, err := schema.ParseDir(config.Mesh)
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.yaml.in/yaml/v3"
+
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 // The ports of a host, counted from the layout's base port.
@@ -99,12 +101,12 @@
 )
 
 // ReadLayout reads the file layout.yaml and the directory mesh of a firm.
-func ReadLayout(firm string) (Layout, Mesh, error) {
+func ReadLayout(firm string) (Layout, *schema.Set, error) {
 	var layout Layout
 	if err := ReadYAML(filepath.Join(firm, "layout.yaml"), &layout); err != nil {
-		return Layout{}, Mesh{}, err
+		return Layout{}, nil, err
 	}
-	mesh, err := ReadMesh(filepath.Join(firm, "mesh"))
+	mesh, err := schema.ParseDir(filepath.Join(firm, "mesh"))
 	return layout, mesh, err
 }
 
@@ -141,7 +143,7 @@
 
 // Write writes the settings of every process into the directory out, as
 // node-*.yaml, target-*.yaml, naive-*.yaml and load-<trace>.yaml.
-func (l *Layout) Write(mesh Mesh, meshDir, out string) error {
+func (l *Layout) Write(mesh *schema.Set, meshDir, out string) error {
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return badFile.Wrap(err, "make directory")
 	}
@@ -196,7 +198,7 @@
 	}
 }
 
-func (l *Layout) target(mesh Mesh, host Host) (TargetConfig, error) {
+func (l *Layout) target(mesh *schema.Set, host Host) (TargetConfig, error) {
 	declared := mesh.Service(host.Service)
 	at := slices.IndexFunc(l.Services, func(s LayoutService) bool { return s.Name == host.Service })
 	if declared == nil {
@@ -224,7 +226,7 @@
 	}, err
 }
 
-func (l *Layout) targetKinds(mesh Mesh, service string) ([]TargetKind, error) {
+func (l *Layout) targetKinds(mesh *schema.Set, service string) ([]TargetKind, error) {
 	var kinds []TargetKind
 	for _, declared := range mesh.Kinds {
 		if declared.Service != service {
@@ -261,7 +263,7 @@
 	}
 }
 
-func (l *Layout) load(name string, mesh Mesh, meshDir string) LoadConfig {
+func (l *Layout) load(name string, mesh *schema.Set, meshDir string) LoadConfig {
 	trace := l.Load.Traces[name]
 	config := LoadConfig{
 		Seed:     l.Seed,
@@ -293,7 +295,7 @@
 
 // capacity returns how many calls a second the slots of a service can work on.
 // Slots that wait for calls of their own are not taken off.
-func (l *Layout) capacity(mesh Mesh, service LayoutService) float64 {
+func (l *Layout) capacity(mesh *schema.Set, service LayoutService) float64 {
 	declared := mesh.Service(service.Name)
 	if declared == nil || service.ServiceTime <= 0 {
 		return 0
--- a/internal/lab/naive.go
+++ b/internal/lab/naive.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 // naiveRetries is how often the naive relay repeats a failed call at each hop.
@@ -53,7 +55,7 @@
 const naiveIdle = 200
 
 // Handler returns the relay's HTTP door for the kinds of the mesh.
-func (n *Naive) Handler(mesh Mesh) http.Handler {
+func (n *Naive) Handler(mesh *schema.Set) http.Handler {
 	mux := http.NewServeMux()
 	for _, kind := range mesh.Kinds {
 		mux.HandleFunc(kind.Method+" "+kind.Path, func(w http.ResponseWriter, r *http.Request) {
@@ -63,7 +65,7 @@
 	return mux
 }
 
-func (n *Naive) serve(w http.ResponseWriter, r *http.Request, kind Kind) {
+func (n *Naive) serve(w http.ResponseWriter, r *http.Request, kind schema.Kind) {
 	ctx, cancel := context.WithTimeout(r.Context(), kind.Deadline)
 	defer cancel()
 	body, err := io.ReadAll(r.Body)
@@ -92,7 +94,7 @@
 	_, _ = w.Write(answer.body)
 }
 
-func (n *Naive) try(ctx context.Context, r *http.Request, kind Kind, body []byte) (naiveAnswer, error) {
+func (n *Naive) try(ctx context.Context, r *http.Request, kind schema.Kind, body []byte) (naiveAnswer, error) {
 	targets := n.config.Targets[kind.Service]
 	if len(targets) == 0 {
 		return naiveAnswer{}, callError.New("no target of %s", kind.Service)
