Let two trials run on one host and notice a process that ends at its start

A run of the demo found the ports of another run taken, and took its processes for its own. Scripts now look at the id of what they started, and FIELDLAB_NETWORK moves a run to other loopback addresses.

--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -105,7 +105,7 @@
 }
 
 func layoutCommand() *cobra.Command {
-	var firm, out string
+	var firm, out, network string
 	var seed uint64
 	var fixed time.Duration
 	command := &cobra.Command{
@@ -120,6 +120,9 @@
 			if command.Flags().Changed("seed") {
 				layout.Seed = seed
 			}
+			if network != "" {
+				layout.Network = network
+			}
 			if fixed > 0 {
 				layout.FixTime(fixed)
 			}
@@ -138,6 +141,7 @@
 	command.Flags().StringVar(&firm, "firm", "", "directory with layout.yaml and mesh/")
 	command.Flags().StringVar(&out, "out", "", "directory to write to")
 	command.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the layout's")
+	command.Flags().StringVar(&network, "network", "", "first three parts of the hosts' addresses in place of the layout's")
 	command.Flags().DurationVar(&fixed, "fixed-time", 0, "one service time for all stand-ins")
 	_ = command.MarkFlagRequired("firm")
 	_ = command.MarkFlagRequired("out")
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -64,17 +64,16 @@
 # run_added FIRM MESH: stand-ins answer at once, so that the
 # difference between direct and relayed calls is the mesh's own.
 run_added() {
-  local firm=examples/$1 prefix=node file service
+  local prefix=node file service
   out=run/$1
-  rm -rf "$out"
-  bin/fieldlab layout --firm "$firm" --out "$out" --seed "$seed" --fixed-time 1us >/dev/null
+  write_layout "$1" --seed "$seed" --fixed-time 1us
   start_stand_ins
   case $2 in
     naive)
       prefix=naive
       start_naive
       ;;
-    dandelionfield) start_nodes "$firm" >&2 ;;
+    dandelionfield) start_nodes "$1" >&2 ;;
   esac
   sleep 4
   service=rounds
@@ -91,14 +90,13 @@
 
 # run_one FIRM MESH TRACE
 run_one() {
-  local firm=examples/$1 lost=""
+  local lost=""
   out=run/$1
-  rm -rf "$out"
-  bin/fieldlab layout --firm "$firm" --out "$out" --seed "$seed" >/dev/null
+  write_layout "$1" --seed "$seed"
   start_stand_ins
   case $2 in
     naive) start_naive ;;
-    dandelionfield) start_nodes "$firm" >&2 ;;
+    dandelionfield) start_nodes "$1" >&2 ;;
   esac
   sleep 4 # the stand-ins are cold for their first 3 s
   if [ "$3" = centre ]; then
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -4,6 +4,16 @@
 declare -a started=()
 declare -A pid_of=()
 
+# write_layout FIRM [FLAG]...: writes the settings of the firm's processes into
+# $out. FIELDLAB_NETWORK moves the firm to other loopback addresses, such as
+# 127.0.9, so that two runs on one host stay apart.
+write_layout() {
+  local firm=$1
+  shift
+  rm -rf "$out"
+  bin/fieldlab layout --firm "examples/$firm" --out "$out" --network "${FIELDLAB_NETWORK:-}" "$@" >/dev/null
+}
+
 # start NAME COMMAND...: runs the command with its output in $out/NAME.log.
 start() {
   local name=$1
@@ -48,16 +58,21 @@
   sed -n "s/^$2: *//p" "$1"
 }
 
-# wait_port IP:PORT: waits until something listens there.
+# wait_port NAME IP:PORT: waits until the process of that name listens there.
 wait_port() {
-  local host=${1%:*} port=${1##*:} try
+  local host=${2%:*} port=${2##*:} try
   for try in $(seq 100); do
+    if ! kill -0 "${pid_of[$1]}" 2>/dev/null; then
+      echo "$1 ended:" >&2
+      tail -n 3 "$out/$1.log" >&2
+      return 1
+    fi
     if (exec 3<>"/dev/tcp/$host/$port") 2>/dev/null; then
       return 0
     fi
     sleep 0.1
   done
-  echo "nothing listens on $1 after 10 s" >&2
+  echo "$1 does not listen on $2 after 10 s" >&2
   return 1
 }
 
@@ -67,12 +82,12 @@
   local file platform
   platform=$(setting "$(ls "$out"/node-*.yaml | head -n 1)" platform_address)
   start platform bin/fieldlab platform --listen "$platform"
-  wait_port "$platform"
+  wait_port platform "$platform"
   for file in "$out"/target-*.yaml; do
     start "$(basename "$file" .yaml)" bin/fieldlab target --config "$file"
   done
   for file in "$out"/target-*.yaml; do
-    wait_port "$(setting "$file" listen)"
+    wait_port "$(basename "$file" .yaml)" "$(setting "$file" listen)"
   done
 }
 
@@ -83,7 +98,7 @@
     start "$(basename "$file" .yaml)" bin/fieldlab naive --config "$file"
   done
   for file in "$out"/naive-*.yaml; do
-    wait_port "$(setting "$file" listen)"
+    wait_port "$(basename "$file" .yaml)" "$(setting "$file" listen)"
   done
 }
 
@@ -95,8 +110,8 @@
     start "$(basename "$file" .yaml)" bin/dandelionfield node --config "$file"
   done
   for file in "$out"/node-*.yaml; do
-    wait_port "$(setting "$file" caller_listen)"
+    wait_port "$(basename "$file" .yaml)" "$(setting "$file" caller_listen)"
   done
-  bin/dandelionfield apply -f "$1/mesh" --node "$(setting "$first" admin_listen)" \
+  bin/dandelionfield apply -f "examples/$1/mesh" --node "$(setting "$first" admin_listen)" \
     --token "$(setting "$first" operator_token)" --wait
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,9 +12,8 @@
 trap stop_all EXIT
 trap 'exit 130' INT TERM
 
-rm -rf "$out"
-bin/fieldlab layout --firm "examples/$firm" --out "$out"
+write_layout "$firm"
 start_stand_ins
-start_nodes "examples/$firm"
+start_nodes "$firm"
 sleep 3 # the stand-ins are cold for their first 3 s
 bin/fieldlab load --config "$out/load-demo.yaml"
