--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -16,6 +16,7 @@
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 // stopTimeout bounds how long a stand-in finishes its calls when it is stopped.
@@ -92,7 +93,7 @@
 			if err := ReadYAML(path, &config); err != nil {
 				return err
 			}
-			mesh, err := ReadMesh(config.Mesh)
+			mesh, err := schema.ParseDir(config.Mesh)
 			if err != nil {
 				return err
 			}
@@ -140,8 +141,7 @@
 	command.Flags().StringVar(&firm, "firm", "", "directory with layout.yaml and mesh/")
 	command.Flags().StringVar(&out, "out", "", "directory to write to")
 	command.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the layout's")
-	command.Flags().StringVar(&network, "network", os.Getenv("FIELDLAB_NETWORK"),
-		"first three parts of the hosts' addresses in place of the layout's (FIELDLAB_NETWORK)")
+	command.Flags().StringVar(&network, "network", "", "first three parts of the hosts' addresses in place of the layout's")
 	command.Flags().DurationVar(&fixed, "fixed-time", 0, "one service time for all stand-ins")
 	_ = command.MarkFlagRequired("firm")
 	_ = command.MarkFlagRequired("out")
@@ -252,7 +252,7 @@
 }
 
 func runLoad(ctx context.Context, config LoadConfig, arrivals []Arrival) (Report, error) {
-	mesh, err := ReadMesh(config.Mesh)
+	mesh, err := schema.ParseDir(config.Mesh)
 	if err != nil {
 		return Report{}, err
 	}
