Let a stand-in target call from its own host's address

Cause: on loopback a target's own calls came from 127.0.0.1, so its node took them for new requests: tokens, importance and the record of what ran were not inherited, and 140 refusals said 'not run' though lookups of the request had run. Ruled out: the accounting of the load tool (every one of the 140 was a target_shed after completed lookups).

--- a/internal/lab/target.go
+++ b/internal/lab/target.go
@@ -117,7 +117,7 @@
 	return &Target{
 		config: config,
 		clock:  clk,
-		client: newClient(config.Slots),
+		client: newClientFrom(config.Listen, config.Slots),
 		slots:  make(chan struct{}, config.Slots),
 		random: rand.New(rand.NewPCG(config.Seed, xxhash.Sum64String(config.Name))),
 		faults: Faults{SlowFactor: 1},
@@ -463,6 +463,22 @@
 	return context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
 }
 
+// newClientFrom returns a client whose calls come from the IP number that a
+// target listens on, as they do on a host of its own. On loopback they would
+// come from 127.0.0.1 otherwise, and the node would not know its own target.
+func newClientFrom(listen string, idle int) *http.Client {
+	client := newClient(idle)
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return client
+	}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	if transport, ok := client.Transport.(*http.Transport); ok {
+		transport.DialContext = dialer.DialContext
+	}
+	return client
+}
+
 // newClient returns a client that neither follows redirects nor looks for a
 // proxy. net/http itself repeats a GET whose reused connection turns out to be
 // closed; only kinds that are safe to repeat are sent so.
