--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -202,7 +203,7 @@
 	}
 	delete(s.waiting, a.request.AttemptId)
 	s.release(s.settings.Gate.Cancel(s.settings.Clock.Now(), a.request.AttemptId))
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return result.DeadlinePassed
 	}
 	return result.Cancelled
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -32,6 +32,8 @@
 	Gate        *admit.Gate
 	Book        *fate.Book[*relaypb.CarryResponse]
 	Ledger      *once.Ledger[*relaypb.CarryResponse]
+	// LedgerBytes bounds the ledger that the first declaration brings.
+	LedgerBytes int64
 	// Kind returns the declared kind of that name, or nil.
 	Kind func(name string) *schema.Kind
 	// Limits returns the declared bounds in force.
@@ -57,7 +59,9 @@
 	// refusing is set once a leaving node takes no new work.
 	refusing bool
 	leaving  bool
-	running  sync.WaitGroup
+	// regulated is set once the ledger has the declared rules.
+	regulated bool
+	running   sync.WaitGroup
 }
 
 const (
@@ -205,12 +209,27 @@
 }
 
 // Resize puts another declaration of the service in force.
-func (s *Server) Resize(settings admit.Settings) {
+func (s *Server) Resize(settings admit.Settings, connections int) {
+	s.settings.Target.SetConnections(connections)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settings.Gate.Resize(s.settings.Clock.Now(), settings)
 }
 
+// Regulate puts the declared bounds on idempotency keys in force. The clock
+// margin is taken from the first declaration only: promises that were made
+// with one margin do not hold under another.
+func (s *Server) Regulate(self once.Node, rules once.Rules) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.regulated {
+		s.settings.Ledger.SetKeyAge(s.settings.Clock.Now(), rules.KeyAge)
+		return
+	}
+	s.regulated = true
+	s.settings.Ledger = once.NewLedger[*relaypb.CarryResponse](self, rules, s.settings.LedgerBytes)
+}
+
 // Ledger runs a function on the idempotency records under the server's lock.
 func (s *Server) Ledger(use func(ledger *once.Ledger[*relaypb.CarryResponse])) {
 	s.mu.Lock()
@@ -302,7 +321,8 @@
 	load := s.settings.Gate.Load(now)
 	answer.AttemptId = request.AttemptId
 	answer.Revision = s.settings.Revision()
-	answer.Levels = append(levels, &relaypb.Level{
+	answer.Levels = levels
+	answer.Levels = append(answer.Levels, &relaypb.Level{
 		Service: s.settings.Service,
 		Node:    s.settings.Incarnation,
 		Floor:   s.settings.Gate.Floor(now),
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -18,9 +18,10 @@
 
 // Target is the door to the target beside this node.
 type Target struct {
-	address   string
-	transport *http.Transport
-	held      *Held
+	address     string
+	connections int
+	transport   atomic.Pointer[http.Transport]
+	held        *Held
 }
 
 // Held bounds the memory for answers that are held until they are whole.
@@ -59,16 +60,27 @@
 // NewTarget returns the door to the target at an address, with a bound on the
 // connections that it accepts.
 func NewTarget(address string, connections int, held *Held) *Target {
-	return &Target{
-		address: address,
-		held:    held,
-		transport: &http.Transport{
-			DialContext:         dialer(targetDialTimeout),
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     targetIdleTimeout,
-			DisableCompression:  true,
-		},
+	t := &Target{address: address, held: held}
+	t.SetConnections(connections)
+	return t
+}
+
+// SetConnections changes the bound on connections. Calls under way end on the
+// connections that they have.
+func (t *Target) SetConnections(connections int) {
+	if connections == t.connections {
+		return
+	}
+	t.connections = connections
+	former := t.transport.Swap(&http.Transport{
+		DialContext:         dialer(targetDialTimeout),
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     targetIdleTimeout,
+		DisableCompression:  true,
+	})
+	if former != nil {
+		former.CloseIdleConnections()
 	}
 }
 
@@ -96,7 +108,7 @@
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
-	response, err := t.transport.RoundTrip(request)
+	response, err := t.transport.Load().RoundTrip(request)
 	reply.Facts.Sent = sent.Load()
 	if err != nil {
 		reply.Detail = err.Error()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -16,7 +16,7 @@
 
 // plans are the owner plans that the node knows, decoded.
 type plans struct {
-	mu    sync.RWMutex
+	mu        sync.RWMutex
 	byService map[string]once.Plan
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -104,6 +104,7 @@
 		Gate:        admit.NewGate(n.gateSettings(service)),
 		Book:        fate.New[*relaypb.CarryResponse](fate.Settings{Keep: attemptKeep, MaxBytes: bookBytes}),
 		Ledger:      once.NewLedger[*relaypb.CarryResponse](n.owner(), ownerRules(schema.DefaultLimits()), bookBytes),
+		LedgerBytes: bookBytes,
 		Kind:        n.kind,
 		Limits:      n.limits,
 		ShedStatus:  n.shedStatus,
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -40,8 +40,9 @@
 		Match:    matcher.Match,
 		Chain:    func(kind string) []string { return chains[kind] },
 	})
+	n.local.Regulate(n.owner(), ownerRules(set.Limits))
 	if service := set.Service(n.settings.Service); service != nil {
-		n.local.Resize(n.gateSettings(*service))
+		n.local.Resize(n.gateSettings(*service), service.Connections)
 	}
 	n.members.SetSelf(func(self *member.Member) { self.Revision = revision.Number })
 	n.membersChanged()
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -54,6 +54,9 @@
 		leaveMS int64
 		// closed is set by Export: no fresh key is accepted from then on.
 		closed bool
+		// forgottenMS is the mint time below which records may have been dropped
+		// under an earlier, shorter key age.
+		forgottenMS int64
 		// latest is the highest time seen, so that a clock that is set back
 		// brings no forgotten key back to life.
 		latest time.Time
@@ -176,6 +179,14 @@
 	l.leaveMS = lowest(l.leaveMS, leaveMS)
 }
 
+// SetKeyAge changes how long keys are accepted. After a longer age is declared,
+// keys that were too old before stay refused: their records may be gone.
+func (l *Ledger[A]) SetKeyAge(now time.Time, age time.Duration) {
+	now = l.advance(now)
+	l.forgottenMS = max(l.forgottenMS, now.Add(-l.rules.KeyAge).UnixMilli())
+	l.rules.KeyAge = age
+}
+
 // Accept decides a key that reached this node. The answer is set for Done only.
 //
 // Codes of the family NotRun hold for the key, not only for this request: they
@@ -308,7 +319,7 @@
 		// Too far ahead for any owner, whose clock may be a margin ahead.
 		return result.KeyFromFuture
 	}
-	if now.Sub(k.Minted) > l.rules.KeyAge {
+	if now.Sub(k.Minted) > l.rules.KeyAge || k.Minted.UnixMilli() < l.forgottenMS {
 		return result.Forgotten
 	}
 	if l.plan.neverCovered(k) {
