--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -233,11 +234,12 @@
 			continue
 		}
 		kind := TargetKind{Name: declared.Name, Method: declared.Method, Path: declared.Path}
-		for _, name := range declared.Calls {
-			called := mesh.Kind(name)
-			if called == nil {
-				return nil, badFile.New("kind %s calls %s, which is not declared", declared.Name, name)
-			}
+		called, err := calledKinds(mesh, declared)
+		if err != nil {
+			return nil, err
+		}
+		for _, called := range called {
+			name := called.Name
 			call := Call{Method: called.Method, Path: called.Path}
 			if slices.Contains(l.CallsAfter[declared.Name], name) {
 				kind.After = append(kind.After, call)
@@ -250,6 +252,21 @@
 	return kinds, nil
 }
 
+// calledKinds returns the kinds that a kind calls, those that may repeat first:
+// a target looks up what it needs before it changes anything.
+func calledKinds(mesh *schema.Set, kind schema.Kind) ([]*schema.Kind, error) {
+	called := make([]*schema.Kind, 0, len(kind.Calls))
+	for _, name := range kind.Calls {
+		one := mesh.Kind(name)
+		if one == nil {
+			return nil, badFile.New("kind %s calls %s, which is not declared", kind.Name, name)
+		}
+		called = append(called, one)
+	}
+	slices.SortStableFunc(called, func(a, b *schema.Kind) int { return cmp.Compare(a.Repeat, b.Repeat) })
+	return called, nil
+}
+
 func (l *Layout) naive(host Host, meshDir string) NaiveConfig {
 	targets := map[string][]string{}
 	for _, other := range l.Hosts() {
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -41,6 +41,9 @@
 		Chain:    func(kind string) []string { return chains[kind] },
 	})
 	n.local.Regulate(n.owner(), ownerRules(set.Limits))
+	if document, version := n.config.Plan(n.settings.Service); version > 0 {
+		n.learnPlan(n.settings.Service, document, version)
+	}
 	if service := set.Service(n.settings.Service); service != nil {
 		n.local.Resize(n.gateSettings(*service), service.Connections)
 	}
