Test the lab's accounts, stand-ins, callers and naive relay

Scripts in testdata drive the target and the counting of a run; the trace is checked by properties, callers and the naive relay over real connections.

Two faults came to light and are mended: an empty interval counted as recovered, and a call whose time had passed could still take a slot.

--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -146,28 +146,35 @@
 // With 100% good before the trigger, and 40%, 80%, 96%, 97% and 99% in the half
 // seconds after its end, the recovery time is 1 s.
 func Recovery(outcomes []Outcome, trigger Trigger) float64 {
-	before := share(outcomes, 0, trigger.From)
+	before, _ := share(outcomes, 0, trigger.From)
 	last := time.Duration(0)
 	for _, outcome := range outcomes {
 		last = max(last, outcome.At)
 	}
-	run := 0
+	run, first := 0, time.Duration(0)
 	for from := trigger.To; from <= last; from += recoveryBucket {
-		if share(outcomes, from, from+recoveryBucket) < recoveryShare*before {
+		now, seen := share(outcomes, from, from+recoveryBucket)
+		if !seen {
+			continue
+		}
+		if now < recoveryShare*before {
 			run = 0
 			continue
 		}
+		if run == 0 {
+			first = from
+		}
 		run++
 		if run == recoveryRun {
-			return (from - (recoveryRun-1)*recoveryBucket - trigger.To).Seconds()
+			return (first - trigger.To).Seconds()
 		}
 	}
 	return NotRecovered
 }
 
 // share returns the share of requests that arrived in [from, to) and ended
-// well; 1 when none arrived.
-func share(outcomes []Outcome, from, to time.Duration) float64 {
+// well, and whether any arrived.
+func share(outcomes []Outcome, from, to time.Duration) (float64, bool) {
 	offered, good := 0, 0
 	for _, outcome := range outcomes {
 		if outcome.At < from || outcome.At >= to {
@@ -179,9 +186,9 @@
 		}
 	}
 	if offered == 0 {
-		return 1
+		return 0, false
 	}
-	return float64(good) / float64(offered)
+	return float64(good) / float64(offered), true
 }
 
 func (r *Report) addTry(try Try) {
--- /dev/null
+++ b/internal/lab/added_test.go
@@ -0,0 +1,56 @@
+package lab
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAddedIsTheDifferenceInEachPair(t *testing.T) {
+	is := is.New(t)
+	pairs := make([]pair, 0, 101)
+	// The direct time swings between 10 and 109 ms; the mesh adds 2 ms each time.
+	for i := range 100 {
+		direct := time.Duration(10+i) * time.Millisecond
+		pairs = append(pairs, pair{direct: direct, relayed: direct + 2*time.Millisecond})
+	}
+	pairs = append(pairs, pair{direct: time.Hour, failed: true})
+	report := summarise(pairs)
+	is.Equal(report.Failed, 1)
+	is.Equal(report.AddedP50MS, 2.0)
+	is.Equal(report.AddedP99MS, 2.0)
+	is.Equal(report.DirectP99MS, 108.0)
+}
+
+func TestAddedTakesTurns(t *testing.T) {
+	is := is.New(t)
+	var order []string
+	serve := func(name string) *httptest.Server {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			order = append(order, name)
+		}))
+		t.Cleanup(server.Close)
+		return server
+	}
+	added := Added{
+		Entry:   strings.TrimPrefix(serve("relayed").URL, "http://"),
+		Target:  strings.TrimPrefix(serve("direct").URL, "http://"),
+		Path:    "/stock/{item}",
+		Pairs:   2,
+		Workers: 1,
+		Clock:   &instantClock{},
+	}
+	is.Equal(added.Run(testContext(t)).Pairs, 2)
+	is.Equal(order, []string{"direct", "relayed", "relayed", "direct"})
+}
+
+func TestProcessorTime(t *testing.T) {
+	is := is.New(t)
+	line := "42 (a (b) c) S 1 1 1 0 -1 4194304 100 0 0 0 150 50 0 0 20 0 5 0 100 1000 10"
+	is.Equal(parseStat(line), 2*time.Second)
+	is.Equal(parseStat("42 (short) S 1"), time.Duration(0))
+}
--- /dev/null
+++ b/internal/lab/layout_test.go
@@ -0,0 +1,44 @@
+package lab
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/setup"
+)
+
+// TestLayoutOfExamples checks that a node takes the settings written for it and
+// that no two processes of the two firms share an address.
+func TestLayoutOfExamples(t *testing.T) {
+	is := is.New(t)
+	taken := map[string]string{}
+	for _, firm := range []string{"cannelle", "kiudvali"} {
+		layout, mesh, err := ReadLayout(filepath.Join("../../examples", firm))
+		is.NoErr(err)
+		out := t.TempDir()
+		is.NoErr(layout.Write(mesh, "mesh", out))
+		is.Equal(len(layout.Hosts()), 12)
+		for _, host := range layout.Hosts() {
+			node, err := setup.Load(filepath.Join(out, "node-"+host.Name+".yaml"))
+			is.NoErr(err)
+			var target TargetConfig
+			is.NoErr(ReadYAML(filepath.Join(out, "target-"+host.Name+".yaml"), &target))
+			is.Equal(target.Listen, node.TargetAddress)
+			is.Equal(target.NodeAddress, node.CallerListen)
+			for _, address := range []string{node.CallerListen, node.RelayListen, node.AdminListen, target.Listen} {
+				is.Equal(taken[address], "") // a second process listens there
+				taken[address] = host.Name
+			}
+		}
+		for name := range layout.Load.Traces {
+			var load LoadConfig
+			is.NoErr(ReadYAML(filepath.Join(out, "load-"+name+".yaml"), &load))
+			is.Equal(len(load.Targets), 12)
+			for kind := range load.Mix {
+				is.True(mesh.Kind(kind) != nil) // the mix has a kind that is not declared
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/load_test.go
@@ -0,0 +1,150 @@
+package lab
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+)
+
+// fakeEntry stands for an entry node: it answers each attempt by a function
+// and keeps the keys that it saw.
+type fakeEntry struct {
+	mu   sync.Mutex
+	keys []string
+	*httptest.Server
+}
+
+func newEntry(t *testing.T, answer func(w http.ResponseWriter, attempt string)) *fakeEntry {
+	entry := &fakeEntry{}
+	entry.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entry.mu.Lock()
+		entry.keys = append(entry.keys, r.Header.Get(keyHeader))
+		entry.mu.Unlock()
+		answer(w, r.Header.Get(RequestHeader))
+	}))
+	t.Cleanup(entry.Close)
+	return entry
+}
+
+func answerWith(kind string) func(http.ResponseWriter, string) {
+	return func(w http.ResponseWriter, attempt string) {
+		writeJSON(w, NewAnswer(attempt, kind, "t", 10), nil)
+	}
+}
+
+func refuseWith(code, name string, status int) func(http.ResponseWriter, string) {
+	return func(w http.ResponseWriter, _ string) {
+		w.Header().Set(codeHeader, code)
+		w.Header().Set(resultHeader, name)
+		w.WriteHeader(status)
+	}
+}
+
+func testLoad(t *testing.T, clk clock.Clock, entries ...*fakeEntry) *Load {
+	config := LoadConfig{Callers: Callers{Retries: 2, TimeoutShare: 1}}
+	for _, entry := range entries {
+		config.Entries = append(config.Entries, strings.TrimPrefix(entry.URL, "http://"))
+	}
+	load, err := NewLoad(config, testMesh(), clk)
+	is.New(t).NoErr(err)
+	return load
+}
+
+func TestCallerRepeatsElsewhereWithItsKey(t *testing.T) {
+	is := is.New(t)
+	first := newEntry(t, refuseWith("200", "overloaded", 503))
+	second := newEntry(t, answerWith("order"))
+	load := testLoad(t, &instantClock{}, first, second)
+	outcome := load.request(testContext(t), Arrival{ID: "1-1", Kind: "order"})
+	is.True(outcome.Good)
+	is.Equal(len(outcome.Tries), 2)
+	is.Equal(outcome.Tries[0], Try{Result: "overloaded", Code: 200, Status: 503})
+	is.True(first.keys[0] != "")
+	is.Equal(first.keys[0], second.keys[0])
+}
+
+func TestCallerMintsANewKeyOnlyWhenTheOldCannotRun(t *testing.T) {
+	for _, test := range []struct {
+		code, name string
+		status     int
+		fresh      bool
+	}{
+		{"213", "key_too_old", 409, true},
+		{"305", "owner_gone", 503, true},
+		{"300", "lost", 502, false},
+		{"308", "forgotten", 409, false},
+	} {
+		is := is.New(t)
+		first := newEntry(t, refuseWith(test.code, test.name, test.status))
+		second := newEntry(t, answerWith("order"))
+		load := testLoad(t, &instantClock{}, first, second)
+		is.True(load.request(testContext(t), Arrival{ID: "1-1", Kind: "order"}).Good)
+		is.Equal(first.keys[0] != second.keys[0], test.fresh) // whether the key is another
+	}
+	is.New(t).True(!wantsNewKey(Try{Code: 305}, 1)) // the first attempt may have run at the lost owner
+}
+
+func TestCallerSeesTornAndForeignAnswers(t *testing.T) {
+	is := is.New(t)
+	half := newEntry(t, func(w http.ResponseWriter, attempt string) {
+		body, err := json.Marshal(NewAnswer(attempt, "look", "t", 100))
+		is.NoErr(err)
+		w.Header().Set("Content-Length", "200")
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	changed := newEntry(t, func(w http.ResponseWriter, attempt string) {
+		answer := NewAnswer(attempt, "look", "t", 100)
+		answer.Payload = strings.Replace(answer.Payload, "look", "lock", 1)
+		writeJSON(w, answer, nil)
+	})
+	foreign := newEntry(t, func(w http.ResponseWriter, _ string) {
+		writeJSON(w, NewAnswer("1-2.1", "look", "t", 100), nil)
+	})
+	load := testLoad(t, &instantClock{}, half, changed, foreign)
+	outcome := load.request(testContext(t), Arrival{ID: "1-1", Kind: "look"})
+	is.True(!outcome.Good)
+	is.True(outcome.Tries[0].Torn)
+	is.True(outcome.Tries[1].Torn)
+	is.True(outcome.Tries[2].Foreign)
+}
+
+// TestArrivalsDoNotWait holds back every answer until the last request has
+// arrived: a closed loop would never come to its end.
+func TestArrivalsDoNotWait(t *testing.T) {
+	is := is.New(t)
+	const requests = 50
+	var arrived sync.WaitGroup
+	arrived.Add(requests)
+	entry := newEntry(t, func(w http.ResponseWriter, attempt string) {
+		arrived.Done()
+		arrived.Wait()
+		answerWith("look")(w, attempt)
+	})
+	target := httptest.NewServer(NewTarget(TargetConfig{}, clock.System{}).Handler())
+	defer target.Close()
+	load := testLoad(t, clock.System{}, entry)
+	load.Config.Targets = []LoadTarget{{Name: "t", Address: strings.TrimPrefix(target.URL, "http://")}, {Name: "gone", Address: "127.0.0.1:1"}}
+	load.Config.Faults = []Fault{{Targets: []string{"t"}, Switch: map[string]any{"drain": true}}}
+	arrivals := make([]Arrival, 0, requests)
+	for i := range requests {
+		arrivals = append(arrivals, Arrival{ID: strconv.Itoa(i), Kind: "look", At: time.Duration(i) * time.Millisecond})
+	}
+	report := load.Run(testContext(t), arrivals)
+	is.Equal(report.Good, requests)
+	is.Equal(report.Silent, []string{"gone"})
+	answer, err := http.Get(target.URL + "/-/healthz")
+	is.NoErr(err)
+	defer answer.Body.Close()
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable) // the fault was switched
+}
--- a/internal/lab/target.go
+++ b/internal/lab/target.go
@@ -330,8 +330,12 @@
 	}
 }
 
-// acquire takes a slot, waiting in the short line if there is room in it.
+// acquire takes a slot, waiting in the short line if there is room in it. It
+// takes none for a call whose time has passed.
 func (t *Target) acquire(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	select {
 	case t.slots <- struct{}{}:
 		return true
--- /dev/null
+++ b/internal/lab/target_test.go
@@ -0,0 +1,226 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"go.yaml.in/yaml/v3"
+)
+
+// targetScript drives one target through the commands of a data file.
+type targetScript struct {
+	clock  *stepClock
+	target *Target
+	door   http.Handler
+	node   *httptest.Server
+	open   map[string]*openCall
+	queued int
+
+	mu sync.Mutex
+	// status holds what the node answers, by method and path.
+	status map[string]int
+	asked  []string
+}
+
+// openCall is a call that the target has not answered.
+type openCall struct {
+	cancel   context.CancelFunc
+	recorder *httptest.ResponseRecorder
+	// ended receives how the handler ended.
+	ended chan string
+	work  wait
+}
+
+// TestTarget runs the scripts. The commands are
+//
+//	config                     sets up the target; the input is its settings
+//	send REQUEST METHOD PATH   sends a call and says how far it comes
+//	work REQUEST               ends the service time of a call
+//	await REQUEST              says how far a call comes now
+//	cancel REQUEST             takes the caller away and waits for the call's end
+//	leave REQUEST              takes the caller away
+//	advance DURATION           moves the clock
+//	node METHOD PATH STATUS    sets what the target's node answers
+//	calls                      prints what the node was asked
+//	faults, health, stats, executions
+func TestTarget(t *testing.T) {
+	datadriven.Walk(t, "testdata/target", func(t *testing.T, path string) {
+		s := &targetScript{clock: newStepClock(), status: map[string]int{}, open: map[string]*openCall{}}
+		s.node = httptest.NewServer(http.HandlerFunc(s.answerAsNode))
+		defer s.node.Close()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if text := strings.TrimSpace(s.run(t, d)); text != "" {
+				return text + "\n"
+			}
+			return ""
+		})
+	})
+}
+
+func (s *targetScript) run(t *testing.T, d *datadriven.TestData) string {
+	args := make([]string, 0, len(d.CmdArgs))
+	for _, arg := range d.CmdArgs {
+		args = append(args, arg.Key)
+	}
+	switch d.Cmd {
+	case "config":
+		var config TargetConfig
+		is.New(t).NoErr(yaml.Unmarshal([]byte(d.Input), &config))
+		config.NodeAddress = strings.TrimPrefix(s.node.URL, "http://")
+		s.target = NewTarget(config, s.clock)
+		s.door = s.target.Handler()
+	case "send":
+		return s.send(args[0], args[1], args[2], args[3:])
+	case "work":
+		call := s.open[args[0]]
+		s.clock.advance(call.work.d)
+		call.work.done <- s.clock.Now()
+		return s.end(call)
+	case "await":
+		return s.settle(s.open[args[0]])
+	case "cancel":
+		s.open[args[0]].cancel()
+		return s.end(s.open[args[0]])
+	case "leave":
+		s.open[args[0]].cancel()
+	case "advance":
+		length, err := time.ParseDuration(args[0])
+		is.New(t).NoErr(err)
+		s.clock.advance(length)
+	case "node":
+		status, err := strconv.Atoi(args[2])
+		is.New(t).NoErr(err)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.status[args[0]+" "+args[1]] = status
+	case "calls":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		text := strings.Join(s.asked, "\n")
+		s.asked = nil
+		return text
+	case "faults":
+		return s.plain(http.MethodPost, "/-/faults", d.Input)
+	case "health":
+		return s.plain(http.MethodGet, "/-/healthz", "")
+	case "stats":
+		return s.plain(http.MethodGet, "/-/stats", "")
+	case "executions":
+		return s.executions(t)
+	default:
+		t.Fatalf("no such command: %s", d.Cmd)
+	}
+	return ""
+}
+
+func (s *targetScript) send(request, method, path string, headers []string) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	call := &openCall{cancel: cancel, recorder: httptest.NewRecorder(), ended: make(chan string, 1)}
+	s.open[request] = call
+	r := httptest.NewRequestWithContext(ctx, method, path, nil)
+	r.Header.Set(RequestHeader, request)
+	r.Header.Set(contextHeader, "handle-"+request)
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, ":")
+		r.Header.Set(name, value)
+	}
+	go func() {
+		defer func() {
+			if recover() != nil {
+				call.ended <- fmt.Sprintf("cut after %d bytes", call.recorder.Body.Len())
+				return
+			}
+			call.ended <- describe(call.recorder)
+		}()
+		s.door.ServeHTTP(call.recorder, r)
+	}()
+	return s.settle(call)
+}
+
+// settle waits until a call has its answer, works, or waits in the line.
+func (s *targetScript) settle(call *openCall) string {
+	for {
+		select {
+		case ended := <-call.ended:
+			s.queued = s.waiting()
+			return ended
+		case call.work = <-s.clock.waits:
+			s.queued = s.waiting()
+			return "works for " + call.work.d.String()
+		default:
+		}
+		if s.waiting() > s.queued {
+			s.queued = s.waiting()
+			return "waits"
+		}
+		runtime.Gosched()
+	}
+}
+
+// end waits for the answer. Another call may begin its work meanwhile; its
+// wait stays for the await command.
+func (s *targetScript) end(call *openCall) string {
+	ended := <-call.ended
+	s.queued = s.waiting()
+	return ended
+}
+
+func (s *targetScript) waiting() int {
+	s.target.mu.Lock()
+	defer s.target.mu.Unlock()
+	return s.target.waiting
+}
+
+func (s *targetScript) plain(method, path, body string) string {
+	recorder := httptest.NewRecorder()
+	s.door.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return strings.TrimSpace(fmt.Sprintf("%d %s", recorder.Code, recorder.Body.String()))
+}
+
+func (s *targetScript) executions(t *testing.T) string {
+	var done Executions
+	_, body, _ := strings.Cut(s.plain(http.MethodGet, "/-/executions", ""), " ")
+	is.New(t).NoErr(json.Unmarshal([]byte(body), &done))
+	var lines []string
+	for _, by := range []map[string][]Execution{done.ByRequest, done.ByKey} {
+		for _, name := range slices.Sorted(maps.Keys(by)) {
+			lines = append(lines, fmt.Sprintf("%s: %+v", name, by[name]))
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (s *targetScript) answerAsNode(w http.ResponseWriter, r *http.Request) {
+	name := r.Method + " " + r.URL.Path
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, name+" "+r.Header.Get(RequestHeader)+" "+r.Header.Get(contextHeader))
+	if status := s.status[name]; status != 0 {
+		w.WriteHeader(status)
+	}
+}
+
+// describe says what a caller makes of an answer to "<request>".
+func describe(recorder *httptest.ResponseRecorder) string {
+	if recorder.Code != http.StatusOK {
+		return strconv.Itoa(recorder.Code)
+	}
+	var answer Answer
+	if err := json.Unmarshal(recorder.Body.Bytes(), &answer); err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("200 request=%s kind=%s whole=%t", answer.Request, answer.Kind, answer.Whole())
+}
