--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -166,6 +167,7 @@
 	}
 	decision := s.settings.Gate.Offer(s.settings.Clock.Now(), admit.Call{
 		ID:         id,
+		Kind:       a.kind.Name,
 		Importance: a.serving.Importance,
 		Position:   a.serving.Position,
 		Deadline:   a.serving.Deadline,
@@ -201,7 +203,7 @@
 	}
 	delete(s.waiting, a.request.AttemptId)
 	s.release(s.settings.Gate.Cancel(s.settings.Clock.Now(), a.request.AttemptId))
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return result.DeadlinePassed
 	}
 	return result.Cancelled
