Prove that a key runs at most once over freezes, crashes and lost writes

The model runs ledgers on hosts that freeze, crash, restart on the same address and are replaced while alive, with clocks apart by up to the margin and set back within it, above a table whose writes are lost, delayed and answered in vain. It checks that no key runs twice, that no key that is said not to have run has run, and that an answer is the key's own.

--- /dev/null
+++ b/internal/once/model_test.go
@@ -0,0 +1,401 @@
+package once
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+type (
+	// fault switches off one mechanism of the model.
+	fault uint8
+
+	// event is one step of a trace; its numbers are taken modulo what they index.
+	event struct{ Op, Proc, Pick, Arg int }
+
+	proc struct {
+		node    Node
+		ledger  *Ledger[string]
+		plan    Plan
+		skewMS  int64
+		frozen  bool
+		running []Key
+	}
+
+	delayedWrite struct {
+		base int64
+		plan Plan
+	}
+
+	// model runs ledgers on hosts that freeze, crash and are replaced, above a
+	// table whose writes are lost, delayed and answered in vain.
+	model struct {
+		fault   fault
+		nowMS   int64
+		started int
+		// hosts holds the process at each address, nil after a crash.
+		hosts []*proc
+		// names holds the name and address of each host.
+		names []string
+		// strays are processes whose host was given up while they were alive.
+		strays  []*proc
+		table   Plan
+		delayed []delayedWrite
+		keys    []Key
+		ran     map[string]int
+		// never holds the keys that were said to be too old for any owner.
+		never map[string]bool
+		// naive is the memory of a version that records keys where they arrive.
+		naive        map[*proc]map[string]bool
+		naiveRan     map[string]int
+		naiveDoubles int
+		seen         map[string]int
+		err          error
+	}
+)
+
+const (
+	noFault fault = iota
+	ignorePromise
+	believeLease
+	takeoverWithoutMargin
+	handOverOpen
+	handOverNothing
+)
+
+var testRules = Rules{Slots: 4, Lease: 10 * time.Second, Margin: 200 * time.Millisecond, KeyAge: 40 * time.Second}
+
+func newModel(f fault) *model {
+	m := &model{
+		fault: f, nowMS: 1_700_000_000_000, names: []string{"a", "b", "c"}, hosts: make([]*proc, 3),
+		ran: map[string]int{}, never: map[string]bool{},
+		naive: map[*proc]map[string]bool{}, naiveRan: map[string]int{}, seen: map[string]int{},
+	}
+	for i := range m.hosts {
+		m.start(i, i*50)
+	}
+	return m
+}
+
+// skew is how far a clock is ahead; two of them differ by the margin at most.
+func skew(arg int) int64 {
+	marginMS := testRules.Margin.Milliseconds()
+	return [...]int64{0, marginMS, int64(arg) % marginMS}[arg/4%3]
+}
+
+func (m *model) clock(p *proc) time.Time { return time.UnixMilli(m.nowMS + p.skewMS) }
+
+func (m *model) start(host, arg int) {
+	m.started++
+	p := &proc{skewMS: skew(arg)}
+	p.node = Node{Name: m.names[host], Address: m.names[host], Incarnation: fmt.Sprint("i", m.started), StartedMS: m.nowMS + p.skewMS}
+	p.ledger = NewLedger[string](p.node, testRules, 1<<20)
+	m.hosts[host] = p
+}
+
+func (m *model) procs() []*proc {
+	alive := slices.DeleteFunc(slices.Clone(m.hosts), func(p *proc) bool { return p == nil })
+	return append(alive, m.strays...)
+}
+
+func (m *model) learn(p *proc, plan Plan) {
+	if plan.Version > p.plan.Version {
+		p.plan = plan
+	}
+	if m.fault == believeLease {
+		plan = plan.clone()
+		for _, slot := range plan.Slots {
+			if last, ok := slot.last(); ok && last.Keeper() == p.node.Incarnation {
+				slot.Holdings[len(slot.Holdings)-1].UntilMS = 1 << 60
+			}
+		}
+	}
+	p.ledger.Learn(plan)
+}
+
+// control lets the process change the plan as its outer layer would.
+func (m *model) control(p *proc, e event) {
+	if e.Arg%7 != 0 {
+		m.learn(p, m.table)
+	}
+	var members []Node
+	for i, other := range m.procs() {
+		if e.Pick>>(i%8)&1 == 0 {
+			members = append(members, other.node)
+		}
+	}
+	self := p.node
+	if m.fault == takeoverWithoutMargin {
+		self.StartedMS -= 2*testRules.Margin.Milliseconds() + 1
+	}
+	next, changed := Next(m.clock(p), p.plan, self, members, testRules)
+	if changed {
+		m.write(p, next, e.Arg)
+	}
+}
+
+func (m *model) write(p *proc, next Plan, outcome int) {
+	if m.fault != ignorePromise && !p.ledger.Promise(m.clock(p), next) {
+		return
+	}
+	base := p.plan.Version
+	switch outcome % 4 {
+	case 0:
+		m.delayed = append(m.delayed, delayedWrite{base, next})
+	case 1:
+		m.commit(base, next)
+	default:
+		if m.commit(base, next) {
+			m.learn(p, next)
+		}
+	}
+}
+
+func (m *model) commit(base int64, next Plan) bool {
+	if m.table.Version != base {
+		return false
+	}
+	m.table = next
+	return true
+}
+
+// send brings a new or a repeated key to a process, mostly to its keeper.
+func (m *model) send(p *proc, e event) {
+	if len(m.keys) == 0 || e.Pick%3 == 0 {
+		aheadMS := int64(max(e.Arg, 4*e.Arg-400))
+		minted := time.UnixMilli(m.nowMS + aheadMS)
+		m.keys = append(m.keys, mint(minted, uuid.NewSHA1(uuid.Nil, fmt.Append(nil, len(m.keys)))))
+		e.Pick = -1
+	}
+	// Newer keys are repeated more often.
+	k := m.keys[len(m.keys)-1-max(e.Pick, 0)%min(len(m.keys), 1+e.Arg%40)]
+	_, code := Route(m.clock(p), p.plan, k, true, func(string) bool { return e.Arg%2 == 0 }, testRules)
+	m.judge("route", k, code)
+	if e.Arg%5 != 0 {
+		if holding, ok := m.table.Find(k); ok {
+			for _, other := range m.procs() {
+				if other.node.Incarnation == holding.Keeper() && !other.frozen {
+					p = other
+				}
+			}
+		}
+	}
+	m.sendNaive(p, k)
+	verdict, answer, code := p.ledger.Accept(m.clock(p), k, "order", 1)
+	m.seen[fmt.Sprint(verdict, " ", code)]++
+	m.judge("accept", k, code)
+	if verdict == Done && answer != k.Text {
+		m.err = fmt.Errorf("key %s got the answer of %s", k.Text, answer)
+	}
+	if verdict != Run {
+		return
+	}
+	m.ran[k.Text]++
+	if m.ran[k.Text] > 1 || m.never[k.Text] {
+		m.err = fmt.Errorf("key %s ran %d times, said to be too old: %t", k.Text, m.ran[k.Text], m.never[k.Text])
+	}
+	p.running = append(p.running, k)
+}
+
+// judge checks that a key that is said not to have run has not.
+func (m *model) judge(where string, k Key, code result.Code) {
+	if code.Family() == result.NotRun && m.ran[k.Text] > 0 {
+		m.err = fmt.Errorf("%s said %v of key %s, which ran", where, code, k.Text)
+	}
+	if code == result.KeyTooOld {
+		m.never[k.Text] = true
+	}
+}
+
+func (m *model) sendNaive(p *proc, k Key) {
+	if m.naive[p] == nil {
+		m.naive[p] = map[string]bool{}
+	}
+	if m.naive[p][k.Text] {
+		return
+	}
+	m.naive[p][k.Text] = true
+	m.naiveRan[k.Text]++
+	if m.naiveRan[k.Text] == 2 {
+		m.naiveDoubles++
+	}
+}
+
+// end ends the oldest run of the process.
+func (m *model) end(p *proc, arg int) {
+	if len(p.running) == 0 {
+		return
+	}
+	k := p.running[0]
+	p.running = p.running[1:]
+	switch arg % 5 {
+	case 0:
+		p.ledger.Lost(m.clock(p), k)
+	case 1:
+		p.ledger.Abandon(m.clock(p), k)
+		m.ran[k.Text]--
+	default:
+		p.ledger.Finish(m.clock(p), k, k.Text, len(k.Text))
+	}
+}
+
+func (m *model) leave(p *proc, e event) {
+	if !p.node.Leaving {
+		p.node.Leaving = true
+		p.ledger.Leave(m.clock(p))
+		return
+	}
+	to := m.procs()[e.Pick%len(m.procs())]
+	records := p.ledger.Export()
+	if m.fault == handOverNothing {
+		records = nil
+	}
+	if to == p || to.frozen || !to.ledger.Import(p.node.Incarnation, records) {
+		return
+	}
+	m.learn(p, m.table)
+	if next, changed := HandOver(m.clock(p), p.plan, p.node, to.node, testRules); changed {
+		m.seen["handover"]++
+		m.write(p, next, e.Arg)
+	}
+	if m.fault == handOverOpen {
+		p.ledger.closed = false
+	}
+}
+
+// disturb changes the state of a host.
+func (m *model) disturb(e event) {
+	host := e.Pick % len(m.hosts)
+	p := m.hosts[host]
+	switch {
+	case p == nil:
+		m.start(host, e.Arg)
+	case e.Arg%8 == 0:
+		m.hosts[host] = nil
+	case e.Arg%8 == 4:
+		m.start(host, e.Arg)
+	case e.Arg%4 == 1 && len(m.strays) < 4:
+		m.strays = append(m.strays, p)
+		m.names[host] = fmt.Sprint(m.names[host], "x")
+		m.start(host, e.Arg)
+	default:
+		p.frozen = !p.frozen
+		p.skewMS = skew(e.Arg)
+	}
+}
+
+func (m *model) step(e event) {
+	procs := m.procs()
+	var p *proc
+	if len(procs) > 0 {
+		p = procs[e.Proc%len(procs)]
+	}
+	switch op := e.Op % 32; {
+	case op == 0:
+		m.disturb(e)
+	case op < 5:
+		m.nowMS += int64(e.Arg * e.Arg / 10)
+	case op == 5 && len(m.delayed) > 0:
+		write := m.delayed[e.Pick%len(m.delayed)]
+		m.commit(write.base, write.plan)
+	case p == nil || p.frozen:
+	case op < 12:
+		m.control(p, e)
+	case op == 12:
+		m.learn(p, procs[e.Pick%len(procs)].plan)
+	case op == 13:
+		p.ledger.Forget(m.clock(p))
+	case op == 14 && e.Arg%3 == 0 || op < 17 && p.node.Leaving:
+		m.leave(p, e)
+	case op < 20:
+		m.end(p, e.Arg)
+	default:
+		m.send(p, e)
+	}
+}
+
+func (m *model) run(trace []event) error {
+	for i, e := range trace {
+		m.step(e)
+		if m.err != nil {
+			return fmt.Errorf("event %d: %w", i, m.err)
+		}
+	}
+	return nil
+}
+
+// randomTrace returns the trace of a seed.
+func randomTrace(seed uint64) []event {
+	random := rand.New(rand.NewPCG(seed, 0))
+	trace := make([]event, 400)
+	for i := range trace {
+		trace[i] = event{random.IntN(32), random.IntN(8), random.IntN(256), random.IntN(200)}
+	}
+	return trace
+}
+
+const traces = 3000
+
+func TestEachKeyRunsAtMostOnce(t *testing.T) {
+	number := func(top int) *rapid.Generator[int] { return rapid.IntRange(0, top) }
+	events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+		return event{31 - number(31).Draw(t, "op"), number(7).Draw(t, "proc"), number(255).Draw(t, "pick"), number(199).Draw(t, "arg")}
+	}), 50, 300)
+	rapid.Check(t, func(t *rapid.T) {
+		if err := newModel(noFault).run(events.Draw(t, "trace")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The naive version records a key where it arrives. On the same traces it
+// doubles runs, and every mechanism that is switched off is found out.
+func TestTracesTellRightFromWrong(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]int{}
+	naiveDoubles := 0
+	for seed := range uint64(traces) {
+		m := newModel(noFault)
+		err := m.run(randomTrace(seed))
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		naiveDoubles += m.naiveDoubles
+		for what, count := range m.seen {
+			seen[what] += count
+		}
+	}
+	t.Log("naive doubles", naiveDoubles, "seen", seen)
+	is.True(naiveDoubles > 0)
+	for _, what := range []string{"0 0", "1 running_still", "2 replayed", "3 lost", "3 owner_gone", "3 forgotten", "handover"} {
+		is.True(seen[what] > traces/10) // the traces reach the case often
+	}
+}
+
+func TestTracesFindFaults(t *testing.T) {
+	for name, f := range map[string]fault{
+		"ignore promise":          ignorePromise,
+		"believe lease":           believeLease,
+		"takeover without margin": takeoverWithoutMargin,
+		"hand over while open":    handOverOpen,
+		"hand over nothing":       handOverNothing,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(traces) {
+				if err := newModel(f).run(randomTrace(seed)); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("no trace found the fault")
+		})
+	}
+}
