--- a/internal/config/commit.go
+++ b/internal/config/commit.go
@@ -10,26 +10,26 @@
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 )
 
-// rememberedHeads is how many former heads the version row names.
-const rememberedHeads = 16
+// rememberedHeads is how many former heads the history row names.
+const rememberedHeads = 64
 
 type (
-	// head is the value of the row config/current.
+	// head is the value of the row config/current, and an entry of the row
+	// config/history. A head is known by its number and digest, from which the
+	// id of its write follows.
 	head struct {
-		Number  int64  `json:"number"`
-		Digest  string `json:"digest"`
-		WriteID string `json:"write_id"`
-		// Past holds former heads, the latest first. Whoever replaces a head
-		// has read it, so a head that was ever in the row is found here, and a
-		// writer whose answer was lost learns what became of its write even
-		// after another has overwritten it.
-		Past []pastHead `json:"past,omitempty"`
+		Number int64  `json:"number"`
+		Digest string `json:"digest"`
 	}
 
-	pastHead struct {
-		Number  int64  `json:"number"`
-		Digest  string `json:"digest"`
-		WriteID string `json:"write_id"`
+	// history is the value of the row config/history: former heads, the latest
+	// first. It is written in one transaction with the head. Whoever replaces
+	// a head has read it, so a head that was ever in force is found here, and
+	// a writer whose answer was lost learns what became of its write even
+	// after another has overwritten it. It is a row of its own because nodes
+	// poll the head.
+	history struct {
+		Past []head `json:"past"`
 	}
 )
 
@@ -47,40 +47,31 @@
 		return Revision{}, err
 	}
 	accepted.Set = set
-	id := writeID("config", accepted.Digest, expected)
 	row, current, err := c.readHead(ctx)
 	if err != nil {
 		return Revision{}, Unresolved.Wrap(err, "the revision in force is not known")
 	}
-	if done, err := outcome(current, id, expected); err != nil {
+	done, err := c.outcome(ctx, current, accepted)
+	if err == nil && !done {
+		err = c.commitHead(ctx, row, current, accepted)
+	}
+	if err != nil {
 		return Revision{}, err
-	} else if !done {
-		err = c.commitHead(ctx, row, current, accepted, id)
-		if err != nil {
-			return Revision{}, err
-		}
 	}
 	c.Offer(accepted)
 	return accepted, nil
 }
 
 // commitHead puts the object and replaces the head.
-func (c *Controller) commitHead(ctx context.Context, row plat.Row, current head, accepted Revision, id string) error {
+func (c *Controller) commitHead(ctx context.Context, row plat.Row, current head, accepted Revision) error {
 	if err := c.putObject(ctx, accepted); err != nil {
-		return Unresolved.Wrap(err, "the document could not be stored; nothing was accepted by this attempt")
+		return Unresolved.Wrap(err, "the document could not be stored; this attempt accepted nothing")
 	}
-	next := head{Number: accepted.Number, Digest: accepted.Digest, WriteID: id}
-	if current.Number > 0 {
-		past := pastHead{Number: current.Number, Digest: current.Digest, WriteID: current.WriteID}
-		next.Past = append([]pastHead{past}, current.Past...)
-		next.Past = next.Past[:min(len(next.Past), rememberedHeads)]
-	}
-	value, err := json.Marshal(next)
+	write, err := c.headWrite(ctx, row, current, accepted)
 	if err != nil {
 		return err
 	}
-	change := plat.Change{Key: currentKey, Value: value, Expected: row.Version}
-	_, err = c.store.Commit(ctx, plat.Write{Table: configTable, ID: id, Changes: []plat.Change{change}})
+	_, err = c.store.Commit(ctx, write)
 	if err == nil {
 		return nil
 	}
@@ -88,37 +79,67 @@
 	if readErr != nil {
 		return Unresolved.Wrap(err, "whether revision %d was accepted is not known", accepted.Number)
 	}
-	done, outcomeErr := outcome(current, id, accepted.Number-1)
-	switch {
-	case outcomeErr != nil:
+	done, outcomeErr := c.outcome(ctx, current, accepted)
+	if done || outcomeErr != nil {
 		return outcomeErr
-	case done:
-		return nil
 	}
-	// The row still has the expected head, but the write may be on its way.
+	// The expected head is still there, but the write may be on its way.
 	return Unresolved.Wrap(err, "whether revision %d was accepted is not known", accepted.Number)
 }
 
-// outcome tells from the head what became of a write: done, not done while
-// the expected revision is still in force, or a Conflict.
-func outcome(current head, id string, expected int64) (done bool, err error) {
+func (c *Controller) headWrite(ctx context.Context, row plat.Row, current head, accepted Revision) (plat.Write, error) {
+	past, err := c.readHistory(ctx)
+	if err != nil {
+		return plat.Write{}, Unresolved.Wrap(err, "the history could not be read; this attempt accepted nothing")
+	}
+	if current.Number > 0 {
+		past.Past = append([]head{current}, past.Past...)
+		past.Past = past.Past[:min(len(past.Past), rememberedHeads)]
+	}
+	currentValue, err := json.Marshal(head{Number: accepted.Number, Digest: accepted.Digest})
+	if err != nil {
+		return plat.Write{}, err
+	}
+	pastValue, err := json.Marshal(past)
+	if err != nil {
+		return plat.Write{}, err
+	}
+	// One transaction writes both rows always, so their versions are equal.
+	return plat.Write{
+		Table: configTable,
+		ID:    writeID("config", accepted.Digest, current.Number),
+		Changes: []plat.Change{
+			{Key: currentKey, Value: currentValue, Expected: row.Version},
+			{Key: historyKey, Value: pastValue, Expected: row.Version},
+		},
+	}, nil
+}
+
+// outcome tells what became of the write that would have made the revision:
+// done, not done while the revision before it is still in force, or a Conflict.
+func (c *Controller) outcome(ctx context.Context, current head, wanted Revision) (done bool, err error) {
+	expected := wanted.Number - 1
 	if current.Number == expected {
 		return false, nil
 	}
-	if current.WriteID == id {
-		return true, nil
+	conflict := Conflict.New("expected revision %d, but revision %d (%s) is in force", expected, current.Number, current.Digest)
+	if current.Number < expected {
+		return false, conflict
 	}
-	for _, past := range current.Past {
-		if past.WriteID == id {
+	past, err := c.readHistory(ctx)
+	if err != nil {
+		return false, Unresolved.Wrap(err, "whether revision %d was accepted is not known", wanted.Number)
+	}
+	for _, entry := range append(past.Past, current) {
+		if entry.Number != wanted.Number {
+			continue
+		}
+		if entry.Digest == wanted.Digest {
 			return true, nil
 		}
+		return false, conflict
 	}
-	if current.Number > expected+1+rememberedHeads {
-		return false, Conflict.New("expected revision %d, but revision %d (%s) is in force, "+
-			"and whether this document was revision %d is no longer known",
-			expected, current.Number, current.Digest, expected+1)
-	}
-	return false, Conflict.New("expected revision %d, but revision %d (%s) is in force", expected, current.Number, current.Digest)
+	return false, Conflict.Wrap(conflict, "whether this document was revision %d is no longer known", wanted.Number)
 }
 
 // putObject stores the document. A lost answer is settled by reading back.
@@ -134,6 +155,18 @@
 	return err
 }
 
+func (c *Controller) readHistory(ctx context.Context) (history, error) {
+	var past history
+	row, err := c.store.Get(ctx, configTable, historyKey)
+	if err != nil || row.Version == 0 {
+		return past, err
+	}
+	if err := json.Unmarshal(row.Value, &past); err != nil {
+		return past, Invalid.Wrap(err, "the row %s/%s cannot be read", configTable, historyKey)
+	}
+	return past, nil
+}
+
 func (c *Controller) readHead(ctx context.Context) (plat.Row, head, error) {
 	var current head
 	row, err := c.store.Get(ctx, configTable, currentKey)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,10 @@
 	// bootPeers is how many peers a node hears before it takes the highest of
 	// their revisions.
 	bootPeers = 3
+	// bootPatience is how long a booting node waits for peers that do not
+	// answer. While the platform is down no lease runs out, so a dead host is
+	// still among the peers and must not keep others from starting.
+	bootPatience = 10 * time.Second
 	// bootInterval is the mean wait between two attempts to boot.
 	bootInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation on the platform while nodes follow it.
@@ -44,6 +48,7 @@
 
 	configTable = "config"
 	currentKey  = "current"
+	historyKey  = "history"
 	plansTable  = "owners"
 )
 
@@ -97,6 +102,8 @@
 		clock   clock.Clock
 		log     hclog.Logger
 		current atomic.Pointer[Revision]
+		// highest is the highest number that was heard of.
+		highest atomic.Int64
 
 		mu       sync.Mutex // orders Offer and guards what follows
 		plans    map[string]plan
@@ -172,6 +179,7 @@
 
 // Heard notes that a node has a revision, and fetches it if it is higher.
 func (c *Controller) Heard(ctx context.Context, from string, number int64) {
+	c.noteNumber(number)
 	if number > c.Number() {
 		c.fetchSoon(ctx, from, nil)
 	}
@@ -194,25 +202,32 @@
 }
 
 // Boot learns the revision in force before the node takes work: from the
-// platform if it answers, else the highest of several peers. It tries until
-// one of them can tell, or until the context ends. A platform that answers
-// that there is no revision yet is an answer as well.
+// platform if it answers, else the highest of several peers (three, or all
+// when fewer are known). It tries until one of them can tell, or until the
+// context ends. A platform that answers that there is no revision yet is an
+// answer as well; a peer without a revision is none. A peer that stays silent
+// for bootPatience is no longer waited for.
 //
 // The function peers returns relay addresses, none while none are known.
 func (c *Controller) Boot(ctx context.Context, peers func() []string) error {
+	start := c.clock.Now()
 	for {
 		storeErr := c.Poll(ctx)
 		if storeErr == nil {
 			return nil
 		}
-		heard, asked := c.askPeers(ctx, peers())
-		if asked > 0 && heard >= min(bootPeers, asked) && c.Number() > 0 {
+		heard, known := c.askPeers(ctx, peers())
+		enough := min(bootPeers, known)
+		if c.clock.Now().Sub(start) >= bootPatience {
+			enough = min(1, known)
+		}
+		if heard > 0 && heard >= enough && c.Number() >= c.highest.Load() {
 			return nil
 		}
 		select {
 		case <-c.clock.After(c.jitter(bootInterval)):
 		case <-ctx.Done():
-			return NoRevision.Wrap(storeErr, "%d of %d peers answered", heard, asked)
+			return NoRevision.Wrap(storeErr, "%d of %d peers answered", heard, known)
 		}
 	}
 }
@@ -242,6 +257,7 @@
 	if err != nil {
 		return err
 	}
+	c.noteNumber(head.Number)
 	if head.Number <= c.Number() {
 		return nil
 	}
@@ -256,9 +272,9 @@
 	return nil
 }
 
-// askPeers fetches from peers until bootPeers have answered, and returns how
-// many did and how many are known.
-func (c *Controller) askPeers(ctx context.Context, peers []string) (heard, asked int) {
+// askPeers fetches from peers in random order until bootPeers have given a
+// revision, and returns how many did and how many are known.
+func (c *Controller) askPeers(ctx context.Context, peers []string) (heard, known int) {
 	peers = slices.Clone(peers)
 	for i := len(peers) - 1; i > 0; i-- {
 		j := min(int(c.Random()*float64(i+1)), i)
@@ -268,25 +284,34 @@
 		if heard >= bootPeers || ctx.Err() != nil {
 			break
 		}
-		if c.fetch(ctx, peer, nil) == nil {
+		if number, err := c.fetch(ctx, peer, nil); err == nil && number > 0 {
 			heard++
 		}
 	}
 	return heard, len(peers)
 }
 
+func (c *Controller) noteNumber(number int64) {
+	for {
+		highest := c.highest.Load()
+		if number <= highest || c.highest.CompareAndSwap(highest, number) {
+			return
+		}
+	}
+}
+
 // fetchSoon fetches from a node unless a fetch is on its way already. What
 // that one leaves out is heard of again with the next exchange.
 func (c *Controller) fetchSoon(ctx context.Context, from string, services []string) {
 	c.mu.Lock()
-	busy := c.fetching
+	busy := c.fetching || c.Fetch == nil
 	c.fetching = true
 	c.mu.Unlock()
-	if busy || c.Fetch == nil {
+	if busy {
 		return
 	}
 	work := func() {
-		if err := c.fetch(ctx, from, services); err != nil {
+		if _, err := c.fetch(ctx, from, services); err != nil {
 			c.log.Debug("fetch_failed", "from", from, "error", err)
 		}
 		c.mu.Lock()
@@ -300,18 +325,19 @@
 	go work()
 }
 
-func (c *Controller) fetch(ctx context.Context, from string, services []string) error {
+// fetch takes what a node has, and returns the number of its revision.
+func (c *Controller) fetch(ctx context.Context, from string, services []string) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	resp, err := c.Fetch(ctx, from, services)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	c.Offer(Revision{Number: resp.GetRevision(), Digest: resp.GetDigest(), Document: resp.GetDocument()})
 	for _, p := range resp.GetPlans() {
 		c.OfferPlan(p.GetService(), p.GetDocument(), p.GetVersion())
 	}
-	return nil
+	return resp.GetRevision(), nil
 }
 
 func (c *Controller) verify(r Revision) (*schema.Set, error) {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -44,6 +44,12 @@
 	// answer, before it trusts its view.
 	catchUpPeers = 3
 
+	// catchUpPatience is how long it waits for that many; silent peers may be
+	// dead, and while the platform is down their leases do not run out.
+	catchUpPatience = 10 * time.Second
+	// catchUpTimeout bounds one attempt of CatchUp.
+	catchUpTimeout = 15 * time.Second
+
 	// leaveFanout is how many members a leaving node tells by itself.
 	leaveFanout = 64
 )
@@ -84,7 +90,10 @@
 	lastRound    time.Time
 	ready        bool
 	catchingUp   bool
-	answers      int // whole views received since the node was last unready
+	unreadyFrom  time.Time
+	// answers holds the relay addresses of those that gave their whole view
+	// since the node was last unready.
+	answers map[string]bool
 
 	kick  chan struct{}
 	touch chan struct{}
@@ -99,6 +108,10 @@
 		Random: rand.Float64,
 		Log:    log,
 		view:   NewView(self),
+
+		unreadyFrom: clk.Now(),
+		answers:     make(map[string]bool),
+
 		kick:   make(chan struct{}, 1),
 		touch:  make(chan struct{}, 1),
 	}
@@ -271,9 +284,9 @@
 // exchange swaps news with the node at the address.
 func (c *Controller) exchange(ctx context.Context, address string, asked bool) {
 	req, full := c.request(asked)
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	resp, err := c.Send(ctx, address, req)
+	resp, err := c.Send(sendCtx, address, req)
 	if err != nil {
 		c.Log.Debug("exchange_failed", "address", address, "error", err)
 		return
@@ -283,7 +296,7 @@
 	changed := c.take(now, address, resp.GetRevision(), fromWire(resp.GetDeltas()))
 	c.noteHash(now, resp.GetViewHash())
 	if req.GetWantFull() && !resp.GetWantFull() {
-		c.answers++ // an unready peer's view counts for nothing
+		c.answers[address] = true // an unready peer's view counts for nothing
 	}
 	wanted := resp.GetWantFull() && !full && !asked && c.allowFull(now)
 	c.mu.Unlock()
@@ -363,45 +376,57 @@
 	}
 	c.Log.Warn("woke_after_freeze", "frozen", now.Sub(c.lastRound))
 	c.ready = false
-	c.answers = 0
+	c.unreadyFrom = now
+	clear(c.answers)
 	c.view.PlatformDown()
 	signal(c.touch)
 }
 
 // becomeReady ends the start or the wake, once the platform's table or enough
-// peers have given their whole view.
+// peers have given their whole view, and the configuration is caught up with.
 func (c *Controller) becomeReady(ctx context.Context, fromTable bool) {
 	c.mu.Lock()
 	peers := c.others(func(Member) bool { return true })
-	enough := fromTable || c.answers > 0 && c.answers >= min(catchUpPeers, len(peers))
-	if c.ready || c.catchingUp || !enough {
-		c.mu.Unlock()
-		return
+	enough := min(catchUpPeers, len(peers))
+	if c.Clock.Now().Sub(c.unreadyFrom) >= catchUpPatience {
+		enough = 1
 	}
-	c.catchingUp = true
+	heard := fromTable || len(c.answers) > 0 && len(c.answers) >= enough
+	start := heard && !c.ready && !c.catchingUp
+	c.catchingUp = c.catchingUp || start
 	c.mu.Unlock()
+	if start {
+		c.run(func() { c.catchUp(ctx, peers, fromTable) })
+	}
+}
 
+func (c *Controller) catchUp(ctx context.Context, peers []string, fromTable bool) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
 	var err error
 	if c.CatchUp != nil {
 		err = c.CatchUp(ctx, peers)
 	}
-
 	c.mu.Lock()
 	c.catchingUp = false
-	c.ready = err == nil
-	if c.ready {
-		c.view.Settle()
-		c.seeds = nil
+	if err == nil {
+		c.setReady(fromTable)
 	}
 	c.mu.Unlock()
 	if err != nil {
 		c.Log.Warn("catch_up_failed", "error", err)
 		return
 	}
-	c.Log.Info("view_ready", "members", len(peers)+1, "from_table", fromTable)
 	c.notify()
 }
 
+func (c *Controller) setReady(fromTable bool) {
+	c.ready = true
+	c.seeds = nil
+	c.view.Settle()
+	c.Log.Info("view_ready", "members", len(c.view.names()), "from_table", fromTable)
+}
+
 // pickPeers chooses the addresses for one round: one member of the own data
 // centre and one of all, or of another region in a share of the rounds. While
 // the node knows nobody it answers those that found it.
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -35,12 +35,12 @@
 
 // Refresh reads what changed in the table since the last time.
 func (c *Controller) Refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	c.mu.Lock()
 	since := c.lease.listed
 	c.mu.Unlock()
-	rows, version, err := c.Store.List(ctx, leaseTable, since)
+	rows, version, err := c.Store.List(listCtx, leaseTable, since)
 	if err != nil {
 		c.platformDown(err)
 		return err
