Prove membership and configuration on model time

A cluster of controllers runs in one goroutine with direct calls for messages. Two faults of the first version were found by it:

- After a healed partition, nodes of one side kept finding equal views on their own side, which cleared the mark of the mismatch, so no whole view was ever sent.
Now a view that has been unchanged for 2 s and differs from the one it meets is sent to that one at once.
- The rapid test of Merge found that a revision was carried over between two starts of one incarnation depending on order.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -201,37 +201,46 @@
 	return resp
 }
 
-// Boot learns the revision in force before the node takes work: from the
-// platform if it answers, else the highest of several peers (three, or all
-// when fewer are known). It tries until one of them can tell, or until the
-// context ends. A platform that answers that there is no revision yet is an
-// answer as well; a peer without a revision is none. A peer that stays silent
-// for bootPatience is no longer waited for.
-//
-// The function peers returns relay addresses, none while none are known.
+// Boot learns the revision in force before the node takes work. It tries
+// BootOnce until that succeeds or the context ends. The function peers returns
+// relay addresses, none while none are known.
 func (c *Controller) Boot(ctx context.Context, peers func() []string) error {
 	start := c.clock.Now()
 	for {
-		storeErr := c.Poll(ctx)
-		if storeErr == nil {
-			return nil
-		}
-		heard, known := c.askPeers(ctx, peers())
-		enough := min(bootPeers, known)
-		if c.clock.Now().Sub(start) >= bootPatience {
-			enough = min(1, known)
-		}
-		if heard > 0 && heard >= enough && c.Number() >= c.highest.Load() {
+		patient := c.clock.Now().Sub(start) < bootPatience
+		err := c.BootOnce(ctx, peers(), patient)
+		if err == nil {
 			return nil
 		}
 		select {
 		case <-c.clock.After(c.jitter(bootInterval)):
 		case <-ctx.Done():
-			return NoRevision.Wrap(storeErr, "%d of %d peers answered", heard, known)
+			return err
 		}
 	}
 }
 
+// BootOnce learns the revision in force from the platform if it answers, else
+// the highest of several peers: three, or all when fewer are known. It returns
+// NoRevision if too few could tell. A platform that answers that there is no
+// revision yet is an answer; a peer without a revision is none. Without
+// patience one peer is enough.
+func (c *Controller) BootOnce(ctx context.Context, peers []string, patient bool) error {
+	storeErr := c.Poll(ctx)
+	if storeErr == nil {
+		return nil
+	}
+	heard := c.askPeers(ctx, peers)
+	enough := 1
+	if patient {
+		enough = max(1, min(bootPeers, len(peers)))
+	}
+	if heard >= enough && c.Number() >= c.highest.Load() {
+		return nil
+	}
+	return NoRevision.Wrap(storeErr, "%d of %d peers gave a revision", heard, len(peers))
+}
+
 // Run polls the version row until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	for {
@@ -273,8 +282,8 @@
 }
 
 // askPeers fetches from peers in random order until bootPeers have given a
-// revision, and returns how many did and how many are known.
-func (c *Controller) askPeers(ctx context.Context, peers []string) (heard, known int) {
+// revision, and returns how many did.
+func (c *Controller) askPeers(ctx context.Context, peers []string) (heard int) {
 	peers = slices.Clone(peers)
 	for i := len(peers) - 1; i > 0; i-- {
 		j := min(int(c.Random()*float64(i+1)), i)
@@ -288,7 +297,7 @@
 			heard++
 		}
 	}
-	return heard, len(peers)
+	return heard
 }
 
 func (c *Controller) noteNumber(number int64) {
--- /dev/null
+++ b/internal/member/cluster_test.go
@@ -0,0 +1,458 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+const (
+	nodes         = 30
+	tick          = 50 * time.Millisecond
+	inForceWithin = 4 * time.Second
+	leavingWithin = 3 * time.Second
+)
+
+type (
+	manualClock struct{ now time.Time }
+
+	// cluster runs controllers in one goroutine on model time. Messages
+	// between them are direct calls that can be lost or cut.
+	cluster struct {
+		t      testing.TB
+		clock  *manualClock
+		random *rand.Rand
+		memory *plat.Memory
+		nodes  []*node
+		loss   float64
+		cut    func(from, to string) bool
+	}
+
+	node struct {
+		cluster *cluster
+		address string
+		started time.Time
+		alive   bool
+		member  *member.Controller
+		config  *config.Controller
+
+		fetchFails                    bool
+		nextRound, nextLease, nextSet time.Time
+	}
+)
+
+var errLost = errors.New("message lost")
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+func (c *manualClock) After(time.Duration) <-chan time.Time { return make(chan time.Time) }
+
+func newCluster(t testing.TB, seed uint64, size int) *cluster {
+	c := &cluster{
+		t:      t,
+		clock:  &manualClock{now: time.UnixMilli(1_700_000_000_000)},
+		random: rand.New(rand.NewPCG(seed, 1)),
+		memory: plat.NewMemory(),
+		cut:    func(string, string) bool { return false },
+	}
+	for i := range size {
+		c.nodes = append(c.nodes, &node{cluster: c, address: fmt.Sprintf("127.0.0.1:%d", 10000+i)})
+		c.start(i)
+	}
+	return c
+}
+
+// start gives the slot a new process that remembers nothing.
+func (c *cluster) start(i int) {
+	n := c.nodes[i]
+	n.alive = true
+	n.started = c.clock.now
+	n.nextRound, n.nextLease, n.nextSet = c.clock.now, c.clock.now, c.clock.now
+	self := member.Member{
+		Name:         fmt.Sprintf("node-%04d", i),
+		Incarnation:  fmt.Sprintf("inc-%04d-%d", i, c.clock.now.UnixMilli()),
+		StartedMS:    c.clock.now.UnixMilli(),
+		RelayAddress: n.address,
+		DataCentre:   [...]string{"port_louis", "curepipe", "mahebourg"}[i%3],
+		Region:       "mauritius",
+		Service:      "rounds",
+		State:        member.Active,
+	}
+	direct := func(work func()) { work() }
+	log := hclog.NewNullLogger()
+	n.config = config.New(c.memory.Store(), parseAny, c.clock, log)
+	n.config.Random = c.random.Float64
+	n.config.Go = direct
+	n.config.Fetch = n.fetch
+	n.member = member.New(self, c.memory.Store(), c.clock, log)
+	n.member.Random = c.random.Float64
+	n.member.Go = direct
+	n.member.Send = n.send
+	n.member.Revision = n.config.Number
+	n.member.Plans = n.config.Plans
+	n.member.CatchUp = func(ctx context.Context, peers []string) error {
+		return n.config.BootOnce(ctx, peers, c.clock.now.Sub(n.started) < 10*time.Second)
+	}
+	n.member.Heard = func(from string, revision int64, plans []*relaypb.PlanVersion) {
+		n.config.Heard(context.Background(), from, revision)
+		n.config.HeardPlans(context.Background(), from, plans)
+	}
+}
+
+func parseAny(document []byte) (*schema.Set, error) {
+	if strings.HasPrefix(string(document), "broken") {
+		return nil, errors.New("broken document")
+	}
+	return &schema.Set{}, nil
+}
+
+func (n *node) send(_ context.Context, address string, req *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+	to, err := n.reach(address)
+	if err != nil {
+		return nil, err
+	}
+	resp := to.member.Answer(req)
+	if n.cluster.random.Float64() < n.cluster.loss {
+		return nil, errLost
+	}
+	return resp, nil
+}
+
+func (n *node) fetch(_ context.Context, address string, plans []string) (*relaypb.FetchResponse, error) {
+	to, err := n.reach(address)
+	if err != nil || n.fetchFails {
+		return nil, errLost
+	}
+	return to.config.Answer(&relaypb.FetchRequest{Plans: plans}), nil
+}
+
+func (n *node) reach(address string) (*node, error) {
+	for _, to := range n.cluster.nodes {
+		if to.address != address {
+			continue
+		}
+		if !to.alive || n.cluster.cut(n.address, address) || n.cluster.random.Float64() < n.cluster.loss {
+			return nil, errLost
+		}
+		return to, nil
+	}
+	return nil, errLost
+}
+
+func (n *node) step(now time.Time) {
+	ctx := context.Background()
+	if !now.Before(n.nextLease) {
+		n.nextLease = now.Add(n.cluster.about(10 * time.Second))
+		_ = n.member.Refresh(ctx) // an outage is part of the scene
+		_ = n.member.Renew(ctx)
+	}
+	if !now.Before(n.nextSet) {
+		n.nextSet = now.Add(n.cluster.about(2 * time.Second))
+		_ = n.config.Poll(ctx)
+	}
+	if !now.Before(n.nextRound) {
+		n.nextRound = now.Add(n.cluster.about(300 * time.Millisecond))
+		n.member.Round(ctx)
+	}
+}
+
+func (n *node) serves() bool {
+	return n.alive && n.member.Ready() && n.config.Number() > 0
+}
+
+func (c *cluster) about(d time.Duration) time.Duration {
+	return time.Duration((0.5 + c.random.Float64()) * float64(d))
+}
+
+// run lets model time pass until done returns true, and returns how much did.
+func (c *cluster) run(limit time.Duration, done func() bool) time.Duration {
+	begin := c.clock.now
+	for c.clock.now.Sub(begin) < limit && !done() {
+		c.clock.now = c.clock.now.Add(tick)
+		for _, n := range c.nodes {
+			if n.alive {
+				n.step(c.clock.now)
+			}
+		}
+	}
+	return c.clock.now.Sub(begin)
+}
+
+func (c *cluster) pass(d time.Duration) {
+	c.run(d, func() bool { return false })
+}
+
+func (c *cluster) all(holds func(n *node) bool) func() bool {
+	return func() bool {
+		for _, n := range c.nodes {
+			if n.alive && !holds(n) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (c *cluster) commit(by int, document string, expected int64) (config.Revision, error) {
+	return c.nodes[by].config.Commit(context.Background(), []byte(document), expected)
+}
+
+// settled returns a cluster whose nodes all serve revision 1.
+func settled(t testing.TB, seed uint64, size int) *cluster {
+	is := is.New(t)
+	c := newCluster(t, seed, size)
+	_, err := c.commit(0, "first", 0)
+	is.NoErr(err)
+	limit := 20 * time.Second
+	took := c.run(limit, c.all(func(n *node) bool { return n.serves() && len(n.member.All()) == size }))
+	is.True(took < limit) // every node knows every other
+	return c
+}
+
+func hasRevision(number int64) func(*node) bool {
+	return func(n *node) bool { return n.config.Number() == number }
+}
+
+func TestRevisionIsInForceEverywhereWithinSeconds(t *testing.T) {
+	scenes := map[string]func(c *cluster){
+		"store up":                  func(*cluster) {},
+		"store down after accept":   func(c *cluster) { c.memory.SetFaults(plat.Faults{Down: true}) },
+		"third of messages lost":    func(c *cluster) { c.loss = 0.3 },
+		"store down and loss":       func(c *cluster) { c.memory.SetFaults(plat.Faults{Down: true}); c.loss = 0.3 },
+		"store only, no exchange":   func(c *cluster) { c.cut = func(string, string) bool { return true } },
+		"accepting node then stops": func(c *cluster) { c.nodes[7].alive = false },
+	}
+	for name, disturb := range scenes {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				is := is.New(t)
+				c := settled(t, seed, nodes)
+				_, err := c.commit(7, "second", 1)
+				is.NoErr(err)
+				disturb(c)
+				took := c.run(2*inForceWithin, c.all(hasRevision(2)))
+				is.True(took <= inForceWithin) // in force in 30 nodes in time
+			}
+		})
+	}
+}
+
+func TestRestartInOutageNeverServesALowerRevision(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		c := settled(t, seed, nodes)
+		// Two nodes cannot fetch and keep revision 1.
+		c.nodes[1].fetchFails = true
+		c.nodes[2].fetchFails = true
+		_, err := c.commit(7, "second", 1)
+		is.NoErr(err)
+		c.memory.SetFaults(plat.Faults{Down: true})
+		c.pass(inForceWithin)
+		is.Equal(c.nodes[20].config.Number(), int64(2))
+
+		c.start(20)
+		restarted := c.nodes[20]
+		limit := 15 * time.Second
+		took := c.run(limit, func() bool { return restarted.serves() })
+		is.True(took < limit)                         // found by its peers
+		is.Equal(restarted.config.Number(), int64(2)) // not what the two laggards have
+		is.Equal(len(restarted.member.All()), nodes)  // and it knows everybody
+		c.pass(5 * time.Second)                       // the others see the new incarnation
+		is.True(c.all(func(n *node) bool { return knows(n, restarted.member.Self()) })())
+	}
+}
+
+func knows(n *node, row member.Member) bool {
+	for _, known := range n.member.All() {
+		if known.Name == row.Name {
+			return known.Incarnation == row.Incarnation && known.State == row.State
+		}
+	}
+	return false
+}
+
+func TestTwoOperatorsOneWins(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, 3)
+	for expected := int64(1); expected <= 10; expected++ {
+		won, err := c.commit(int(expected)%3, fmt.Sprintf("a-%d", expected), expected)
+		is.NoErr(err)
+		is.Equal(won.Number, expected+1)
+		_, err = c.commit(int(expected+1)%3, fmt.Sprintf("b-%d", expected), expected)
+		is.True(errorx.IsOfType(err, config.Conflict))
+		is.True(strings.Contains(err.Error(), fmt.Sprintf("expected revision %d, but revision %d (%s)", expected, won.Number, won.Digest)))
+	}
+}
+
+func TestLostAnswerMakesOneRevision(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, 3)
+	// Every write takes effect and no writer hears of it, then the reads fail
+	// too: the operator is told that the fate is open.
+	store := c.memory.Store()
+	commit := store.Commit
+	store.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		_, err := commit(ctx, write)
+		c.memory.SetFaults(plat.Faults{Down: true})
+		if err == nil {
+			err = plat.Unavailable.New("answer lost")
+		}
+		return 0, err
+	}
+	operator := config.New(store, parseAny, c.clock, hclog.NewNullLogger())
+	_, err := operator.Commit(context.Background(), []byte("second"), 1)
+	is.True(errorx.IsOfType(err, config.Unresolved))
+	is.Equal(operator.Number(), int64(0)) // not in force here before it is known
+
+	c.memory.SetFaults(plat.Faults{})
+	// Another operator overwrites it before the first tries again.
+	_, err = c.commit(0, "third", 2)
+	is.NoErr(err)
+	again, err := c.commit(1, "second", 1)
+	is.NoErr(err)
+	is.Equal(again.Number, int64(2))
+	c.pass(inForceWithin)
+	is.True(c.all(hasRevision(3))()) // one revision each, and no reversal
+}
+
+func TestLeavingIsSeenEverywhereWhileThePlatformIsDown(t *testing.T) {
+	for _, size := range []int{nodes, 150} {
+		for seed := range uint64(3) {
+			is := is.New(t)
+			c := settled(t, seed, size)
+			c.memory.SetFaults(plat.Faults{Down: true})
+			c.loss = 0.1
+			leaver := c.nodes[3]
+			leaver.member.Leave(context.Background())
+			row := leaver.member.Self()
+			is.Equal(row.State, member.Leaving)
+			took := c.run(2*leavingWithin, c.all(func(n *node) bool { return knows(n, row) }))
+			is.True(took <= leavingWithin)
+		}
+	}
+}
+
+func TestGoneIsNotResurrected(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	leaver := c.nodes[3]
+	stale := leaver.member.Self()
+	leaver.member.Leave(context.Background())
+	c.pass(time.Second)
+	leaver.member.Depart(context.Background())
+	leaver.alive = false
+	c.pass(5 * time.Second)
+	gone := c.all(func(n *node) bool { return len(n.member.All()) == nodes-1 })
+	is.True(gone())
+	// An old message arrives at every node, as after a partition of an hour.
+	c.pass(time.Hour)
+	for _, n := range c.nodes {
+		n.member.Answer(&relaypb.ExchangeRequest{From: stale.RelayAddress, Deltas: []*relaypb.Member{{
+			Name: stale.Name, Incarnation: stale.Incarnation, StartedMs: stale.StartedMS,
+			Version: stale.Version, RelayAddress: stale.RelayAddress, State: uint32(member.Active),
+		}}})
+	}
+	is.True(gone())
+}
+
+func TestHealedPartitionConverges(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	c.memory.SetFaults(plat.Faults{Down: true})
+	side := func(address string) bool { return address < "127.0.0.1:10010" }
+	c.cut = func(from, to string) bool { return side(from) != side(to) }
+	for i, n := range c.nodes {
+		n.member.SetSelf(func(self *member.Member) { self.CallerAddress = fmt.Sprintf("127.0.0.2:%d", 10000+i) })
+	}
+	c.pass(10 * time.Minute)
+	is.True(c.all(func(n *node) bool { return len(n.member.All()) == nodes })()) // nobody lapsed in the outage
+	is.True(c.nodes[0].member.Hash() != c.nodes[29].member.Hash())
+	c.cut = func(string, string) bool { return false }
+	limit := 10 * time.Second
+	took := c.run(limit, c.all(func(n *node) bool { return n.member.Hash() == c.nodes[0].member.Hash() }))
+	is.True(took < limit)
+}
+
+func TestLeasesLapseOnlyWhileThePlatformIsUp(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	c.memory.SetFaults(plat.Faults{Down: true})
+	c.nodes[5].alive = false
+	c.pass(5 * time.Minute)
+	is.True(c.all(func(n *node) bool { return len(n.member.All()) == nodes })())
+	c.memory.SetFaults(plat.Faults{})
+	limit := 2 * time.Minute
+	took := c.run(limit, c.all(func(n *node) bool { return len(n.member.All()) == nodes-1 }))
+	is.True(took < limit)
+	// Back on the same address in a new outage: its peers find it.
+	c.memory.SetFaults(plat.Faults{Down: true})
+	c.pass(time.Second)
+	c.start(5)
+	took = c.run(limit, c.all(func(n *node) bool { return n.serves() && len(n.member.All()) == nodes }))
+	is.True(took < limit)
+}
+
+func TestLaterIncarnationWins(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	paused := c.nodes[4].member
+	c.pass(time.Second)
+	c.start(4)
+	c.pass(20 * time.Second)
+	_, stops := c.nodes[4].member.Superseded()
+	is.True(!stops)
+	is.NoErr(paused.Renew(context.Background())) // the old one wakes
+	later, stops := paused.Superseded()
+	is.True(stops)
+	is.Equal(later.Incarnation, c.nodes[4].member.Self().Incarnation)
+	is.True(c.all(func(n *node) bool { return knows(n, c.nodes[4].member.Self()) })())
+}
+
+func TestRestartWithAClockBehindIsNotTakenForTheEarlier(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	c.memory.SetFaults(plat.Faults{Down: true})
+	now := c.clock.now
+	c.clock.now = now.Add(-time.Hour)
+	c.start(4)
+	c.clock.now = now
+	c.nodes[4].started = now
+	c.pass(15 * time.Second)
+	_, stops := c.nodes[4].member.Superseded()
+	is.True(!stops)
+	is.True(c.all(func(n *node) bool { return knows(n, c.nodes[4].member.Self()) })())
+}
+
+func TestWakeAfterFreezeIsNotReadyBeforeItCaughtUp(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	frozen := c.nodes[4]
+	frozen.alive = false // its process stands still, and its memory stays
+	c.pass(time.Second)
+	_, err := c.commit(7, "second", 1)
+	is.NoErr(err)
+	c.pass(time.Minute)
+	c.memory.SetFaults(plat.Faults{Down: true})
+	is.True(!frozen.member.Ready())
+	frozen.alive = true
+	limit := 10 * time.Second
+	took := c.run(limit, func() bool {
+		is.True(!frozen.member.Ready() || frozen.config.Number() == 2) // never ready with revision 1
+		return frozen.member.Ready()
+	})
+	is.True(took < limit)
+}
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -26,9 +26,12 @@
 	// farShare is the share of rounds that cross into another region.
 	farShare = 0.25
 
-	// settleTime is how long views may differ before a node sends its whole
-	// view: by then deltas have ended every difference that they can.
-	settleTime = 2 * time.Second
+	// settleTime is how long a view must have been unchanged before a node
+	// sends it whole to one whose view differs: while news is under way, deltas
+	// end the difference. Where news never ends, a difference from everybody
+	// that lasts for unsettledTime is enough.
+	settleTime    = 2 * time.Second
+	unsettledTime = 10 * time.Second
 	// A whole view is sent at most once in fullPerMember times the number of
 	// members, and in fullInterval. At 530 members of about 130 bytes that is
 	// 69 KB in 13 s, 5 KB/s at worst.
@@ -80,10 +83,11 @@
 	// Go runs work that may wait for others; nil starts a goroutine.
 	Go func(work func())
 
-	mu       sync.Mutex
-	view     *View
-	seeds    []string // relay addresses heard from before the view is ready
-	inFlight int
+	mu        sync.Mutex
+	view      *View
+	seeds     []string // relay addresses heard from before the view is ready
+	inFlight  int
+	changedAt time.Time // last change of the view
 	// mismatchFrom is since when no exchange found an equal view.
 	mismatchFrom time.Time
 	nextFull     time.Time
@@ -112,8 +116,8 @@
 		unreadyFrom: clk.Now(),
 		answers:     make(map[string]bool),
 
-		kick:   make(chan struct{}, 1),
-		touch:  make(chan struct{}, 1),
+		kick:  make(chan struct{}, 1),
+		touch: make(chan struct{}, 1),
 	}
 }
 
@@ -159,6 +163,9 @@
 	before := c.view.Self().Version
 	c.view.SetSelf(c.Clock.Now(), change)
 	changed := c.view.Self().Version != before
+	if changed {
+		c.changedAt = c.Clock.Now()
+	}
 	c.mu.Unlock()
 	if changed {
 		c.notify()
@@ -243,7 +250,6 @@
 	default:
 		resp.Deltas = toWire(c.view.Deltas(now))
 	}
-	c.noteHash(now, req.GetViewHash())
 	c.mu.Unlock()
 	c.after(changed, req.GetFrom(), req.GetRevision(), req.GetPlans())
 	return resp
@@ -281,9 +287,10 @@
 	told.Wait()
 }
 
-// exchange swaps news with the node at the address.
-func (c *Controller) exchange(ctx context.Context, address string, asked bool) {
-	req, full := c.request(asked)
+// exchange swaps news, or whole views, with the node at the address. If news
+// alone does not make the views equal, the whole view follows.
+func (c *Controller) exchange(ctx context.Context, address string, whole bool) {
+	req := c.request(whole)
 	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	resp, err := c.Send(sendCtx, address, req)
@@ -294,11 +301,11 @@
 	c.mu.Lock()
 	now := c.Clock.Now()
 	changed := c.take(now, address, resp.GetRevision(), fromWire(resp.GetDeltas()))
-	c.noteHash(now, resp.GetViewHash())
+	differs := c.compare(now, resp.GetViewHash())
 	if req.GetWantFull() && !resp.GetWantFull() {
 		c.answers[address] = true // an unready peer's view counts for nothing
 	}
-	wanted := resp.GetWantFull() && !full && !asked && c.allowFull(now)
+	wanted := (resp.GetWantFull() || differs) && !whole && c.allowFull(now)
 	c.mu.Unlock()
 	c.after(changed, address, resp.GetRevision(), resp.GetPlans())
 	if wanted {
@@ -307,15 +314,14 @@
 	c.becomeReady(ctx, false)
 }
 
-func (c *Controller) request(asked bool) (req *relaypb.ExchangeRequest, full bool) {
+func (c *Controller) request(whole bool) *relaypb.ExchangeRequest {
 	revision, plans := c.inForce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	c.view.SetSelf(now, func(self *Member) { self.Revision = revision })
-	full = asked || c.differs(now) && c.allowFull(now)
 	rows := c.view.Deltas(now)
-	if full {
+	if whole {
 		rows = c.view.Full(now)
 	}
 	return &relaypb.ExchangeRequest{
@@ -325,12 +331,15 @@
 		Revision: revision,
 		WantFull: !c.ready,
 		Plans:    plans,
-	}, full
+	}
 }
 
 // take merges what a node sent, and returns whether the view changed.
 func (c *Controller) take(now time.Time, from string, revision int64, rows []Member) bool {
 	changed := len(c.view.Merge(now, rows)) > 0
+	if changed {
+		c.changedAt = now
+	}
 	ended := c.view.Heard(now, from, revision)
 	return changed || ended
 }
@@ -345,17 +354,17 @@
 	}
 }
 
-func (c *Controller) noteHash(now time.Time, other uint64) {
-	switch {
-	case other == c.view.Hash():
+// compare says whether another's view differs in a way that news under way
+// will not end.
+func (c *Controller) compare(now time.Time, other uint64) bool {
+	if other == c.view.Hash() {
 		c.mismatchFrom = time.Time{}
-	case c.mismatchFrom.IsZero():
+		return false
+	}
+	if c.mismatchFrom.IsZero() {
 		c.mismatchFrom = now
 	}
-}
-
-func (c *Controller) differs(now time.Time) bool {
-	return !c.mismatchFrom.IsZero() && now.Sub(c.mismatchFrom) >= settleTime
+	return now.Sub(c.changedAt) >= settleTime || now.Sub(c.mismatchFrom) >= unsettledTime
 }
 
 func (c *Controller) allowFull(now time.Time) bool {
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -139,6 +139,9 @@
 		c.lease.version = max(c.lease.version, row.Version)
 	}
 	changed := len(c.view.Merge(now, []Member{member})) > 0
+	if changed {
+		c.changedAt = now
+	}
 	ended := c.view.Renewed(now, member, row.Version)
 	return changed || ended
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		known := v.entries[row.Name]
-		if known != nil && known.row.Incarnation == row.Incarnation {
+		if known != nil && known.row.Incarnation == row.Incarnation && known.row.StartedMS == row.StartedMS {
 			// The revision only rises and is no part of the version, see
 			// SetSelf, so the higher one holds whichever row wins.
 			known.row.Revision = max(known.row.Revision, row.Revision)
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,188 @@
+package member_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/internal/member"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// TestView runs the scripts in testdata/view. A row is written as
+// name/incarnation/started/version/state.
+func TestView(t *testing.T) {
+	datadriven.Walk(t, "testdata/view", func(t *testing.T, path string) {
+		view := member.NewView(parseRow(t, "self/i1/100/1/active"))
+		now := start
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			lines := strings.Fields(d.Input)
+			switch d.Cmd {
+			case "merge":
+				return show(view.Merge(now, parseRows(t, lines)))
+			case "all":
+				return show(view.All(now))
+			case "self":
+				return show([]member.Member{view.Self()})
+			case "pass":
+				var text string
+				d.ScanArgs(t, "time", &text)
+				passed, err := time.ParseDuration(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(passed)
+				return "lapsed:\n" + show(view.Lapse(now))
+			case "platform":
+				if d.HasArg("up") {
+					view.PlatformUp(now)
+				} else {
+					view.PlatformDown()
+				}
+			case "renewed":
+				var version int64
+				d.ScanArgs(t, "version", &version)
+				for _, row := range parseRows(t, lines) {
+					view.Renewed(now, row, version)
+				}
+			case "deleted":
+				var name string
+				var version int64
+				d.ScanArgs(t, "name", &name)
+				d.ScanArgs(t, "version", &version)
+				row, gone := view.Deleted(now, name, version)
+				if !gone {
+					return "kept\n"
+				}
+				return show([]member.Member{row})
+			case "settle":
+				view.Settle()
+			case "superseded":
+				row, superseded := view.Superseded()
+				if !superseded {
+					return "no\n"
+				}
+				return show([]member.Member{row})
+			case "deltas":
+				return show(view.Deltas(now))
+			default:
+				t.Fatalf("unknown command %s", d.Cmd)
+			}
+			return "ok\n"
+		})
+	})
+}
+
+func parseRows(t *testing.T, lines []string) []member.Member {
+	rows := make([]member.Member, len(lines))
+	for i, line := range lines {
+		rows[i] = parseRow(t, line)
+	}
+	return rows
+}
+
+func parseRow(t *testing.T, line string) member.Member {
+	part := strings.Split(line, "/")
+	started, err := strconv.ParseInt(part[2], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	version, err := strconv.ParseUint(part[3], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := member.Starting
+	for state.String() != part[4] {
+		state++
+	}
+	return member.Member{Name: part[0], Incarnation: part[1], StartedMS: started, Version: version, State: state}
+}
+
+func show(rows []member.Member) string {
+	var text strings.Builder
+	for _, row := range rows {
+		fmt.Fprintf(&text, "%s/%s/%d/%d/%s\n", row.Name, row.Incarnation, row.StartedMS, row.Version, row.State)
+	}
+	if text.Len() == 0 {
+		return "none\n"
+	}
+	return text.String()
+}
+
+func drawRow(t *rapid.T) member.Member {
+	return member.Member{
+		Name:        rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"),
+		Incarnation: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "incarnation"),
+		StartedMS:   rapid.Int64Range(1, 2).Draw(t, "started"),
+		Version:     rapid.Uint64Range(1, 3).Draw(t, "version"),
+		State:       member.State(rapid.IntRange(0, int(member.Gone)).Draw(t, "state")),
+		Revision:    rapid.Int64Range(0, 3).Draw(t, "revision"),
+	}
+}
+
+func merged(rows ...[]member.Member) *member.View {
+	view := member.NewView(member.Member{Name: "self", Incarnation: "s"})
+	for _, some := range rows {
+		view.Merge(start, some)
+	}
+	return view
+}
+
+// naive keeps the best row per name by comparing rows as tuples.
+func naive(rows []member.Member) map[string]member.Member {
+	best := make(map[string]member.Member)
+	rank := func(m member.Member) string {
+		return fmt.Sprintf("%04d %s %04d %d", m.StartedMS, m.Incarnation, m.Version, m.State)
+	}
+	for _, row := range rows {
+		if known, ok := best[row.Name]; !ok || rank(row) > rank(known) {
+			best[row.Name] = row
+		}
+	}
+	return best
+}
+
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		rows := rapid.SliceOfN(rapid.Custom(drawRow), 0, 12).Draw(t, "rows")
+		shuffled := rapid.Permutation(rows).Draw(t, "shuffled")
+		cut := rapid.IntRange(0, len(rows)).Draw(t, "cut")
+
+		whole := merged(rows)
+		other := merged(shuffled[cut:], shuffled[:cut], shuffled) // other order, other grouping, twice
+		is.Equal(whole.Full(start), other.Full(start))
+		is.Equal(whole.Hash(), other.Hash())
+		is.Equal(whole.Hash(), member.HashRows(whole.Full(start)))
+
+		best := naive(rows)
+		for _, row := range whole.Full(start) {
+			want := best[row.Name]
+			want.Revision = row.Revision
+			is.True(row.Name == "self" || row == want)
+		}
+		names := slices.Collect(maps.Keys(best))
+		is.Equal(len(whole.Full(start)), len(names)+1)
+	})
+}
+
+func TestStaleRowsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		rows := rapid.SliceOfN(rapid.Custom(drawRow), 1, 12).Draw(t, "rows")
+		view := merged(rows)
+		before := view.All(start)
+		later := start.Add(time.Hour)
+		is.Equal(len(view.Merge(later, rows)), 0)
+		is.Equal(view.All(later), before)
+	})
+}
