--- /dev/null
+++ b/internal/plat/plat_test.go
@@ -0,0 +1,177 @@
+package plat_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+)
+
+func set(id, value string, expected int64) plat.Write {
+	return plat.Write{Table: "t", ID: id, Changes: []plat.Change{{Key: "k", Value: []byte(value), Expected: expected}}}
+}
+
+func TestMemoryTable(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := plat.NewMemory().Store()
+	first, err := store.Commit(ctx, set("w1", "one", 0))
+	is.NoErr(err)
+	again, err := store.Commit(ctx, set("w1", "one", 0))
+	is.NoErr(err)
+	is.Equal(again, first) // a repeated id answers its first version
+	_, err = store.Commit(ctx, set("w2", "two", 0))
+	is.True(errorx.IsOfType(err, plat.Conflict))
+
+	second, err := store.Commit(ctx, plat.Write{Table: "t", ID: "w3", Changes: []plat.Change{{Key: "k", Expected: first, Delete: true}}})
+	is.NoErr(err)
+	is.True(second > first)
+	row, err := store.Get(ctx, "t", "k")
+	is.NoErr(err)
+	is.Equal(row.Version, int64(0))
+	rows, upTo, err := store.List(ctx, "t", first)
+	is.NoErr(err)
+	is.Equal(upTo, second)
+	is.Equal(len(rows), 1) // the tombstone
+	is.Equal(len(rows[0].Value), 0)
+	_, err = store.Commit(ctx, set("w4", "four", 0)) // a deleted row counts as absent
+	is.NoErr(err)
+}
+
+func TestMemoryTransactionIsWholeOrNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := plat.NewMemory().Store()
+	_, err := store.Commit(ctx, plat.Write{Table: "t", ID: "w1", Changes: []plat.Change{
+		{Key: "a", Value: []byte("1")},
+		{Key: "b", Value: []byte("1"), Expected: 7},
+	}})
+	is.True(errorx.IsOfType(err, plat.Conflict))
+	rows, _, err := store.List(ctx, "t", 0)
+	is.NoErr(err)
+	is.Equal(len(rows), 0)
+}
+
+// lossy passes writes on, and loses the answer or the request as drawn.
+func lossy(store plat.Store, fate func() string) plat.Store {
+	commit := store.Commit
+	store.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		switch fate() {
+		case "request":
+			return 0, plat.Unavailable.New("request lost")
+		case "answer":
+			_, _ = commit(ctx, write)
+			return 0, plat.Unavailable.New("answer lost")
+		}
+		return commit(ctx, write)
+	}
+	return store
+}
+
+// TestResolvedTellsTheTruth compares what a writer was told with what the
+// platform did, for random loss and another writer in between.
+func TestResolvedTellsTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		memory := plat.NewMemory()
+		applied := 0
+		watched := memory.Store()
+		commit := watched.Commit
+		watched.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+			before, _ := watched.Get(ctx, "t", "k")
+			version, err := commit(ctx, write)
+			if err == nil && version != before.Version && write.ID == "mine" {
+				applied++
+			}
+			if rapid.Bool().Draw(t, "other writes") {
+				row, _ := watched.Get(ctx, "t", "k")
+				_, _ = commit(ctx, set("other", "theirs", row.Version))
+			}
+			return version, err
+		}
+		fates := rapid.SampledFrom([]string{"ok", "request", "answer"})
+		store := plat.Resolved(lossy(watched, func() string { return fates.Draw(t, "fate") }))
+		_, err := store.Commit(ctx, set("mine", "mine", 0))
+		switch {
+		case err == nil:
+			is.True(applied >= 1)
+		case errorx.IsOfType(err, plat.Conflict):
+			is.Equal(applied, 0)
+		default:
+			is.True(errorx.IsOfType(err, plat.Unresolved))
+		}
+	})
+}
+
+// TestResolvedAdmitsWhatCannotBeKnown: the answer is lost, another write takes
+// the row, and the platform no longer remembers the first write's id.
+func TestResolvedAdmitsWhatCannotBeKnown(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	inner := plat.NewMemory().Store()
+	commit := inner.Commit
+	calls := 0
+	forgetful := inner
+	forgetful.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		calls++
+		if calls == 1 {
+			version, err := commit(ctx, write)
+			is.NoErr(err)
+			_, err = commit(ctx, set("other", "theirs", version))
+			is.NoErr(err)
+			return 0, plat.Unavailable.New("answer lost")
+		}
+		return 0, plat.Conflict.New("the id is forgotten")
+	}
+	_, err := plat.Resolved(forgetful).Commit(ctx, set("mine", "mine", 0))
+	is.True(errorx.IsOfType(err, plat.Unresolved))
+}
+
+// TestBackoffSpreadsReturningNodes: 530 nodes have failed until their backoff
+// is longest; in no second after the store returns do all come together.
+func TestBackoffSpreadsReturningNodes(t *testing.T) {
+	is := is.New(t)
+	const (
+		nodes          = 530
+		writesASecond  = 300
+		failuresBefore = 12
+	)
+	perSecond := make(map[int64]int)
+	for i := range nodes {
+		clk := &jumpClock{now: time.Unix(0, 0)}
+		draw := 0
+		limits := plat.Limits{Clock: clk, Random: func() float64 {
+			draw++
+			return float64((i*7919+draw*104729)%nodes) / nodes
+		}}
+		store := plat.NewClient("127.0.0.1:1", limits) // nothing listens there
+		for range failuresBefore {
+			_, err := store.Get(context.Background(), "t", "k")
+			is.True(errorx.IsOfType(err, plat.Unavailable))
+		}
+		back := clk.now
+		_, _ = store.Get(context.Background(), "t", "k")
+		perSecond[int64(clk.now.Sub(back)/time.Second)]++
+	}
+	for _, arriving := range perSecond {
+		is.True(arriving < writesASecond)
+	}
+}
+
+// jumpClock moves to the end of every wait.
+type jumpClock struct{ now time.Time }
+
+func (c *jumpClock) Now() time.Time { return c.now }
+
+func (c *jumpClock) After(d time.Duration) <-chan time.Time {
+	c.now = c.now.Add(d)
+	fired := make(chan time.Time, 1)
+	fired <- c.now
+	return fired
+}
