--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,196 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+func controller(store plat.Store) *config.Controller {
+	c := config.New(store, parse, clock.System{}, hclog.NewNullLogger())
+	c.Go = func(work func()) { work() }
+	return c
+}
+
+func parse(document []byte) (*schema.Set, error) {
+	if strings.HasPrefix(string(document), "broken") {
+		return nil, errors.New("broken document")
+	}
+	return &schema.Set{}, nil
+}
+
+func revision(number int64, document string) config.Revision {
+	return config.Revision{Number: number, Digest: config.Digest([]byte(document)), Document: []byte(document)}
+}
+
+func TestOfferTakesOnlyHigherWholeRevisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		c := controller(plat.NewMemory().Store())
+		highest := int64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "offers") {
+			r := revision(rapid.Int64Range(-1, 9).Draw(t, "number"), rapid.SampledFrom([]string{"a", "b", "broken"}).Draw(t, "document"))
+			damaged := rapid.Bool().Draw(t, "damaged")
+			if damaged {
+				r.Document = append(r.Document, 'x')
+			}
+			valid := !damaged && string(r.Document) != "broken" && r.Number > highest
+			is.Equal(c.Offer(r), valid)
+			if valid {
+				highest = r.Number
+			}
+			is.Equal(c.Number(), highest)
+		}
+	})
+}
+
+// TestOperatorsAtTheSameMoment lets the second commit between the first's read
+// of the head and its write.
+func TestOperatorsAtTheSameMoment(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	memory := plat.NewMemory()
+	second := controller(memory.Store())
+	_, err := second.Commit(ctx, []byte("first"), 0)
+	is.NoErr(err)
+
+	slow := memory.Store()
+	commit := slow.Commit
+	var won config.Revision
+	slow.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		if won.Number == 0 {
+			var err error
+			won, err = second.Commit(ctx, []byte("of the second"), 1)
+			is.NoErr(err)
+		}
+		return commit(ctx, write)
+	}
+	first := controller(slow)
+	_, err = first.Commit(ctx, []byte("of the first"), 1)
+	is.True(errorx.IsOfType(err, config.Conflict))
+	is.True(strings.Contains(err.Error(), "expected revision 1, but revision 2 ("+won.Digest+")"))
+	is.Equal(first.Number(), int64(0)) // what was refused is not in force
+	is.NoErr(first.Poll(ctx))
+	is.Equal(first.Current().Digest, won.Digest)
+}
+
+// TestEveryOperatorHearsTheTruth runs operators against a platform that loses
+// answers; each repeats its commit while the fate is open. What they were told
+// must fit the one line of revisions.
+func TestEveryOperatorHearsTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		memory := plat.NewMemory()
+		random := rapid.Float64Range(0, 1)
+		faults := plat.Faults{LoseAnswers: 0.5, Random: func() float64 { return random.Draw(t, "loses") }}
+		line := make(map[int64]string) // what was in force, by number
+		observer := controller(memory.Store())
+		observe := func() {
+			memory.SetFaults(plat.Faults{})
+			is.NoErr(observer.Poll(ctx))
+			if r := observer.Current(); r != nil {
+				known, seen := line[r.Number]
+				is.True(!seen || known == string(r.Document))
+				line[r.Number] = string(r.Document)
+			}
+			memory.SetFaults(faults)
+		}
+		operators := []*config.Controller{controller(memory.Store()), controller(memory.Store())}
+		expected := make([]int64, len(operators))
+		told := make(map[string]int64)
+		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			who := rapid.IntRange(0, len(operators)-1).Draw(t, "operator")
+			document := fmt.Sprintf("document-%d", step)
+			accepted, err := operators[who].Commit(ctx, []byte(document), expected[who])
+			for range 10 {
+				if !errorx.IsOfType(err, config.Unresolved) {
+					break
+				}
+				accepted, err = operators[who].Commit(ctx, []byte(document), expected[who])
+			}
+			observe()
+			switch {
+			case err == nil:
+				told[document] = accepted.Number
+				expected[who] = accepted.Number
+			case errorx.IsOfType(err, config.Conflict):
+				for _, other := range line {
+					is.True(other != document) // told refused, and it is
+				}
+				expected[who] = observer.Number()
+			}
+		}
+		for document, number := range told {
+			is.Equal(line[number], document)
+		}
+		for number := int64(1); number <= observer.Number(); number++ {
+			is.True(line[number] != "") // no number was passed over or used twice
+		}
+	})
+}
+
+func TestBootRefusesToGoBelowWhatItHeard(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	memory := plat.NewMemory()
+	memory.SetFaults(plat.Faults{Down: true})
+	has := map[string]int64{"a": 1, "b": 1, "c": 1, "d": 2}
+	c := controller(memory.Store())
+	c.Fetch = func(_ context.Context, address string, _ []string) (*relaypb.FetchResponse, error) {
+		r := revision(has[address], fmt.Sprintf("document-%d", has[address]))
+		return &relaypb.FetchResponse{Revision: r.Number, Digest: r.Digest, Document: r.Document}, nil
+	}
+	is.True(errorx.IsOfType(c.BootOnce(ctx, nil, false), config.NoRevision))                 // nobody to ask
+	is.True(errorx.IsOfType(c.BootOnce(ctx, []string{"unknown"}, false), config.NoRevision)) // nobody who knows
+	c.Heard(ctx, "unknown", 2)
+	is.True(errorx.IsOfType(c.BootOnce(ctx, []string{"a", "b", "c"}, true), config.NoRevision))
+	is.NoErr(c.BootOnce(ctx, []string{"b", "c", "d"}, true))
+	is.Equal(c.Number(), int64(2))
+}
+
+func TestPlansTravel(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	memory := plat.NewMemory()
+	owner := controller(memory.Store())
+	other := controller(memory.Store())
+	other.Fetch = func(_ context.Context, _ string, plans []string) (*relaypb.FetchResponse, error) {
+		return owner.Answer(&relaypb.FetchRequest{Plans: plans}), nil
+	}
+	var taken []int64
+	other.OnPlan = func(_ string, _ []byte, version int64) { taken = append(taken, version) }
+
+	first, err := owner.CommitPlan(ctx, "orders", []byte("p1"), 0)
+	is.NoErr(err)
+	_, err = other.CommitPlan(ctx, "orders", []byte("p2"), 0)
+	is.True(errorx.IsOfType(err, config.Conflict))
+	memory.SetFaults(plat.Faults{LoseAnswers: 1})
+	second, err := owner.CommitPlan(ctx, "orders", []byte("p3"), first)
+	is.NoErr(err) // its answer was lost, and the row tells
+	again, err := owner.CommitPlan(ctx, "orders", []byte("p3"), first)
+	is.NoErr(err)
+	is.Equal(again, second) // one write
+
+	memory.SetFaults(plat.Faults{Down: true})
+	other.HeardPlans(ctx, "owner", owner.Plans())
+	other.HeardPlans(ctx, "owner", owner.Plans())
+	is.True(!other.OfferPlan("orders", []byte("p1"), first))
+	document, version := other.Plan("orders")
+	is.Equal(string(document), "p3")
+	is.Equal(version, second)
+	is.Equal(taken, []int64{second})
+}
