--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -26,9 +26,12 @@
 	// farShare is the share of rounds that cross into another region.
 	farShare = 0.25
 
-	// settleTime is how long views may differ before a node sends its whole
-	// view: by then deltas have ended every difference that they can.
-	settleTime = 2 * time.Second
+	// settleTime is how long a view must have been unchanged before a node
+	// sends it whole to one whose view differs: while news is under way, deltas
+	// end the difference. Where news never ends, a difference from everybody
+	// that lasts for unsettledTime is enough.
+	settleTime    = 2 * time.Second
+	unsettledTime = 10 * time.Second
 	// A whole view is sent at most once in fullPerMember times the number of
 	// members, and in fullInterval. At 530 members of about 130 bytes that is
 	// 69 KB in 13 s, 5 KB/s at worst.
@@ -44,6 +47,12 @@
 	// answer, before it trusts its view.
 	catchUpPeers = 3
 
+	// catchUpPatience is how long it waits for that many; silent peers may be
+	// dead, and while the platform is down their leases do not run out.
+	catchUpPatience = 10 * time.Second
+	// catchUpTimeout bounds one attempt of CatchUp.
+	catchUpTimeout = 15 * time.Second
+
 	// leaveFanout is how many members a leaving node tells by itself.
 	leaveFanout = 64
 )
@@ -74,17 +83,21 @@
 	// Go runs work that may wait for others; nil starts a goroutine.
 	Go func(work func())
 
-	mu       sync.Mutex
-	view     *View
-	seeds    []string // relay addresses heard from before the view is ready
-	inFlight int
+	mu        sync.Mutex
+	view      *View
+	seeds     []string // relay addresses heard from before the view is ready
+	inFlight  int
+	changedAt time.Time // last change of the view
 	// mismatchFrom is since when no exchange found an equal view.
 	mismatchFrom time.Time
 	nextFull     time.Time
 	lastRound    time.Time
 	ready        bool
 	catchingUp   bool
-	answers      int // whole views received since the node was last unready
+	unreadyFrom  time.Time
+	// answers holds the relay addresses of those that gave their whole view
+	// since the node was last unready.
+	answers map[string]bool
 
 	kick  chan struct{}
 	touch chan struct{}
@@ -99,8 +112,12 @@
 		Random: rand.Float64,
 		Log:    log,
 		view:   NewView(self),
-		kick:   make(chan struct{}, 1),
-		touch:  make(chan struct{}, 1),
+
+		unreadyFrom: clk.Now(),
+		answers:     make(map[string]bool),
+
+		kick:  make(chan struct{}, 1),
+		touch: make(chan struct{}, 1),
 	}
 }
 
@@ -146,6 +163,9 @@
 	before := c.view.Self().Version
 	c.view.SetSelf(c.Clock.Now(), change)
 	changed := c.view.Self().Version != before
+	if changed {
+		c.changedAt = c.Clock.Now()
+	}
 	c.mu.Unlock()
 	if changed {
 		c.notify()
@@ -230,7 +250,6 @@
 	default:
 		resp.Deltas = toWire(c.view.Deltas(now))
 	}
-	c.noteHash(now, req.GetViewHash())
 	c.mu.Unlock()
 	c.after(changed, req.GetFrom(), req.GetRevision(), req.GetPlans())
 	return resp
@@ -268,12 +287,13 @@
 	told.Wait()
 }
 
-// exchange swaps news with the node at the address.
-func (c *Controller) exchange(ctx context.Context, address string, asked bool) {
-	req, full := c.request(asked)
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+// exchange swaps news, or whole views, with the node at the address. If news
+// alone does not make the views equal, the whole view follows.
+func (c *Controller) exchange(ctx context.Context, address string, whole bool) {
+	req := c.request(whole)
+	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	resp, err := c.Send(ctx, address, req)
+	resp, err := c.Send(sendCtx, address, req)
 	if err != nil {
 		c.Log.Debug("exchange_failed", "address", address, "error", err)
 		return
@@ -281,11 +301,11 @@
 	c.mu.Lock()
 	now := c.Clock.Now()
 	changed := c.take(now, address, resp.GetRevision(), fromWire(resp.GetDeltas()))
-	c.noteHash(now, resp.GetViewHash())
+	differs := c.compare(now, resp.GetViewHash())
 	if req.GetWantFull() && !resp.GetWantFull() {
-		c.answers++ // an unready peer's view counts for nothing
+		c.answers[address] = true // an unready peer's view counts for nothing
 	}
-	wanted := resp.GetWantFull() && !full && !asked && c.allowFull(now)
+	wanted := (resp.GetWantFull() || differs) && !whole && c.allowFull(now)
 	c.mu.Unlock()
 	c.after(changed, address, resp.GetRevision(), resp.GetPlans())
 	if wanted {
@@ -294,15 +314,14 @@
 	c.becomeReady(ctx, false)
 }
 
-func (c *Controller) request(asked bool) (req *relaypb.ExchangeRequest, full bool) {
+func (c *Controller) request(whole bool) *relaypb.ExchangeRequest {
 	revision, plans := c.inForce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	c.view.SetSelf(now, func(self *Member) { self.Revision = revision })
-	full = asked || c.differs(now) && c.allowFull(now)
 	rows := c.view.Deltas(now)
-	if full {
+	if whole {
 		rows = c.view.Full(now)
 	}
 	return &relaypb.ExchangeRequest{
@@ -312,12 +331,15 @@
 		Revision: revision,
 		WantFull: !c.ready,
 		Plans:    plans,
-	}, full
+	}
 }
 
 // take merges what a node sent, and returns whether the view changed.
 func (c *Controller) take(now time.Time, from string, revision int64, rows []Member) bool {
 	changed := len(c.view.Merge(now, rows)) > 0
+	if changed {
+		c.changedAt = now
+	}
 	ended := c.view.Heard(now, from, revision)
 	return changed || ended
 }
@@ -332,17 +354,17 @@
 	}
 }
 
-func (c *Controller) noteHash(now time.Time, other uint64) {
-	switch {
-	case other == c.view.Hash():
+// compare says whether another's view differs in a way that news under way
+// will not end.
+func (c *Controller) compare(now time.Time, other uint64) bool {
+	if other == c.view.Hash() {
 		c.mismatchFrom = time.Time{}
-	case c.mismatchFrom.IsZero():
+		return false
+	}
+	if c.mismatchFrom.IsZero() {
 		c.mismatchFrom = now
 	}
-}
-
-func (c *Controller) differs(now time.Time) bool {
-	return !c.mismatchFrom.IsZero() && now.Sub(c.mismatchFrom) >= settleTime
+	return now.Sub(c.changedAt) >= settleTime || now.Sub(c.mismatchFrom) >= unsettledTime
 }
 
 func (c *Controller) allowFull(now time.Time) bool {
@@ -363,45 +385,57 @@
 	}
 	c.Log.Warn("woke_after_freeze", "frozen", now.Sub(c.lastRound))
 	c.ready = false
-	c.answers = 0
+	c.unreadyFrom = now
+	clear(c.answers)
 	c.view.PlatformDown()
 	signal(c.touch)
 }
 
 // becomeReady ends the start or the wake, once the platform's table or enough
-// peers have given their whole view.
+// peers have given their whole view, and the configuration is caught up with.
 func (c *Controller) becomeReady(ctx context.Context, fromTable bool) {
 	c.mu.Lock()
 	peers := c.others(func(Member) bool { return true })
-	enough := fromTable || c.answers > 0 && c.answers >= min(catchUpPeers, len(peers))
-	if c.ready || c.catchingUp || !enough {
-		c.mu.Unlock()
-		return
+	enough := min(catchUpPeers, len(peers))
+	if c.Clock.Now().Sub(c.unreadyFrom) >= catchUpPatience {
+		enough = 1
 	}
-	c.catchingUp = true
+	heard := fromTable || len(c.answers) > 0 && len(c.answers) >= enough
+	start := heard && !c.ready && !c.catchingUp
+	c.catchingUp = c.catchingUp || start
 	c.mu.Unlock()
+	if start {
+		c.run(func() { c.catchUp(ctx, peers, fromTable) })
+	}
+}
 
+func (c *Controller) catchUp(ctx context.Context, peers []string, fromTable bool) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
 	var err error
 	if c.CatchUp != nil {
 		err = c.CatchUp(ctx, peers)
 	}
-
 	c.mu.Lock()
 	c.catchingUp = false
-	c.ready = err == nil
-	if c.ready {
-		c.view.Settle()
-		c.seeds = nil
+	if err == nil {
+		c.setReady(fromTable)
 	}
 	c.mu.Unlock()
 	if err != nil {
 		c.Log.Warn("catch_up_failed", "error", err)
 		return
 	}
-	c.Log.Info("view_ready", "members", len(peers)+1, "from_table", fromTable)
 	c.notify()
 }
 
+func (c *Controller) setReady(fromTable bool) {
+	c.ready = true
+	c.seeds = nil
+	c.view.Settle()
+	c.Log.Info("view_ready", "members", len(c.view.names()), "from_table", fromTable)
+}
+
 // pickPeers chooses the addresses for one round: one member of the own data
 // centre and one of all, or of another region in a share of the rounds. While
 // the node knows nobody it answers those that found it.
