--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -20,6 +20,9 @@
 	keyHeader      = "Idempotency-Key"
 )
 
+// unnamed stands in for the name of a request that has none.
+const unnamed = "unnamed"
+
 // baseRequest cuts the attempt from the value of RequestHeader, so that
 // "7-12.2" becomes "7-12".
 func baseRequest(attempt string) string {
