--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -70,7 +70,7 @@
 			"mesh":    startMesh,
 			"signal":  signalProcess,
 			"restart": restart,
-			"stop":    stop,
+			"leave":   leave,
 			"expect":  expect,
 			"switch":  faultSwitch,
 			"logged":  logged,
@@ -128,8 +128,8 @@
 	}
 }
 
-// stop NAME... asks processes to stop and waits for their own end.
-func stop(ts *testscript.TestScript, neg bool, args []string) {
+// leave NAME... asks processes to stop and waits for their own end.
+func leave(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
 	for _, name := range args {
 		p := m.get(ts, name)
