Prove the attempt book and script every result code

The book's property test delivers attempts late, twice and out of order with a clock that is set back, under a bound of six entries. An attempt runs at most once, never after it was said not to have run, and Done has its own answer. Book.Begin now says Expired, not Tombstoned, for an id older than Keep: the attempt may have run and been forgotten, so "not run" would be a guess.

--- a/internal/fate/classify.go
+++ b/internal/fate/classify.go
@@ -43,6 +43,24 @@
 	}
 )
 
+// Code returns the code for an attempt that Begin didn't let run, and 0 for Fresh
+// and Done. An invalid id may become valid as the clock goes on, so that the
+// attempt cannot be said never to run.
+func (v Verdict) Code() result.Code {
+	switch v {
+	case Fresh, Done:
+		return 0
+	case Running:
+		return result.RunningStill
+	case Tombstoned:
+		return result.Tombstoned
+	case Full:
+		return result.MemoryBound
+	default:
+		return result.Lost
+	}
+}
+
 // Classify returns the result code of an attempt at the node beside the target.
 // A code of the family NotRun is returned only if the call ran nowhere.
 func Classify(f Facts) result.Code {
--- a/internal/fate/fate.go
+++ b/internal/fate/fate.go
@@ -13,7 +13,7 @@
 )
 
 type (
-	// Verdict is what the book says of an attempt.
+	// Verdict is what the book says of an attempt. Only a Fresh one may run.
 	Verdict uint8
 
 	// State is the verdict that Ask returns: NeverSeen, Running, Done,
@@ -88,8 +88,8 @@
 	// Dropped means that the attempt ended and its answer was dropped to stay
 	// inside the memory bound; its result is unknown.
 	Dropped
-	// Tombstoned means that the attempt was said to be never seen, or that its
-	// id is older than Keep. It must not run.
+	// Tombstoned means that the attempt was said to be never seen. It must not
+	// run.
 	Tombstoned
 	// Full means that the memory bound refuses the attempt. It has not run and
 	// never will.
@@ -97,7 +97,7 @@
 	// NeverSeen means that the attempt has not run and never will.
 	NeverSeen
 	// Expired means that the id is older than Keep, so that the book may have
-	// forgotten the attempt.
+	// forgotten the attempt. It must not run.
 	Expired
 	// Invalid means that the id is no UUIDv7, or minted in the future by more
 	// than the margin. It must not run.
@@ -133,7 +133,7 @@
 		return Invalid, none
 	}
 	if b.expired(now, minted) {
-		return Tombstoned, none
+		return Expired, none
 	}
 	if minted.UnixMilli() <= b.refusedThroughMS {
 		b.stats.Refused++
--- /dev/null
+++ b/internal/fate/fate_test.go
@@ -0,0 +1,178 @@
+package fate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+const startMS = 1_700_000_000_000
+
+var testSettings = Settings{Keep: 10 * time.Second, MaxBytes: 6 * entryBytes, Margin: time.Second}
+
+// attemptID returns the id with the given mint time and number.
+func attemptID(mintedMS int64, number int) string {
+	id := uuid.NewSHA1(uuid.Nil, fmt.Append(nil, number))
+	for i := range 6 {
+		id[i] = byte(mintedMS >> (40 - 8*i))
+	}
+	id[6] = 0x70 | id[6]&0x0f
+	return id.String()
+}
+
+func at(ms int64) time.Time { return time.UnixMilli(startMS + ms) }
+
+func id(ms int64, number int) string { return attemptID(startMS+ms, number) }
+
+// Whatever is delivered late, twice or out of order, an attempt runs at most
+// once, never after it was said not to have run, and has its own answer.
+func TestBookKeepsItsWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New[string](testSettings)
+		nowMS := int64(startMS)
+		var ids []string
+		ran, ended, notRun := map[string]int{}, map[string]bool{}, map[string]bool{}
+		pick := func(t *rapid.T) string {
+			if len(ids) == 0 || rapid.IntRange(0, 3).Draw(t, "fresh") == 0 {
+				skewMS := rapid.Int64Range(-1000, 1000).Draw(t, "skew")
+				ids = append(ids, attemptID(nowMS+skewMS, len(ids)))
+				return ids[len(ids)-1]
+			}
+			return rapid.SampledFrom(ids).Draw(t, "id")
+		}
+		check := func(verdict Verdict, attempt, answer string) {
+			if verdict == Done && (answer != "answer of "+attempt || !ended[attempt]) {
+				t.Fatalf("attempt %s got %q", attempt, answer)
+			}
+			if verdict == Running && ended[attempt] {
+				t.Fatalf("attempt %s ended and is said to run", attempt)
+			}
+			if ran[attempt] > 1 || ran[attempt] == 1 && notRun[attempt] {
+				t.Fatalf("attempt %s ran %d times, said not to have run: %t", attempt, ran[attempt], notRun[attempt])
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				is.New(t).True(b.Stats().Bytes <= testSettings.MaxBytes)
+			},
+			// A clock that is set back must not bring an id back to life.
+			"wait": func(t *rapid.T) { nowMS += rapid.Int64Range(-8000, 12000).Draw(t, "ms") },
+			"begin": func(t *rapid.T) {
+				attempt := pick(t)
+				verdict, answer := b.Begin(time.UnixMilli(nowMS), attempt)
+				if verdict == Fresh {
+					ran[attempt]++
+				}
+				notRun[attempt] = notRun[attempt] || verdict == Full || verdict == Tombstoned
+				check(verdict, attempt, answer)
+			},
+			"end": func(t *rapid.T) {
+				attempt := pick(t)
+				b.End(time.UnixMilli(nowMS), attempt, "answer of "+attempt, rapid.IntRange(0, 3*entryBytes).Draw(t, "size"))
+				ended[attempt] = ended[attempt] || ran[attempt] > 0
+			},
+			"ask": func(t *rapid.T) {
+				attempt := pick(t)
+				state, answer := b.Ask(time.UnixMilli(nowMS), attempt)
+				notRun[attempt] = notRun[attempt] || state == NeverSeen
+				check(state, attempt, answer)
+			},
+			"forget": func(*rapid.T) { b.Forget(time.UnixMilli(nowMS)) },
+		})
+	})
+}
+
+func TestScripts(t *testing.T) {
+	names := [...]string{"fresh", "running", "done", "dropped", "tombstoned", "full", "never_seen", "expired", "invalid"}
+	datadriven.Walk(t, "testdata/book", func(t *testing.T, path string) {
+		b := New[string](testSettings)
+		nowMS := int64(0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			attempt := ""
+			if len(d.CmdArgs) > 0 {
+				attempt = d.CmdArgs[0].Key
+			}
+			var minted int64
+			var number int
+			if _, err := fmt.Sscanf(attempt, "%d/%d", &minted, &number); err == nil {
+				attempt = id(minted, number)
+			}
+			switch d.Cmd {
+			case "at":
+				_, err := fmt.Sscan(attempt, &nowMS)
+				is.New(t).NoErr(err)
+			case "begin":
+				verdict, answer := b.Begin(at(nowMS), attempt)
+				return fmt.Sprintln(names[verdict], verdict.Code(), answer)
+			case "ask":
+				state, answer := b.Ask(at(nowMS), attempt)
+				return fmt.Sprintln(names[state], answer)
+			case "end":
+				var size int
+				d.ScanArgs(t, "size", &size)
+				b.End(at(nowMS), attempt, fmt.Sprint("answer ", number), size)
+			case "forget":
+				b.Forget(at(nowMS))
+			case "stats":
+				return fmt.Sprintf("%+v\n", b.Stats())
+			default:
+				t.Fatalf("unknown command %s", d.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+// Each line of the tables is a set of facts and the code that follows.
+func TestTables(t *testing.T) {
+	states := map[string]State{
+		"running": Running, "done": Done, "dropped": Dropped,
+		"never_seen": NeverSeen, "expired": Expired, "invalid": Invalid,
+	}
+	datadriven.Walk(t, "testdata/codes", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			has := d.HasArg
+			if d.Cmd == "classify" {
+				f := Facts{Sent: has("sent"), BodyWhole: has("whole"), TooLarge: has("large")}
+				f.TimedOut, f.Cancelled, f.ChildrenRan = has("timed_out"), has("cancelled"), has("children")
+				d.MaybeScanArgs(t, "status", &f.Status)
+				d.MaybeScanArgs(t, "shed", &f.ShedStatus)
+				return fmt.Sprintln(Classify(f))
+			}
+			l := Loss{Sent: has("sent"), OtherIncarnation: has("other"), Answer: result.TargetFailed}
+			l.TimedOut, l.Cancelled = has("timed_out"), has("cancelled")
+			for name, state := range states {
+				if has(name) {
+					l.Asked, l.State = true, state
+				}
+			}
+			return fmt.Sprintln(Resolve(l))
+		})
+	})
+}
+
+// A code of the family NotRun needs proof: nothing was sent, or the target shed
+// the call, and none of its own calls ran.
+func TestNotRunNeedsProof(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		flag := func(name string) bool { return rapid.Bool().Draw(t, name) }
+		f := Facts{Sent: flag("sent"), BodyWhole: flag("whole"), TooLarge: flag("large")}
+		f.TimedOut, f.Cancelled, f.ChildrenRan = flag("timed out"), flag("cancelled"), flag("children")
+		f.Status = rapid.SampledFrom([]int{0, 101, 200, 302, 404, 429, 500, 503, 504, 700}).Draw(t, "status")
+		proven := !f.ChildrenRan && (!f.Sent || f.Status == 503)
+		code := Classify(f)
+		if (code.Family() == result.NotRun) != proven {
+			t.Fatalf("%+v is %v", f, code)
+		}
+		if code == result.OK && (!f.BodyWhole || f.TooLarge) {
+			t.Fatalf("%+v is %v", f, code)
+		}
+	})
+}
