--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -30,11 +30,6 @@
 		running []Key
 	}
 
-	delayedWrite struct {
-		base int64
-		plan Plan
-	}
-
 	// model runs ledgers on hosts that freeze, crash and are replaced, above a
 	// table whose writes are lost, delayed and answered in vain.
 	model struct {
@@ -48,17 +43,18 @@
 		// strays are processes whose host was given up while they were alive.
 		strays  []*proc
 		table   Plan
-		delayed []delayedWrite
+		delayed []Plan
 		keys    []Key
 		ran     map[string]int
 		// never holds the keys that were said to be too old for any owner.
 		never map[string]bool
 		// naive is the memory of a version that records keys where they arrive.
-		naive        map[*proc]map[string]bool
+		naive        map[string]bool
 		naiveRan     map[string]int
 		naiveDoubles int
-		seen         map[string]int
-		err          error
+		// seen counts the verdicts and what else the trace came to.
+		seen map[string]int
+		err  error
 	}
 )
 
@@ -77,7 +73,7 @@
 	m := &model{
 		fault: f, nowMS: 1_700_000_000_000, names: []string{"a", "b", "c"}, hosts: make([]*proc, 3),
 		ran: map[string]int{}, never: map[string]bool{},
-		naive: map[*proc]map[string]bool{}, naiveRan: map[string]int{}, seen: map[string]int{},
+		naive: map[string]bool{}, naiveRan: map[string]int{}, seen: map[string]int{},
 	}
 	for i := range m.hosts {
 		m.start(i, i*50)
@@ -146,21 +142,15 @@
 	if m.fault != ignorePromise && !p.ledger.Promise(m.clock(p), next) {
 		return
 	}
-	base := p.plan.Version
-	switch outcome % 4 {
-	case 0:
-		m.delayed = append(m.delayed, delayedWrite{base, next})
-	case 1:
-		m.commit(base, next)
-	default:
-		if m.commit(base, next) {
-			m.learn(p, next)
-		}
+	if outcome%4 == 0 {
+		m.delayed = append(m.delayed, next)
+	} else if m.commit(next) && outcome%4 > 1 {
+		m.learn(p, next)
 	}
 }
 
-func (m *model) commit(base int64, next Plan) bool {
-	if m.table.Version != base {
+func (m *model) commit(next Plan) bool {
+	if m.table.Version != next.Version-1 {
 		return false
 	}
 	m.table = next
@@ -216,13 +206,11 @@
 }
 
 func (m *model) sendNaive(p *proc, k Key) {
-	if m.naive[p] == nil {
-		m.naive[p] = map[string]bool{}
-	}
-	if m.naive[p][k.Text] {
+	id := p.node.Incarnation + k.Text
+	if m.naive[id] {
 		return
 	}
-	m.naive[p][k.Text] = true
+	m.naive[id] = true
 	m.naiveRan[k.Text]++
 	if m.naiveRan[k.Text] == 2 {
 		m.naiveDoubles++
@@ -294,7 +282,7 @@
 
 func (m *model) step(e event) {
 	procs := m.procs()
-	var p *proc
+	p := &proc{frozen: true}
 	if len(procs) > 0 {
 		p = procs[e.Proc%len(procs)]
 	}
@@ -304,9 +292,8 @@
 	case op < 5:
 		m.nowMS += int64(e.Arg * e.Arg / 10)
 	case op == 5 && len(m.delayed) > 0:
-		write := m.delayed[e.Pick%len(m.delayed)]
-		m.commit(write.base, write.plan)
-	case p == nil || p.frozen:
+		m.commit(m.delayed[e.Pick%len(m.delayed)])
+	case p.frozen:
 	case op < 12:
 		m.control(p, e)
 	case op == 12:
@@ -323,13 +310,10 @@
 }
 
 func (m *model) run(trace []event) error {
-	for i, e := range trace {
-		m.step(e)
-		if m.err != nil {
-			return fmt.Errorf("event %d: %w", i, m.err)
-		}
+	for i := 0; i < len(trace) && m.err == nil; i++ {
+		m.step(trace[i])
 	}
-	return nil
+	return m.err
 }
 
 // randomTrace returns the trace of a seed.
--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -33,8 +33,10 @@
 	renewNumerator   = 3
 	renewDenominator = 4
 	// freeMargins is the number of clock margins before its end from which a
-	// holding is no longer renewed and the slot may be claimed.
-	freeMargins = 4
+	// holding is no longer renewed and the slot may be claimed; at most one part
+	// in freeLeaseShare of the lease.
+	freeMargins    = 4
+	freeLeaseShare = 4
 )
 
 // Next returns the plan as self should change it, and false when nothing is to
@@ -273,7 +275,8 @@
 // isFree says whether the slot's last holding has ended or was cut to end soon.
 func (d *draft) isFree(slot Slot) bool {
 	last, ok := slot.last()
-	return !ok || last.UntilMS <= d.nowMS+freeMargins*d.marginMS()
+	windowMS := min(freeMargins*d.marginMS(), d.leaseMS()/freeLeaseShare)
+	return !ok || last.UntilMS <= d.nowMS+windowMS
 }
 
 // cutMS is the end of a holding that is closed now: above the mint time of
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -78,8 +78,8 @@
 		// Slots is the number of slots of a new plan. A plan keeps the number
 		// that it was made with, since it decides the slot of each key.
 		Slots int
-		// Lease is how far ahead a holding is renewed. It is at least
-		// 16 times Margin.
+		// Lease is how far ahead a holding is renewed. It should be at least
+		// 16 times Margin, so that slots which were given up are soon claimed.
 		Lease time.Duration
 		// Margin is the most by which the clocks of two hosts differ.
 		Margin time.Duration
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"regexp"
 	"runtime"
 	"slices"
 	"strconv"
@@ -155,29 +156,20 @@
 	})
 }
 
-func TestMintedKeyIsReadBack(t *testing.T) {
-	is := is.New(t)
-	now := time.UnixMilli(startMS)
-	k, err := ParseKey(Mint(now).Text)
-	is.NoErr(err)
-	is.True(k.Minted.Equal(now))
-}
-
 func FuzzParseKey(f *testing.F) {
-	f.Add("018bcfe5-6800-7c6b-904d-833943209b3c")
+	f.Add(Mint(time.UnixMilli(startMS)).Text)
 	f.Add("018BCFE5-6800-7C6B-904D-833943209B3C")
 	f.Add("018bcfe5-6800-4c6b-904d-833943209b3c")
 	f.Add("018bcfe5-6800-7c6b-c04d-833943209b3c")
-	f.Add("{018bcfe5-6800-7c6b-904d-833943209b3c}")
 	f.Add("urn:uuid:018bcfe5-6800-7c6b-904d-833943209b3c")
+	canonical := regexp.MustCompile(`^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$`)
 	f.Fuzz(func(t *testing.T, text string) {
 		k, err := ParseKey(text)
-		canonical := len(text) == 36 && text[14] == '7' && strings.ContainsRune("89ab", rune(text[19]))
-		if err == nil && (!canonical || k.Text != text || strings.ToLower(text) != text) {
-			t.Fatalf("accepted %q as %q", text, k.Text)
+		if (err == nil) != canonical.MatchString(text) {
+			t.Fatalf("%q gives %v", text, err)
 		}
-		if err == nil && fmt.Sprintf("%012x", k.Minted.UnixMilli()) != text[:8]+text[9:13] {
-			t.Fatalf("%q has mint time %v", text, k.Minted)
+		if err == nil && (k.Text != text || fmt.Sprintf("%012x", k.Minted.UnixMilli()) != text[:8]+text[9:13]) {
+			t.Fatalf("%q is read as %v", text, k)
 		}
 	})
 }
@@ -194,35 +186,34 @@
 	is.True(errorx.IsOfType(err, InvalidPlan))
 }
 
-// Any number of nodes that start, leave and vanish reach a plan in which all
-// slots are held by the living and no two shares differ by more than one.
+// Any nodes that come and go reach a plan in which the living hold all slots, in
+// shares that differ by one at most.
 func TestSharesLevel(t *testing.T) {
 	rules := Rules{Slots: 12, Lease: time.Minute, Margin: 100 * time.Millisecond, KeyAge: time.Minute}
+	toggled := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 4)
 	rapid.Check(t, func(t *rapid.T) {
-		now := time.UnixMilli(startMS)
 		var p Plan
 		members := map[string]Node{}
-		for range rapid.IntRange(1, 6).Draw(t, "changes") {
-			for _, name := range rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 4).Draw(t, "toggled") {
+		for round := range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			for _, name := range toggled.Draw(t, "toggled") {
 				if _, ok := members[name]; ok {
 					delete(members, name)
 				} else {
-					members[name] = Node{Name: name, Incarnation: fmt.Sprint(name, now.UnixMilli()), StartedMS: now.UnixMilli()}
+					members[name] = Node{Name: name, Incarnation: fmt.Sprint(name, round), StartedMS: int64(round)}
 				}
 			}
-			for range 90 {
-				now = now.Add(time.Second)
+			for second := range 90 {
+				now := time.UnixMilli(startMS).Add(time.Duration(round*90+second) * time.Second)
 				for _, node := range members {
 					p, _ = Next(now, p, node, slices.Collect(maps.Values(members)), rules)
 				}
 			}
 			held := map[string]int{}
 			for _, slot := range p.Slots {
-				last, _ := slot.last()
-				held[last.Incarnation]++
+				held[slot.Holdings[len(slot.Holdings)-1].Incarnation]++
 			}
 			for _, node := range members {
-				if held[node.Incarnation] < 12/len(members) || held[node.Incarnation] > (11+len(members))/len(members) {
+				if low := rules.Slots / len(members); held[node.Incarnation] < low || held[node.Incarnation] > low+1 {
 					t.Fatalf("%d members hold %v", len(members), held)
 				}
 			}
@@ -230,33 +221,32 @@
 	})
 }
 
-func benchLedger(now time.Time, maxBytes int64) *Ledger[[]byte] {
+// benchLedger returns a ledger with records minted over the last ten minutes.
+func benchLedger(now time.Time, records int) *Ledger[[]byte] {
 	self := Node{Name: "a", Incarnation: "a1"}
 	rules := Rules{Slots: 12, Lease: time.Hour, Margin: time.Second, KeyAge: time.Hour}
-	l := NewLedger[[]byte](self, rules, maxBytes)
-	p, _ := Next(now, Plan{}, self, nil, rules)
+	l := NewLedger[[]byte](self, rules, 1<<40)
+	p, _ := Next(now.Add(-10*time.Minute), Plan{}, self, nil, rules)
 	l.Learn(p)
+	for i := range records {
+		age := 10 * time.Minute * time.Duration(i) / time.Duration(records)
+		l.Accept(now, Mint(now.Add(-age)), "order", 1)
+	}
 	return l
 }
 
 func BenchmarkAccept(b *testing.B) {
 	now := time.UnixMilli(startMS)
 	for _, held := range []int{1_000, 1_000_000} {
+		l := benchLedger(now, held)
+		keys := make([]Key, 1<<16)
+		for i := range keys {
+			keys[i] = Mint(now)
+		}
 		b.Run(fmt.Sprint("held=", held), func(b *testing.B) {
-			l := benchLedger(now, 1<<40)
-			for i := range held {
-				l.Accept(now, Mint(now.Add(time.Duration(i)*time.Hour/time.Duration(held))), "order", 1)
-			}
-			keys := make([]Key, 1<<16)
-			for i := range keys {
-				keys[i] = Mint(now)
-			}
-			i := 0
-			for b.Loop() {
-				k := keys[i%len(keys)]
-				l.Accept(now, k, "order", 1)
-				l.Abandon(now, k)
-				i++
+			for i := 0; b.Loop(); i++ {
+				l.Accept(now, keys[i%len(keys)], "order", 1)
+				l.Abandon(now, keys[i%len(keys)])
 			}
 		})
 	}
@@ -264,20 +254,17 @@
 
 // BenchmarkRecord reports the memory of one record without its answer.
 func BenchmarkRecord(b *testing.B) {
-	now := time.UnixMilli(startMS)
 	const records = 500_000
-	for b.Loop() {
-		var before, after runtime.MemStats
+	heap := func() float64 {
+		var stats runtime.MemStats
 		runtime.GC()
-		runtime.ReadMemStats(&before)
-		l := benchLedger(now, 1<<40)
-		for i := range records {
-			l.Accept(now.Add(time.Duration(i)*time.Millisecond), Mint(now.Add(time.Duration(i)*time.Millisecond)), "order", 1)
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/records, "bytes/record")
-		b.ReportMetric(recordBytes, "bytes/charged")
-		runtime.KeepAlive(l)
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc)
+	}
+	for b.Loop() {
+		before := heap()
+		l := benchLedger(time.UnixMilli(startMS), records)
+		b.ReportMetric((heap()-before)/records, "bytes/record")
+		b.ReportMetric(float64(l.Stats().Bytes)/records, "bytes/charged")
 	}
 }
