Close a leaving node's keys ahead of time, so that none is without an owner

Cause: a planned stop told the ledger to refuse new keys at once, while the next owner claimed the slots only after it had learned of the closed plan; for about 2 s keys of those slots had no owner. A holding is now closed ClaimLead (1.5 s) ahead, the leaving node serves its keys until then, and a starting node announces itself only once it knows the owners of every service.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -174,14 +174,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
-	s.settings.Ledger.Leave(s.settings.Clock.Now())
 }
 
-// RefuseNew ends admission; what was admitted or queued goes on.
+// RefuseNew ends admission, also of fresh keys; what was admitted or queued
+// goes on.
 func (s *Server) RefuseNew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refusing = true
+	s.settings.Ledger.Leave(s.settings.Clock.Now())
 }
 
 // Drained returns a channel that is closed when no attempt is left.
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -32,7 +32,7 @@
 
 // ready says whether the node takes work.
 func (n *Node) ready() bool {
-	return n.rules.Load() != nil && n.members.Ready() && !n.leaving.Load()
+	return n.prepared() && n.members.Self().State == member.Active
 }
 
 func (n *Node) current() (int64, *schema.Set, []byte) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,9 +65,6 @@
 const (
 	// readHeaderTimeout bounds how long a caller may take to send its headers.
 	readHeaderTimeout = 5 * time.Second
-	// leaveGrace is how long a leaving node still takes work, so that the news
-	// reaches everybody before it begins to refuse.
-	leaveGrace = 2 * time.Second
 	// closeTimeout bounds the closing of the listeners after the drain.
 	closeTimeout = 2 * time.Second
 )
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -23,6 +23,9 @@
 const (
 	// ownerSlots is the number of shares into which the keys of a service fall.
 	ownerSlots = 12
+	// claimLead is the time in which the nodes of a service learn of a slot that
+	// falls free, and one of them claims it.
+	claimLead = 1500 * time.Millisecond
 	// planPeriod is how often a node looks whether its plan should change.
 	planPeriod = 500 * time.Millisecond
 	// planTimeout bounds one change of the plan.
@@ -35,10 +38,11 @@
 
 func ownerRules(limits schema.Limits) once.Rules {
 	return once.Rules{
-		Slots:  ownerSlots,
-		Lease:  limits.OwnerLease,
-		Margin: limits.ClockMargin,
-		KeyAge: limits.KeyAge,
+		Slots:     ownerSlots,
+		Lease:     limits.OwnerLease,
+		Margin:    limits.ClockMargin,
+		ClaimLead: claimLead,
+		KeyAge:    limits.KeyAge,
 	}
 }
 
@@ -169,10 +173,11 @@
 	return holding.Keeper(), result.OK
 }
 
-// handOver gives this node's records to a successor before it goes.
-func (n *Node) handOver(ctx context.Context) {
+// handOver gives this node's records to a successor before it goes, and says
+// whether there was anything to give.
+func (n *Node) handOver(ctx context.Context) bool {
 	if !n.needsPlan() {
-		return
+		return false
 	}
 	var records []once.Record[*relaypb.CarryResponse]
 	n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) { records = ledger.Export() })
@@ -184,9 +189,10 @@
 			continue
 		}
 		n.commitHandover(ctx, successor)
-		return
+		return true
 	}
 	n.log.Warn("handover_failed", "records", len(records))
+	return false
 }
 
 func (n *Node) commitHandover(ctx context.Context, successor once.Node) {
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -19,8 +19,12 @@
 	since   time.Time
 }
 
-// readyPeriod is how often a starting node looks whether it is ready.
-const readyPeriod = 20 * time.Millisecond
+const (
+	// readyPeriod is how often a starting node looks whether it is ready.
+	readyPeriod = 20 * time.Millisecond
+	// plansWait is how long a node that is ready otherwise waits for owners.
+	plansWait = 5 * time.Second
+)
 
 func parseDocument(document []byte) (*schema.Set, error) {
 	return schema.Parse("configuration", document)
@@ -54,15 +58,19 @@
 	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest)
 }
 
-// becomeActive announces the node as a target once it has the configuration
-// and a view of the others.
+// becomeActive announces the node as a target once it has the configuration, a
+// view of the others, and the owners of idempotency keys. It does not wait for
+// owners for ever: a service without living targets has none.
 func (n *Node) becomeActive(ctx context.Context) {
-	for !n.ready() {
+	for waited := time.Duration(0); !n.prepared() || (!n.plansKnown() && waited < plansWait); {
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.clock.After(readyPeriod):
 		}
+		if n.prepared() {
+			waited += readyPeriod
+		}
 	}
 	n.members.SetSelf(func(self *member.Member) {
 		if self.State == member.Starting {
@@ -72,6 +80,29 @@
 	n.log.Info("node_active", "node", n.settings.Name, "revision", n.config.Number())
 }
 
+// prepared says whether the node has the configuration and a trusted view.
+func (n *Node) prepared() bool {
+	return n.rules.Load() != nil && n.members.Ready() && !n.leaving.Load()
+}
+
+// plansKnown says whether the owners of every service whose kinds may run only
+// once are known.
+func (n *Node) plansKnown() bool {
+	current := n.config.Current()
+	if current == nil {
+		return false
+	}
+	for _, kind := range current.Set.Kinds {
+		if kind.Repeat != schema.Never {
+			continue
+		}
+		if _, version := n.config.Plan(kind.Service); version == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // membersChanged gives the sender the targets of every declared service.
 func (n *Node) membersChanged() {
 	n.checkSuperseded()
--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -35,7 +35,11 @@
 	// freeMargins is the number of clock margins before its end from which a
 	// holding is no longer renewed and the slot may be claimed; at most one part
 	// in freeLeaseShare of the lease.
-	freeMargins    = 4
+	freeMargins = 4
+	// cutMargins is the least number of clock margins from now to the end of a
+	// holding that is closed now, so that the end is above the mint time of
+	// every accepted key.
+	cutMargins     = 2
 	freeLeaseShare = 4
 )
 
@@ -68,6 +72,11 @@
 	return d.finish(), true
 }
 
+// CutLead is the time from the closing of a holding to its end.
+func CutLead(rules Rules) time.Duration {
+	return cutMargins*rules.Margin + rules.ClaimLead
+}
+
 // HandOver returns the plan after from has closed its ledger by Export and to
 // has imported every record: to keeps the records of all that from kept, and
 // the slots that from still holds become free.
@@ -276,13 +285,13 @@
 func (d *draft) isFree(slot Slot) bool {
 	last, ok := slot.last()
 	windowMS := min(freeMargins*d.marginMS(), d.leaseMS()/freeLeaseShare)
-	return !ok || last.UntilMS <= d.nowMS+windowMS
+	return !ok || last.UntilMS <= d.nowMS+windowMS+d.rules.ClaimLead.Milliseconds()
 }
 
 // cutMS is the end of a holding that is closed now: above the mint time of
 // every key that the holder has accepted.
 func (d *draft) cutMS() int64 {
-	return d.nowMS + 2*d.marginMS() + 1
+	return d.nowMS + CutLead(d.rules).Milliseconds() + 1
 }
 
 // shares counts the slots of each living node that are not free.
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -83,6 +83,10 @@
 		Lease time.Duration
 		// Margin is the most by which the clocks of two hosts differ.
 		Margin time.Duration
+		// ClaimLead is how much earlier than needed a holding is closed, so that
+		// the next holder has claimed the slot before the end comes and no key
+		// finds it without an owner.
+		ClaimLead time.Duration
 		// KeyAge is how long a key is accepted after its minting.
 		KeyAge time.Duration
 	}
