--- a/internal/admit/demand.go
+++ b/internal/admit/demand.go
@@ -9,7 +9,11 @@
 )
 
 const (
-	demandMemory = 500 * time.Millisecond
+	// minMemory and maxMemory bound how far back calls count. In between the
+	// memory holds about steadyCalls: fewer would make the floor follow chance.
+	minMemory   = 500 * time.Millisecond
+	maxMemory   = 2 * time.Second
+	steadyCalls = 60
 	// floorDelay is how long calls keep arriving that passed a door before
 	// it learned of a new floor.
 	floorDelay = 300 * time.Millisecond
@@ -48,7 +52,7 @@
 func newDemand() demand {
 	var d demand
 	for i := range d.exposure {
-		d.exposure[i] = demandMemory.Seconds()
+		d.exposure[i] = minMemory.Seconds()
 	}
 	return d
 }
@@ -91,8 +95,9 @@
 		return
 	}
 	d.at = now
-	keep := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
-	watched := demandMemory.Seconds() * (1 - keep)
+	memory := d.memory()
+	keep := math.Exp(-elapsed.Seconds() / memory)
+	watched := memory * (1 - keep)
 	floor := d.highest(now)
 	for i := range d.arrivals {
 		d.arrivals[i] *= keep
@@ -100,6 +105,16 @@
 	}
 }
 
+// memory returns the time constant, in seconds, with which calls are forgotten.
+func (d *demand) memory() float64 {
+	counted := 0.0
+	for _, calls := range d.arrivals {
+		counted += calls
+	}
+	wanted := minMemory.Seconds() * steadyCalls / max(counted, 1)
+	return min(max(wanted, minMemory.Seconds()), maxMemory.Seconds())
+}
+
 // rate returns the estimated calls a second of an importance.
 func (d *demand) rate(i schema.Importance) float64 {
 	return d.arrivals[i] / (d.exposure[i] + priorExposure.Seconds())
--- a/internal/admit/door.go
+++ b/internal/admit/door.go
@@ -18,6 +18,9 @@
 	// Door is the entry node's knowledge of the floors of services.
 	Door struct {
 		levels map[string]map[string]heard
+		// combine makes one floor of those of a service's nodes, given in
+		// rising order.
+		combine func(sorted []uint32) uint32
 	}
 
 	// Level is the floor of one node for its service.
@@ -37,7 +40,7 @@
 
 // NewDoor returns a door that lets everything through.
 func NewDoor() *Door {
-	return &Door{levels: map[string]map[string]heard{}}
+	return &Door{levels: map[string]map[string]heard{}, combine: lowerQuartile}
 }
 
 // Learn takes in a level that was measured the given time ago. An older one
@@ -69,20 +72,27 @@
 	return "", true
 }
 
-// Floors returns the levels that are known, for passing on with answers.
+// Floors returns all levels that are known.
 func (d *Door) Floors(now time.Time) []Level {
+	services := make([]string, 0, len(d.levels))
+	for service := range d.levels {
+		services = append(services, service)
+	}
+	return d.FloorsOf(now, services)
+}
+
+// FloorsOf returns the levels of the services, for passing on with an answer
+// to a caller that can use just these.
+func (d *Door) FloorsOf(now time.Time, services []string) []Level {
 	var levels []Level
-	for service, nodes := range d.levels {
-		for node, h := range nodes {
+	for _, service := range services {
+		for node, h := range d.levels[service] {
 			age := now.Sub(h.measured)
-			if age >= levelGone {
-				delete(nodes, node)
+			if age < levelGone {
+				levels = append(levels, Level{Service: service, Node: node, Floor: h.floor, Age: age})
 				continue
 			}
-			levels = append(levels, Level{Service: service, Node: node, Floor: h.floor, Age: age})
-		}
-		if len(nodes) == 0 {
-			delete(d.levels, service)
+			d.drop(service, node)
 		}
 	}
 	return levels
@@ -90,15 +100,19 @@
 
 // Forget drops what is known of a node.
 func (d *Door) Forget(node string) {
-	for service, nodes := range d.levels {
-		delete(nodes, node)
-		if len(nodes) == 0 {
-			delete(d.levels, service)
-		}
+	for service := range d.levels {
+		d.drop(service, node)
 	}
 }
 
-// floor returns the service's floor: the median over its nodes.
+func (d *Door) drop(service, node string) {
+	delete(d.levels[service], node)
+	if len(d.levels[service]) == 0 {
+		delete(d.levels, service)
+	}
+}
+
+// floor returns the service's floor, 0 while nothing is known.
 func (d *Door) floor(now time.Time, service string) uint32 {
 	floors := make([]uint32, 0, len(d.levels[service]))
 	for _, h := range d.levels[service] {
@@ -110,7 +124,15 @@
 		return 0
 	}
 	slices.Sort(floors)
-	return floors[(len(floors)-1)/2]
+	return d.combine(floors)
+}
+
+// lowerQuartile lets a request through while a quarter of the nodes would take
+// it: the choice of targets finds those, while the floor of a few slow nodes
+// says nothing about the others. The lowest floor would do for three nodes,
+// but over many it follows the error of a single one.
+func lowerQuartile(sorted []uint32) uint32 {
+	return sorted[(len(sorted)-1)/4]
 }
 
 // relaxed returns what is left of a floor at the age.
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/pkg/result"
@@ -14,6 +15,7 @@
 	// noQueueMargin takes its place for a target without a queue.
 	noQueueMargin    = 0.05
 	minQueueFactor   = 0.5
+	minQueueSample   = 4
 	busyShare        = 0.9
 	reopenDoubling   = 250 * time.Millisecond
 	probeShare       = 0.1
@@ -29,8 +31,9 @@
 		times    times
 		queue    queue
 		running  map[string]runner
-		// startSum is the sum over running calls of their start as time
-		// since epoch, which gives their mean age without a walk.
+		// startSum sums the starts of the running calls as time since epoch,
+		// which gives their mean age without a walk. Both are set anew
+		// whenever a call starts on an idle target.
 		startSum time.Duration
 		epoch    time.Time
 		floor    uint32
@@ -38,6 +41,10 @@
 		// reopen multiplies the rate that the door is asked for while the
 		// target has slots to spare in spite of a floor.
 		reopen float64
+		// offered and hopeless count the calls since the last floor, and
+		// those among them that could not end before their deadline.
+		offered  int
+		hopeless int
 	}
 
 	runner struct {
@@ -54,40 +61,47 @@
 		demand:   newDemand(),
 		times:    newTimes(),
 		running:  map[string]runner{},
-		epoch:    s.Started,
 		reopen:   1,
 	}
 }
 
 // Offer decides on a call that has just arrived.
 func (g *Gate) Offer(now time.Time, c Call) Decision {
-	order := Order(c.Importance, c.Position)
-	g.demand.observe(now, order)
+	g.demand.observe(now, Order(c.Importance, c.Position))
 	g.limiter.advance(now)
 	if _, ok := g.running[c.ID]; ok {
 		return Decision{Code: result.RunningStill}
 	}
+	g.offered++
 	released := g.dropExpired(now)
 	if !g.worthwhile(now, c) {
+		g.hopeless++
 		return Decision{Code: result.DeadlinePassed, Released: released}
 	}
-	released = append(released, g.fill(now)...)
-	if len(g.running) < g.limiter.current(now) {
+	if g.queue.len() == 0 && len(g.running) < g.limiter.current(now) {
 		g.start(now, c)
 		return Decision{Verdict: Admitted, Released: released}
 	}
-	if g.settings.Queue <= 0 {
-		return Decision{Code: result.Overloaded, Released: released}
-	}
-	if g.queue.len() >= g.settings.Queue {
-		if g.queue.lowest() >= order {
-			return Decision{Code: result.Overloaded, Released: released}
+	return g.enqueue(now, c, released)
+}
+
+// enqueue lets the call compete with the queued ones: for a slot that has
+// become free, and for a place in the queue.
+func (g *Gate) enqueue(now time.Time, c Call, released []Release) Decision {
+	g.queue.insert(waiter{call: c, order: Order(c.Importance, c.Position), arrived: now})
+	d := Decision{Verdict: Queued}
+	for _, r := range append(released, append(g.fill(now), g.evict()...)...) {
+		switch {
+		case r.ID != c.ID:
+			d.Released = append(d.Released, r)
+		case r.Verdict == Admitted:
+			d.Verdict = Admitted
+		default:
+			d.Verdict = Refused
+			d.Code = result.Overloaded
 		}
-		evicted := g.queue.takeLowest()
-		released = append(released, Release{ID: evicted.call.ID, Code: result.Evicted})
 	}
-	g.queue.insert(waiter{call: c, order: order, arrived: now})
-	return Decision{Verdict: Queued, Released: released}
+	return d
 }
 
 // Done frees the slot of an admitted call and returns the fate of queued ones.
@@ -100,8 +114,9 @@
 	g.startSum -= run.started.Sub(g.epoch)
 	g.limiter.advance(now)
 	g.limiter.ended(o, len(g.running))
-	if o == Completed || o == TimedOut || o == Failed {
-		g.times.observe(run.kind, now.Sub(run.started), g.limiter.current(now))
+	if o != Shed {
+		cut := o == Abandoned || o == TimedOut
+		g.times.observe(run.kind, now.Sub(run.started), cut, g.limiter.current(now))
 	}
 	return append(g.dropExpired(now), g.fill(now)...)
 }
@@ -111,6 +126,7 @@
 func (g *Gate) Tick(now time.Time) []Release {
 	g.limiter.advance(now)
 	released := append(g.dropExpired(now), g.fill(now)...)
+	released = append(released, g.evict()...)
 	if now.Sub(g.floorAt) >= floorInterval {
 		g.updateFloor(now)
 	}
@@ -151,6 +167,10 @@
 }
 
 func (g *Gate) start(now time.Time, c Call) {
+	if len(g.running) == 0 {
+		g.epoch = now
+		g.startSum = 0
+	}
 	g.running[c.ID] = runner{kind: c.Kind, started: now}
 	g.startSum += now.Sub(g.epoch)
 }
@@ -167,8 +187,8 @@
 	return released
 }
 
-// dropExpired takes out queued calls that waited too long, that could not end
-// before their deadline any more, or that exceed the bound.
+// dropExpired takes out queued calls that waited too long or that could not end
+// before their deadline any more.
 func (g *Gate) dropExpired(now time.Time) []Release {
 	var released []Release
 	for _, w := range g.queue.remove(func(w waiter) bool { return !g.worthwhile(now, w.call) }) {
@@ -178,6 +198,12 @@
 	for _, w := range g.queue.remove(waited) {
 		released = append(released, Release{ID: w.call.ID, Code: result.QueueExpired})
 	}
+	return released
+}
+
+// evict takes out the calls of the lowest order that the queue has no room for.
+func (g *Gate) evict() []Release {
+	var released []Release
 	for g.queue.len() > max(0, g.settings.Queue) {
 		w := g.queue.takeLowest()
 		released = append(released, Release{ID: w.call.ID, Code: result.Evicted})
@@ -230,10 +256,20 @@
 	g.updateReopen(now, elapsed)
 	g.demand.advance(now)
 	wanted := max(capacity*g.queueFactor(capacity)*g.reopen, minRatePerSecond)
-	g.floor = g.demand.floorFor(wanted)
+	g.floor = min(g.demand.floorFor(wanted), g.servedOrder())
 	g.demand.announce(now, g.floor)
 }
 
+// servedOrder returns the order above which calls are evidently served, as
+// the queue serves them first and yet holds lower ones. The floor need not
+// rise above it, even when chance makes the demand look greater.
+func (g *Gate) servedOrder() uint32 {
+	if g.queue.len() < minQueueSample {
+		return math.MaxUint32
+	}
+	return g.queue.middle()
+}
+
 // queueFactor steers the queue to half of what the target works off within
 // the wait bound: full slots without calls that wait in vain.
 func (g *Gate) queueFactor(capacity float64) float64 {
@@ -248,10 +284,21 @@
 // updateReopen doubles the rate asked of the door again and again while slots
 // stay free behind a floor, and takes that back once they are in use. It
 // corrects any error of the estimates that would keep the door too narrow.
+//
+// When the target has become too slow for the deadlines, slots are free
+// because most calls are hopeless. The rate then falls to what the gate admits
+// to see whether the target is fast again.
 func (g *Gate) updateReopen(now time.Time, elapsed time.Duration) {
 	busy := float64(len(g.running)) >= busyShare*float64(g.limiter.current(now))
+	hopeless := 2*g.hopeless > g.offered
+	g.offered = 0
+	g.hopeless = 0
 	step := 1 + min(elapsed.Seconds()/reopenDoubling.Seconds(), 1)
 	switch {
+	case hopeless:
+		g.reopen = max(probeShare, g.reopen/step)
+	case g.reopen < 1:
+		g.reopen = min(1, g.reopen*step)
 	case busy || g.floor == 0:
 		g.reopen = max(1, g.reopen/step)
 	default:
--- a/internal/admit/limit.go
+++ b/internal/admit/limit.go
@@ -8,7 +8,7 @@
 	collapseCut       = 0.7
 	minCollapseEnds   = 5
 	growthDoubling    = time.Second
-	shedGrowthShare   = 0.05 // of the slots, per second, right after a shed
+	shedGrowthShare   = 0.02 // of the slots, per second, right after a shed
 	collapseGrowth    = 0.5  // of the slots, per second, right after a collapse
 	maxGrowthShare    = 1.0
 	coldStartingShare = 0.1
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -35,6 +35,11 @@
 	return q.waiters[len(q.waiters)-1].order
 }
 
+// middle returns the order that half of the calls reach.
+func (q *queue) middle() uint32 {
+	return q.waiters[len(q.waiters)/2].order
+}
+
 func (q *queue) takeHighest() waiter {
 	w := q.waiters[0]
 	q.waiters = slices.Delete(q.waiters, 0, 1)
--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -28,8 +28,10 @@
 }
 
 // observe takes in one call. The overall mean forgets within one round of the
-// slots, so that it follows a change of speed as fast as calls end.
-func (t *times) observe(kind string, took time.Duration, limit int) {
+// slots, so that it follows a change of speed as fast as calls end. A call that
+// was cut short would have taken longer; it tells of its kind only when it took
+// longer than expected already.
+func (t *times) observe(kind string, took time.Duration, cut bool, limit int) {
 	seconds := took.Seconds()
 	weight := min(max(2/float64(limit+1), minMeanWeight), maxMeanWeight)
 	if t.all == 0 {
@@ -37,6 +39,9 @@
 	}
 	t.all += weight * (seconds - t.all)
 	e, ok := t.byKind[kind]
+	if cut && (!ok || seconds < e.mean) {
+		return
+	}
 	if !ok {
 		e = estimate{mean: seconds}
 	}
--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -88,7 +88,7 @@
 	for _, tier := range t.tiers[:min(open, len(t.tiers))] {
 		for _, e := range tier {
 			load += e.load(now)
-			if e.usable(now) && !e.refusing(now) {
+			if e.usable() && !e.refusing(now) {
 				limit += e.limit()
 			}
 		}
@@ -111,25 +111,39 @@
 			case not[e.target.Name]:
 			case e.dueForTrial(now):
 				return e
-			case e.usable(now):
+			case e.usable():
 				usable = append(usable, e)
 			default:
 				ejected = append(ejected, e)
 			}
 		}
 	}
-	good := total - t.ejectedCount(now, open)
+	good := total - t.ejectedCount(open)
 	if float64(good) < minUsableShare*float64(total) {
 		usable = append(usable, ejected...)
 	}
 	return t.lessLoaded(now, usable)
 }
 
-func (t *Table) ejectedCount(now time.Time, open int) int {
+// worse reports whether the target does worse than the others that are in use.
+// When a service as a whole is slow or failing, every target looks bad;
+// ejecting some would only keep them out after it has recovered.
+func (t *Table) worse(e *entry) bool {
+	sum, count := 0.0, 0
+	for _, other := range t.entries {
+		if other != e && other.usable() {
+			sum += other.success
+			count++
+		}
+	}
+	return count > 0 && e.success < worseThanOthers*sum/float64(count)
+}
+
+func (t *Table) ejectedCount(open int) int {
 	count := 0
 	for _, tier := range t.tiers[:open] {
 		for _, e := range tier {
-			if !e.target.Leaving && !e.usable(now) {
+			if !e.target.Leaving && !e.usable() {
 				count++
 			}
 		}
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -12,7 +12,7 @@
 	// refusalValid is how long a target that refused for load counts as full.
 	refusalValid = 100 * time.Millisecond
 
-	successWeight = 0.1
+	successWeight = 0.1 // per unit of weight of an outcome
 	minSuccess    = 0.05
 	latencyWeight = 0.1
 
@@ -25,9 +25,12 @@
 	// ejectBelow is the share of successes under which a target is ejected
 	// even when some calls complete in between.
 	ejectBelow = 0.5
+	// worseThanOthers is how far the share must lie below that of the other
+	// targets.
+	worseThanOthers = 0.75
 
 	firstEjection = time.Second
-	maxEjection   = 30 * time.Second
+	maxEjection   = 10 * time.Second
 	ejectJitter   = 0.25
 	// restoreAfter completed calls in a row forget the former ejections.
 	restoreAfter = 20
@@ -68,8 +71,8 @@
 	}
 }
 
-// ended takes in the end of a call.
-func (e *entry) ended(now time.Time, r Report, random func() float64) {
+// ended takes in the end of a call and reports whether the target looks bad.
+func (e *entry) ended(now time.Time, r Report) bool {
 	e.inFlight = max(0, e.inFlight-1)
 	if r.Known {
 		e.reported = r.InFlight + r.Queued
@@ -85,12 +88,13 @@
 		e.refusedAt = now
 		e.alive()
 	case Failed:
-		e.failed(now, failureWeight, random)
+		return e.failed(now, failureWeight)
 	case Silent:
-		e.failed(now, silenceWeight, random)
+		return e.failed(now, silenceWeight)
 	case Unreachable:
-		e.failed(now, unreachedWeight, random)
+		return e.failed(now, unreachedWeight)
 	}
+	return false
 }
 
 func (e *entry) completed(latency time.Duration) {
@@ -117,15 +121,15 @@
 	e.success = max(e.success, ejectBelow+successWeight)
 }
 
-func (e *entry) failed(now time.Time, weight int, random func() float64) {
+// failed takes in a failure and reports whether the target looks bad.
+func (e *entry) failed(now time.Time, weight int) bool {
 	e.completions = 0
 	e.failures += weight
-	e.success -= successWeight * e.success
-	trial := !e.ejectedUntil.IsZero() && !now.Before(e.ejectedUntil)
-	fresh := e.ejectedUntil.IsZero() && (e.failures >= ejectAfter || e.success < ejectBelow)
-	if trial || fresh {
-		e.eject(now, random)
+	e.success -= successWeight * float64(weight) * e.success
+	if !e.ejectedUntil.IsZero() {
+		return !now.Before(e.ejectedUntil)
 	}
+	return e.failures >= ejectAfter || e.success < ejectBelow
 }
 
 // eject keeps calls away from the target, twice as long with each ejection in
@@ -139,7 +143,7 @@
 }
 
 // usable reports whether calls may be sent freely.
-func (e *entry) usable(_ time.Time) bool {
+func (e *entry) usable() bool {
 	return !e.target.Leaving && e.ejectedUntil.IsZero()
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -150,7 +150,14 @@
 	if e == nil || (r.Incarnation != "" && r.Incarnation != e.target.Incarnation) {
 		return
 	}
-	e.ended(now, r, t.settings.Random)
+	if !e.ended(now, r) {
+		return
+	}
+	if r.Outcome == Unreachable || t.worse(e) {
+		e.eject(now, t.settings.Random)
+		return
+	}
+	e.alive()
 }
 
 // Targets returns the state of all targets, ordered by name.
