--- a/internal/admit/loop_test.go
+++ b/internal/admit/loop_test.go
@@ -96,8 +96,8 @@
 	l.entry = &node{name: "entry", door: NewDoor()}
 	callers := []*node{l.entry}
 	for _, t := range chain {
-		var tierNodes []*node
-		var targets []route.Target
+		tierNodes := make([]*node, 0, replicas)
+		targets := make([]route.Target, 0, replicas)
 		for j := range replicas {
 			s := Settings{Slots: t.slots, Queue: t.slots, QueueWait: p.wait}
 			if p.naive {
@@ -268,7 +268,7 @@
 	case last && l.plan.shedAt > 0 && len(n.gate.running) > l.plan.shedAt:
 		done(Shed, route.Refused)
 	case work > left && !l.plan.naive:
-		l.after(left, func() { done(TimedOut, route.Silent) })
+		l.after(left, func() { done(TimedOut, route.Failed) })
 	case last:
 		l.after(work, func() { done(Completed, route.Complete) })
 	default:
@@ -278,7 +278,7 @@
 					done(Completed, route.Complete)
 					return
 				}
-				done(Completed, route.Failed)
+				done(Completed, route.Blameless)
 			})
 		})
 	}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -30,11 +30,6 @@
 	q.waiters = slices.Insert(q.waiters, at, w)
 }
 
-// lowest returns the order of the call that is evicted next.
-func (q *queue) lowest() uint32 {
-	return q.waiters[len(q.waiters)-1].order
-}
-
 // middle returns the order that half of the calls reach.
 func (q *queue) middle() uint32 {
 	return q.waiters[len(q.waiters)/2].order
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -29,9 +29,13 @@
 	// targets.
 	worseThanOthers = 0.75
 
-	firstEjection = time.Second
-	maxEjection   = 10 * time.Second
-	ejectJitter   = 0.25
+	firstEjection = 500 * time.Millisecond
+	// maxEjection bounds the ejection of a target that cannot be reached or
+	// stays silent. One that answers is tried again sooner, because a service
+	// that was overloaded must be in full use 2 s after.
+	maxEjection        = 5 * time.Second
+	maxFailingEjection = 1500 * time.Millisecond
+	ejectJitter        = 0.25
 	// restoreAfter completed calls in a row forget the former ejections.
 	restoreAfter = 20
 )
@@ -93,6 +97,7 @@
 		return e.failed(now, silenceWeight)
 	case Unreachable:
 		return e.failed(now, unreachedWeight)
+	case Blameless:
 	}
 	return false
 }
@@ -134,8 +139,12 @@
 
 // eject keeps calls away from the target, twice as long with each ejection in
 // a row. The jitter keeps nodes from trying it again all at the same moment.
-func (e *entry) eject(now time.Time, random func() float64) {
-	length := min(firstEjection<<min(e.ejections, 10), maxEjection)
+func (e *entry) eject(now time.Time, o Outcome, random func() float64) {
+	longest := maxEjection
+	if o == Failed {
+		longest = maxFailingEjection
+	}
+	length := min(firstEjection<<min(e.ejections, 10), longest)
 	factor := 1 + ejectJitter*(2*random()-1)
 	e.ejections++
 	e.ejectedUntil = now.Add(time.Duration(float64(length) * factor))
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -21,14 +21,19 @@
 const (
 	// Complete means that the target did the work and answered.
 	Complete Outcome = iota
-	// Failed means that the target answered that it failed.
+	// Failed means that the target failed or ran out of time, and its node
+	// answered so.
 	Failed
-	// Silent means that no answer came in time.
+	// Silent means that no answer came, from the target's node either.
 	Silent
 	// Refused means that the target, or the node beside it, refused for load.
 	Refused
 	// Unreachable means that no connection could be opened.
 	Unreachable
+	// Blameless means that the call failed for a reason that says nothing of
+	// the target: a call that the target made itself was refused or failed, or
+	// the caller went away.
+	Blameless
 )
 
 type (
@@ -154,7 +159,7 @@
 		return
 	}
 	if r.Outcome == Unreachable || t.worse(e) {
-		e.eject(now, t.settings.Random)
+		e.eject(now, r.Outcome, t.settings.Random)
 		return
 	}
 	e.alive()
