--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -291,10 +291,12 @@
 func (g *Gate) updateReopen(now time.Time, elapsed time.Duration) {
 	busy := float64(len(g.running)) >= busyShare*float64(g.limiter.current(now))
 	hopeless := 2*g.hopeless > g.offered
+	unknown := g.reopen < 1 && g.offered == 0
 	g.offered = 0
 	g.hopeless = 0
 	step := 1 + min(elapsed.Seconds()/reopenDoubling.Seconds(), 1)
 	switch {
+	case unknown:
 	case hopeless:
 		g.reopen = max(probeShare, g.reopen/step)
 	case g.reopen < 1:
--- a/internal/admit/goals_test.go
+++ b/internal/admit/goals_test.go
@@ -105,7 +105,7 @@
 
 func TestNaiveMissesGoals(t *testing.T) {
 	is := is.New(t)
-	l := runPlan(t, plan{name: "naive", surge: 3, slow: 10, naive: true, repeats: 3})
+	l := runPlan(t, plan{name: "naive", surge: 3, slow: 10, naive: true, repeats: 3, base: 300})
 	is.True(l.goodputShare() < goalGoodput)
 	is.True(l.recovery() > goalRecovery)
 }
--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -126,8 +126,9 @@
 }
 
 // worse reports whether the target does worse than the others that are in use.
-// When a service as a whole is slow or failing, every target looks bad;
-// ejecting some would only keep them out after it has recovered.
+// When a service as a whole is slow or failing, every target looks bad. To
+// eject some by chance would keep them out after it has recovered, and while
+// it lasts they would seem to have room for what the door holds back.
 func (t *Table) worse(e *entry) bool {
 	sum, count := 0.0, 0
 	for _, other := range t.entries {
@@ -136,7 +137,10 @@
 			count++
 		}
 	}
-	return count > 0 && e.success < worseThanOthers*sum/float64(count)
+	if count == 0 || sum < ejectBelow*float64(count) {
+		return false
+	}
+	return e.success < worseThanOthers*sum/float64(count)
 }
 
 func (t *Table) ejectedCount(open int) int {
