--- /dev/null
+++ b/internal/admit/door_test.go
@@ -0,0 +1,54 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDoorRefusesBelowTheFloor(t *testing.T) {
+	is := is.New(t)
+	d := NewDoor()
+	d.Learn(testStart, "stock", "a", 100, 0)
+	d.Learn(testStart, "orders", "b", 200, 0)
+	service, ok := d.Allows(testStart, []string{"stock", "orders"}, 150)
+	is.Equal(service, "orders")
+	is.True(!ok)
+	_, ok = d.Allows(testStart, []string{"stock", "unheard_of"}, 150)
+	is.True(ok)
+}
+
+func TestDoorOpensWithoutNews(t *testing.T) {
+	is := is.New(t)
+	d := NewDoor()
+	d.Learn(testStart, "stock", "a", 1000, 0)
+	previous := uint32(1000)
+	for age := time.Duration(0); age <= levelGone; age += 50 * time.Millisecond {
+		floor := d.floor(testStart.Add(age), "stock")
+		is.True(previous-floor <= 50) // comes down by degrees
+		previous = floor
+	}
+	is.Equal(previous, uint32(0))
+	is.Equal(len(d.Floors(testStart.Add(levelGone))), 0)
+	is.Equal(len(d.levels), 0)
+}
+
+func TestDoorKeepsTheNewestLevel(t *testing.T) {
+	is := is.New(t)
+	d := NewDoor()
+	d.Learn(testStart, "stock", "a", 100, 100*time.Millisecond)
+	d.Learn(testStart, "stock", "a", 900, 200*time.Millisecond) // took a longer way
+	is.Equal(d.Floors(testStart), []Level{{Service: "stock", Node: "a", Floor: 100, Age: 100 * time.Millisecond}})
+	d.Forget("a")
+	is.Equal(len(d.Floors(testStart)), 0)
+}
+
+func TestDoorFollowsNodesWithRoom(t *testing.T) {
+	is := is.New(t)
+	d := NewDoor()
+	for i, node := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		d.Learn(testStart, "stock", node, uint32(100*(i+1)), 0)
+	}
+	is.Equal(d.floor(testStart, "stock"), uint32(200))
+}
--- /dev/null
+++ b/internal/admit/gate_test.go
@@ -0,0 +1,232 @@
+package admit
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+var (
+	testStart     = time.Unix(1_000_000, 0)
+	outcomes      = []string{"completed", "shed", "failed", "timed_out", "abandoned"}
+	importanceSet = []string{"low", "normal", "high", "critical"}
+)
+
+func durationArg(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	if !d.HasArg(key) {
+		return 0
+	}
+	var text string
+	d.ScanArgs(t, key, &text)
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%s: %v", key, err)
+	}
+	return value
+}
+
+func releasesText(released []Release) string {
+	var b strings.Builder
+	for _, r := range released {
+		fmt.Fprintf(&b, "%s %v", r.ID, r.Verdict)
+		if r.Code != 0 {
+			fmt.Fprintf(&b, " %v", r.Code)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+func settingsArgs(t *testing.T, d *datadriven.TestData) Settings {
+	s := Settings{QueueWait: durationArg(t, d, "wait"), ColdStart: durationArg(t, d, "cold"), Started: testStart}
+	d.ScanArgs(t, "slots", &s.Slots)
+	d.ScanArgs(t, "queue", &s.Queue)
+	return s
+}
+
+func TestGateScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var gate *Gate
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			now := testStart.Add(durationArg(t, d, "at"))
+			var id, word string
+			if d.HasArg("id") {
+				d.ScanArgs(t, "id", &id)
+			}
+			switch d.Cmd {
+			case "new":
+				gate = NewGate(settingsArgs(t, d))
+				return ""
+			case "resize":
+				gate.Resize(now, settingsArgs(t, d))
+				return releasesText(gate.Tick(now))
+			case "offer":
+				var position uint64
+				d.ScanArgs(t, "importance", &word)
+				d.ScanArgs(t, "position", &position)
+				importance := schema.Importance(slices.Index(importanceSet, word))
+				decision := gate.Offer(now, Call{ID: id, Importance: importance, Position: uint16(position), Deadline: now.Add(durationArg(t, d, "left"))})
+				return releasesText(append([]Release{{ID: id, Verdict: decision.Verdict, Code: decision.Code}}, decision.Released...))
+			case "done":
+				d.ScanArgs(t, "outcome", &word)
+				return releasesText(gate.Done(now, id, Outcome(slices.Index(outcomes, word))))
+			case "cancel":
+				return releasesText(gate.Cancel(now, id))
+			case "tick":
+				return releasesText(gate.Tick(now))
+			case "load":
+				load := gate.Load(now)
+				return fmt.Sprintf("in_flight=%d limit=%d queued=%d cold=%v\n", load.InFlight, load.Limit, load.Queued, load.Cold)
+			}
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// naiveGate keeps its queue as an unordered list and searches it each time.
+type naiveGate struct {
+	slots, queue int
+	running      map[string]bool
+	waiting      []Call // in order of arrival
+}
+
+// best returns the index of the call that is served next, the first of equals.
+func (n *naiveGate) best() int {
+	best := 0
+	for i, c := range n.waiting {
+		if Order(c.Importance, c.Position) > Order(n.waiting[best].Importance, n.waiting[best].Position) {
+			best = i
+		}
+	}
+	return best
+}
+
+// worst returns the index of the call that is evicted next, the last of equals.
+func (n *naiveGate) worst() int {
+	worst := 0
+	for i, c := range n.waiting {
+		if Order(c.Importance, c.Position) <= Order(n.waiting[worst].Importance, n.waiting[worst].Position) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// settle returns the calls whose fate changes, with that fate.
+func (n *naiveGate) settle() map[string]Verdict {
+	fates := map[string]Verdict{}
+	for len(n.waiting) > 0 && len(n.running) < n.slots {
+		i := n.best()
+		fates[n.waiting[i].ID] = Admitted
+		n.running[n.waiting[i].ID] = true
+		n.waiting = slices.Delete(n.waiting, i, i+1)
+	}
+	for len(n.waiting) > n.queue {
+		i := n.worst()
+		fates[n.waiting[i].ID] = Refused
+		n.waiting = slices.Delete(n.waiting, i, i+1)
+	}
+	return fates
+}
+
+// TestGateAgainstNaive runs both gates side by side. As the naive one serves
+// and evicts by order alone, agreement means that no call is admitted in
+// preference to a higher one that is refused for load.
+func TestGateAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		queue := rapid.IntRange(0, 5).Draw(t, "queue")
+		gate := NewGate(Settings{Slots: slots, Queue: queue, QueueWait: time.Hour})
+		naive := &naiveGate{slots: slots, queue: queue, running: map[string]bool{}}
+		now := testStart
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			fates := map[string]Verdict{}
+			if len(naive.running) > 0 && rapid.Bool().Draw(t, "done") {
+				ids := make([]string, 0, len(naive.running))
+				for id := range naive.running {
+					ids = append(ids, id)
+				}
+				slices.Sort(ids)
+				id := rapid.SampledFrom(ids).Draw(t, "id")
+				delete(naive.running, id)
+				for _, r := range gate.Done(now, id, Completed) {
+					fates[r.ID] = r.Verdict
+				}
+			} else {
+				c := Call{ID: fmt.Sprint(i), Deadline: now.Add(time.Hour)}
+				c.Importance = schema.Importance(rapid.IntRange(0, 3).Draw(t, "importance"))
+				c.Position = uint16(rapid.IntRange(0, 2).Draw(t, "position"))
+				naive.waiting = append(naive.waiting, c)
+				d := gate.Offer(now, c)
+				for _, r := range d.Released {
+					fates[r.ID] = r.Verdict
+				}
+				if d.Verdict != Queued {
+					fates[c.ID] = d.Verdict
+				}
+			}
+			expected := naive.settle()
+			if fmt.Sprint(fates) != fmt.Sprint(expected) {
+				t.Fatalf("step %d: gate %v, naive %v", i, fates, expected)
+			}
+			if gate.Load(now).InFlight > slots || gate.Load(now).Queued > queue {
+				t.Fatalf("step %d: bounds exceeded: %+v", i, gate.Load(now))
+			}
+		}
+	})
+}
+
+// TestHopelessServiceIsTriedAgain checks that calls get through to a target
+// whose measured time exceeds every deadline, and that it then recovers.
+func TestHopelessServiceIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	gate := NewGate(Settings{Slots: 10, Queue: 10, QueueWait: 100 * time.Millisecond})
+	now := testStart
+	run := func(took time.Duration, o Outcome) bool {
+		now = now.Add(10 * time.Millisecond)
+		gate.Tick(now)
+		d := gate.Offer(now, Call{ID: "a", Deadline: now.Add(100 * time.Millisecond)})
+		if d.Verdict != Admitted {
+			return false
+		}
+		now = now.Add(took)
+		gate.Done(now, "a", o)
+		return true
+	}
+	for range 50 {
+		is.True(run(time.Second, Abandoned)) // a lone call is always tried
+	}
+	is.Equal(gate.Offer(now, Call{ID: "b", Deadline: now.Add(100 * time.Millisecond)}).Verdict, Admitted)
+	d := gate.Offer(now, Call{ID: "c", Deadline: now.Add(100 * time.Millisecond)})
+	is.Equal(d.Code, result.DeadlinePassed) // hopeless while another is being tried
+	gate.Done(now.Add(10*time.Millisecond), "b", Completed)
+	for range 50 {
+		is.True(run(10*time.Millisecond, Completed))
+	}
+	is.Equal(gate.Offer(now, Call{ID: "d", Deadline: now.Add(100 * time.Millisecond)}).Verdict, Admitted)
+	is.Equal(gate.Offer(now, Call{ID: "e", Deadline: now.Add(100 * time.Millisecond)}).Verdict, Admitted)
+}
+
+func TestPositionTurns(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Position("a", testStart), Position("a", testStart.Add(time.Second)))
+	low := 0
+	for turn := range 100 {
+		if Position("a", testStart.Add(time.Duration(turn)*PositionTurn)) < positions/2 {
+			low++
+		}
+	}
+	is.True(low > 40 && low < 60) // neither refused nor let through for ever
+	is.True(Order(schema.High, 0) > Order(schema.Normal, 65535))
+}
--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -39,7 +39,7 @@
 	}
 	t.all += weight * (seconds - t.all)
 	e, ok := t.byKind[kind]
-	if cut && (!ok || seconds < e.mean) {
+	if cut && seconds < e.mean {
 		return
 	}
 	if !ok {
