--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -12,7 +12,7 @@
 	// refusalValid is how long a target that refused for load counts as full.
 	refusalValid = 100 * time.Millisecond
 
-	successWeight = 0.1
+	successWeight = 0.1 // per unit of weight of an outcome
 	minSuccess    = 0.05
 	latencyWeight = 0.1
 
@@ -25,10 +25,17 @@
 	// ejectBelow is the share of successes under which a target is ejected
 	// even when some calls complete in between.
 	ejectBelow = 0.5
-
-	firstEjection = time.Second
-	maxEjection   = 30 * time.Second
-	ejectJitter   = 0.25
+	// worseThanOthers is how far the share must lie below that of the other
+	// targets.
+	worseThanOthers = 0.75
+
+	firstEjection = 500 * time.Millisecond
+	// maxEjection bounds the ejection of a target that cannot be reached or
+	// stays silent. One that answers is tried again sooner, because a service
+	// that was overloaded must be in full use 2 s after.
+	maxEjection        = 5 * time.Second
+	maxFailingEjection = 1500 * time.Millisecond
+	ejectJitter        = 0.25
 	// restoreAfter completed calls in a row forget the former ejections.
 	restoreAfter = 20
 )
@@ -69,8 +76,8 @@
 	}
 }
 
-// ended takes in the end of a call.
-func (e *entry) ended(now time.Time, r Report, random func() float64) {
+// ended takes in the end of a call and reports whether the target looks bad.
+func (e *entry) ended(now time.Time, r Report) bool {
 	e.inFlight = max(0, e.inFlight-1)
 	if r.Known {
 		e.reported = r.InFlight + r.Queued
@@ -87,12 +94,14 @@
 		e.refusedAt = now
 		e.alive()
 	case Failed:
-		e.failed(now, failureWeight, random)
+		return e.failed(now, failureWeight)
 	case Silent:
-		e.failed(now, silenceWeight, random)
+		return e.failed(now, silenceWeight)
 	case Unreachable:
-		e.failed(now, unreachedWeight, random)
+		return e.failed(now, unreachedWeight)
+	case Blameless:
 	}
+	return false
 }
 
 func (e *entry) completed(latency time.Duration) {
@@ -119,21 +128,25 @@
 	e.success = max(e.success, ejectBelow+successWeight)
 }
 
-func (e *entry) failed(now time.Time, weight int, random func() float64) {
+// failed takes in a failure and reports whether the target looks bad.
+func (e *entry) failed(now time.Time, weight int) bool {
 	e.completions = 0
 	e.failures += weight
-	e.success -= successWeight * e.success
-	trial := !e.ejectedUntil.IsZero() && !now.Before(e.ejectedUntil)
-	fresh := e.ejectedUntil.IsZero() && (e.failures >= ejectAfter || e.success < ejectBelow)
-	if trial || fresh {
-		e.eject(now, random)
+	e.success -= successWeight * float64(weight) * e.success
+	if !e.ejectedUntil.IsZero() {
+		return !now.Before(e.ejectedUntil)
 	}
+	return e.failures >= ejectAfter || e.success < ejectBelow
 }
 
 // eject keeps calls away from the target, twice as long with each ejection in
 // a row. The jitter keeps nodes from trying it again all at the same moment.
-func (e *entry) eject(now time.Time, random func() float64) {
-	length := min(firstEjection<<min(e.ejections, 10), maxEjection)
+func (e *entry) eject(now time.Time, o Outcome, random func() float64) {
+	longest := maxEjection
+	if o == Failed {
+		longest = maxFailingEjection
+	}
+	length := min(firstEjection<<min(e.ejections, 10), longest)
 	factor := 1 + ejectJitter*(2*random()-1)
 	e.ejections++
 	e.ejectedUntil = now.Add(time.Duration(float64(length) * factor))
@@ -141,7 +154,7 @@
 }
 
 // usable reports whether calls may be sent freely.
-func (e *entry) usable(_ time.Time) bool {
+func (e *entry) usable() bool {
 	return !e.target.Leaving && e.ejectedUntil.IsZero()
 }
 
