Keep a late renewal from bringing back the lease row of a departed node

Also: a sign of life from an address counts for the last started name there only, since a replaced host keeps its address; and a caller that gives up an operation on the platform does not start the backoff.

--- /dev/null
+++ b/internal/member/bench_test.go
@@ -0,0 +1,254 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/lab"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
+)
+
+type (
+	relayServer struct {
+		relaypbconnect.UnimplementedRelayHandler
+		member *member.Controller
+	}
+
+	// countingListener counts the bytes of its connections, both ways.
+	countingListener struct {
+		net.Listener
+		bytes *atomic.Int64
+	}
+
+	countingConn struct {
+		net.Conn
+		bytes *atomic.Int64
+	}
+)
+
+var sizes = []int{50, 150, 530, 1060}
+
+func (s relayServer) Exchange(_ context.Context, req *connect.Request[relaypb.ExchangeRequest]) (*connect.Response[relaypb.ExchangeResponse], error) {
+	return connect.NewResponse(s.member.Answer(req.Msg)), nil
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+func (c countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func serve(b *testing.B, handler http.Handler) (server *httptest.Server, bytes *atomic.Int64) {
+	bytes = &atomic.Int64{}
+	server = httptest.NewUnstartedServer(handler)
+	server.Listener = countingListener{server.Listener, bytes}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols = protocols
+	server.Start()
+	b.Cleanup(server.Close)
+	return server, bytes
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func sampleRow(i int) member.Member {
+	host := fmt.Sprintf("10.20.%d.%d", i/250, i%250+1)
+	return member.Member{
+		Name:          fmt.Sprintf("subscriptions-%04d", i),
+		Incarnation:   fmt.Sprintf("0190b0c4-5a3e-7cc0-8d7e-%012d", i),
+		StartedMS:     1_700_000_000_000 + int64(i),
+		Version:       4,
+		RelayAddress:  host + ":7401",
+		CallerAddress: host + ":7400",
+		AdminAddress:  host + ":7402",
+		DataCentre:    [...]string{"port_louis", "curepipe", "mahebourg"}[i%3],
+		Region:        "mauritius",
+		Service:       "subscriptions",
+		State:         member.Active,
+		Revision:      17,
+	}
+}
+
+// pair returns two controllers with equal views of n members, whose changes
+// have been spread, the first one ready to exchange with the second over HTTP/2.
+func pair(b *testing.B, n int) (first *member.Controller, bytes *atomic.Int64) {
+	memory := plat.NewMemory()
+	log := hclog.NewNullLogger()
+	controllers := make([]*member.Controller, 2)
+	for i := range controllers {
+		c := member.New(sampleRow(i), memory.Store(), clock.System{}, log)
+		c.Go = func(work func()) { work() }
+		controllers[i] = c
+	}
+	server, bytes := serve(b, nil)
+	mux := http.NewServeMux()
+	mux.Handle(relaypbconnect.NewRelayHandler(relayServer{member: controllers[1]}))
+	server.Config.Handler = mux
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := relaypbconnect.NewRelayClient(&http.Client{Transport: &http.Transport{Protocols: protocols}}, server.URL)
+	plans := []*relaypb.PlanVersion{{Service: "subscriptions", Version: 90210}, {Service: "collections", Version: 90333}}
+	for _, c := range controllers {
+		c.Plans = func() []*relaypb.PlanVersion { return plans }
+		c.Revision = func() int64 { return 17 }
+		c.Send = func(ctx context.Context, _ string, req *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+			resp, err := client.Exchange(ctx, connect.NewRequest(req))
+			if err != nil {
+				b.Fatal(err)
+			}
+			return resp.Msg, nil
+		}
+	}
+	fill(b, memory, n)
+	for _, c := range controllers {
+		if err := c.Renew(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for _, c := range controllers {
+		if err := c.Refresh(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for range n { // spends the deltas of the first listing
+		controllers[0].Round(context.Background())
+	}
+	return controllers[0], bytes
+}
+
+func fill(b *testing.B, memory *plat.Memory, n int) {
+	for i := 2; i < n; i++ {
+		row := sampleRow(i)
+		value, err := proto.Marshal(&relaypb.Member{
+			Name: row.Name, Incarnation: row.Incarnation, StartedMs: row.StartedMS, Version: row.Version,
+			RelayAddress: row.RelayAddress, CallerAddress: row.CallerAddress, AdminAddress: row.AdminAddress,
+			DataCentre: row.DataCentre, Region: row.Region, Service: row.Service, State: uint32(row.State), Revision: row.Revision,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, err = memory.Store().Commit(context.Background(), plat.Write{
+			Table: "members", ID: row.Incarnation + "-1", Changes: []plat.Change{{Key: row.Name, Value: value}},
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRound measures rounds without news: two exchanges each, both ends
+// in this process.
+func BenchmarkRound(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			c, bytes := pair(b, n)
+			exchanges := 0
+			send := c.Send
+			c.Send = func(ctx context.Context, address string, req *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+				exchanges++
+				return send(ctx, address, req)
+			}
+			before, used := bytes.Load(), processorTime()
+			for b.Loop() {
+				c.Round(context.Background())
+			}
+			used = processorTime() - used
+			b.ReportMetric(float64(bytes.Load()-before)/float64(exchanges), "bytes/exchange")
+			b.ReportMetric(float64(used)/float64(exchanges), "cpu-ns/exchange")
+		})
+	}
+}
+
+// BenchmarkListing measures one listing in which every lease was renewed.
+func BenchmarkListing(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			memory := plat.NewMemory()
+			fill(b, memory, n)
+			server, bytes := serve(b, lab.NewPlatform(memory))
+			store := plat.NewClient(server.URL, plat.Limits{ReadsPerSecond: 1e6, ReadBurst: 1e6})
+			before, used := bytes.Load(), processorTime()
+			for b.Loop() {
+				c := member.New(sampleRow(0), store, clock.System{}, hclog.NewNullLogger())
+				if err := c.Refresh(context.Background()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			used = processorTime() - used
+			b.ReportMetric(float64(bytes.Load()-before)/float64(b.N), "bytes/listing")
+			b.ReportMetric(float64(used)/float64(b.N), "cpu-ns/listing")
+		})
+	}
+}
+
+// BenchmarkRow reports the size of one row on the wire.
+func BenchmarkRow(b *testing.B) {
+	c := member.New(sampleRow(1), plat.NewMemory().Store(), clock.System{}, hclog.NewNullLogger())
+	size := 0
+	for b.Loop() {
+		resp := c.Answer(&relaypb.ExchangeRequest{From: "10.20.0.9:7401", WantFull: true})
+		size = proto.Size(resp.Deltas[0])
+	}
+	b.ReportMetric(float64(size), "bytes/row")
+}
+
+// BenchmarkSpread measures on model time, with the platform down, how long a
+// change takes to every node, and what the messages of that time weigh.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			is := is.New(b)
+			var spread, slowest time.Duration
+			for seed := 0; b.Loop(); seed++ {
+				b.StopTimer()
+				c := settled(b, uint64(seed), n)
+				c.memory.SetFaults(plat.Faults{Down: true})
+				c.pass(10 * time.Second)
+				b.StartTimer()
+				c.nodes[0].member.SetSelf(func(self *member.Member) { self.State = member.Cold })
+				row := c.nodes[0].member.Self()
+				took := c.run(time.Minute, c.all(func(n *node) bool { return knows(n, row) }))
+				is.True(took < time.Minute)
+				spread += took
+				slowest = max(slowest, took)
+			}
+			b.ReportMetric(float64(spread.Milliseconds())/float64(b.N), "model-ms")
+			b.ReportMetric(float64(slowest.Milliseconds())/300, "worst-rounds")
+		})
+	}
+}
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -66,9 +66,6 @@
 func (c *Controller) Renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if c.Self().State == Gone {
-		return nil // the row is deleted, or about to be
-	}
 	err := c.writeLease(ctx, false)
 	if errorx.IsOfType(err, plat.Conflict) {
 		if err = c.readLease(ctx); err != nil {
@@ -150,6 +147,10 @@
 	c.mu.Lock()
 	c.lease.writes++
 	self := c.view.Self()
+	if self.State == Gone && !remove {
+		c.mu.Unlock()
+		return nil // the row is deleted, or about to be
+	}
 	change := plat.Change{Key: self.Name, Expected: c.lease.version, Delete: remove}
 	id := self.Incarnation + "-" + strconv.Itoa(c.lease.writes)
 	c.mu.Unlock()
@@ -190,7 +191,18 @@
 func (c *Controller) deleteLease(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := c.writeLease(ctx, true); err != nil {
+	err := c.writeLease(ctx, true)
+	if errorx.IsOfType(err, plat.Conflict) {
+		// A renewal was on its way, or a later incarnation holds the row.
+		if err = c.readLease(ctx); err != nil {
+			return
+		}
+		if _, superseded := c.Superseded(); superseded {
+			return
+		}
+		err = c.writeLease(ctx, true)
+	}
+	if err != nil {
 		c.Log.Info("lease_not_deleted", "error", err)
 	}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -230,15 +230,23 @@
 }
 
 // Heard notes a sign of life from the member at a relay address, where the
-// revision is in force, and returns whether that ended a lapse.
+// revision is in force, and returns whether that ended a lapse. Of several
+// names at the address, as when a host was replaced, the last started is meant.
 func (v *View) Heard(now time.Time, relayAddress string, revision int64) bool {
+	var heard *entry
 	for name, e := range v.entries {
-		if e.row.RelayAddress == relayAddress && e.row.State != Gone && name != v.name {
-			e.row.Revision = max(e.row.Revision, revision)
-			return v.renew(now, e)
+		if e.row.RelayAddress != relayAddress || e.row.State == Gone || name == v.name {
+			continue
+		}
+		if heard == nil || e.row.StartedMS > heard.row.StartedMS {
+			heard = e
 		}
 	}
-	return false
+	if heard == nil {
+		return false
+	}
+	heard.row.Revision = max(heard.row.Revision, revision)
+	return v.renew(now, heard)
 }
 
 // Renewed notes that the member's lease row was written at a version of the
--- /dev/null
+++ b/internal/member/run_test.go
@@ -0,0 +1,87 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+)
+
+// fastClock runs a hundred times as fast as the host's.
+type fastClock struct{ start time.Time }
+
+const speed = 100
+
+func (c fastClock) Now() time.Time { return c.start.Add(speed * time.Since(c.start)) }
+
+func (c fastClock) After(d time.Duration) <-chan time.Time { return time.After(d / speed) }
+
+// TestRunInGoroutines runs the loops as a node does, for the race detector:
+// five nodes find each other, one leaves and departs, and the rest see it.
+func TestRunInGoroutines(t *testing.T) {
+	is := is.New(t)
+	const size = 5
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	memory := plat.NewMemory()
+	clk := fastClock{start: time.Now()}
+	changed := make(chan struct{}, 1)
+	controllers := make(map[string]*member.Controller)
+	for i := range size {
+		row := sampleRow(i)
+		c := member.New(row, memory.Store(), clk, hclog.NewNullLogger())
+		c.Changed = func() {
+			select {
+			case changed <- struct{}{}:
+			default:
+			}
+		}
+		c.Send = func(_ context.Context, address string, req *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+			to, ok := controllers[address]
+			if !ok {
+				return nil, errors.New("no such address")
+			}
+			return to.Answer(req), nil
+		}
+		controllers[row.RelayAddress] = c
+	}
+	var loops sync.WaitGroup
+	for _, c := range controllers {
+		loops.Go(func() { c.Run(ctx) })
+	}
+	until := func(what string, members int, skip *member.Controller) {
+		for {
+			agree := true
+			for _, c := range controllers {
+				agree = agree && (c == skip || c.Ready() && len(c.All()) == members)
+			}
+			if agree {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				t.Fatal(fmt.Sprint("not seen: ", what))
+			}
+		}
+	}
+	until("everybody", size, nil)
+	leaver := controllers[sampleRow(0).RelayAddress]
+	leaver.Leave(ctx)
+	leaver.Depart(ctx)
+	until("the departure", size-1, leaver)
+	row, err := memory.Store().Get(ctx, "members", leaver.Self().Name)
+	is.NoErr(err)
+	is.Equal(row.Version, int64(0)) // its lease row is deleted
+	cancel()
+	loops.Wait()
+}
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -199,7 +200,9 @@
 	if err == nil && status >= http.StatusInternalServerError {
 		err = fmt.Errorf("status %d: %s", status, bytes.TrimSpace(body))
 	}
-	c.settle(err)
+	if !errors.Is(ctx.Err(), context.Canceled) { // a caller that gave up says nothing of the platform
+		c.settle(err)
+	}
 	if err != nil {
 		return nil, Unavailable.Wrap(err, "%s %s", r.method, r.path)
 	}
--- a/internal/plat/resolve.go
+++ b/internal/plat/resolve.go
@@ -34,6 +34,9 @@
 func Resolved(store Store) Store {
 	commit := store.Commit
 	store.Commit = func(ctx context.Context, write Write) (int64, error) {
+		if len(write.Changes) == 0 {
+			return commit(ctx, write) // no row would tell of it
+		}
 		return resolve(ctx, store.Get, commit, write)
 	}
 	return store
