--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -415,6 +415,25 @@
 	is.True(took < limit)
 }
 
+// TestLateRenewalDoesNotUndoADeparture lets the node depart while its renewal
+// is on the way to the table.
+func TestLateRenewalDoesNotUndoADeparture(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := settled(t, 1, 3)
+	leaver := c.nodes[1].member
+	commit := leaver.Store.Commit
+	leaver.Store.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		leaver.Store.Commit = commit
+		leaver.Depart(ctx)
+		return commit(ctx, write)
+	}
+	is.NoErr(leaver.Renew(ctx))
+	row, err := c.memory.Store().Get(ctx, "members", leaver.Self().Name)
+	is.NoErr(err)
+	is.Equal(row.Version, int64(0))
+}
+
 func TestLaterIncarnationWins(t *testing.T) {
 	is := is.New(t)
 	c := settled(t, 1, nodes)
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -66,6 +66,15 @@
 	wholeView               // all rows
 )
 
+// peers holds the relay addresses of the other members present, as they were
+// at one edition of the view.
+type peers struct {
+	edition uint64
+	all     []string
+	near    []string // those in the own data centre
+	far     []string // those in other regions
+}
+
 // Controller keeps a View fresh. Its fields are set before its first use; its
 // methods are safe for concurrent use.
 type Controller struct {
@@ -94,6 +103,7 @@
 
 	mu        sync.Mutex
 	view      *View
+	peers     peers
 	seeds     []string // relay addresses heard from before the view is ready
 	inFlight  int
 	changedAt time.Time // last change of the view
@@ -281,7 +291,7 @@
 func (c *Controller) announce(ctx context.Context, state State) {
 	c.SetSelf(func(self *Member) { self.State = state })
 	c.mu.Lock()
-	addresses := c.others(func(Member) bool { return true })
+	addresses := c.others()
 	c.mu.Unlock()
 	c.shuffle(addresses)
 	addresses = addresses[:min(len(addresses), leaveFanout)]
@@ -410,26 +420,29 @@
 // peers have given their whole view, and the configuration is caught up with.
 func (c *Controller) becomeReady(ctx context.Context, fromTable bool) {
 	c.mu.Lock()
-	peers := c.others(func(Member) bool { return true })
-	enough := min(catchUpPeers, len(peers))
+	if c.ready || c.catchingUp {
+		c.mu.Unlock()
+		return
+	}
+	known := c.others()
+	enough := min(catchUpPeers, len(known))
 	if c.Clock.Now().Sub(c.unreadyFrom) >= catchUpPatience {
 		enough = 1
 	}
 	heard := fromTable || len(c.answers) > 0 && len(c.answers) >= enough
-	start := heard && !c.ready && !c.catchingUp
-	c.catchingUp = c.catchingUp || start
+	c.catchingUp = heard
 	c.mu.Unlock()
-	if start {
-		c.run(func() { c.catchUp(ctx, peers, fromTable) })
+	if heard {
+		c.run(func() { c.catchUp(ctx, known, fromTable) })
 	}
 }
 
-func (c *Controller) catchUp(ctx context.Context, peers []string, fromTable bool) {
+func (c *Controller) catchUp(ctx context.Context, known []string, fromTable bool) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	var err error
 	if c.CatchUp != nil {
-		err = c.CatchUp(ctx, peers)
+		err = c.CatchUp(ctx, known)
 	}
 	c.mu.Lock()
 	c.catchingUp = false
@@ -455,22 +468,17 @@
 // centre and one of all, or of another region in a share of the rounds. While
 // the node knows nobody it answers those that found it.
 func (c *Controller) pickPeers() []string {
-	self := c.view.Self()
-	all := c.others(func(Member) bool { return true })
+	c.refreshPeers()
+	all, near, wide := c.peers.all, c.peers.near, c.peers.all
 	if len(all) == 0 {
 		return slices.Clone(c.seeds)
 	}
-	near := c.others(func(m Member) bool { return m.DataCentre == self.DataCentre })
-	wide := all
-	if c.Random() < farShare {
-		far := c.others(func(m Member) bool { return m.Region != self.Region })
-		if len(far) > 0 {
-			wide = far
-		}
-	}
 	if len(near) == 0 {
 		near = all
 	}
+	if len(c.peers.far) > 0 && c.Random() < farShare {
+		wide = c.peers.far
+	}
 	addresses := make([]string, 0, roundPeers+1)
 	addresses = append(addresses, c.choose(near))
 	if second := c.choose(wide); second != addresses[0] {
@@ -482,16 +490,32 @@
 	return addresses
 }
 
-func (c *Controller) others(keep func(Member) bool) []string {
+func (c *Controller) refreshPeers() {
+	if c.peers.edition == c.view.edition {
+		return
+	}
 	self := c.view.Self()
-	var addresses []string
+	next := peers{edition: c.view.edition}
 	for _, name := range c.view.names() {
-		row := c.view.entries[name].row
-		if name != self.Name && keep(row) {
-			addresses = append(addresses, row.RelayAddress)
+		row := &c.view.entries[name].row
+		if name == self.Name {
+			continue
+		}
+		next.all = append(next.all, row.RelayAddress)
+		if row.DataCentre == self.DataCentre {
+			next.near = append(next.near, row.RelayAddress)
+		}
+		if row.Region != self.Region {
+			next.far = append(next.far, row.RelayAddress)
 		}
 	}
-	return addresses
+	c.peers = next
+}
+
+// others returns the relay addresses of the other members present.
+func (c *Controller) others() []string {
+	c.refreshPeers()
+	return slices.Clone(c.peers.all)
 }
 
 func (c *Controller) inForce() (int64, []*relaypb.PlanVersion) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -61,6 +61,7 @@
 		entries    map[string]*entry
 		present    []string // sorted names of the members neither gone nor lapsed
 		dirty      bool     // present must be made anew
+		edition    uint64   // counts what could change present
 		hash       uint64
 		settled    bool // a later row of our own name is another process
 		superseded *Member
@@ -305,7 +306,7 @@
 			}
 		case judged && e.lapsed.IsZero() && now.Sub(e.heard) >= LeaseDuration:
 			e.lapsed = now
-			v.dirty = true
+			v.alter()
 			lapsed = append(lapsed, e.row)
 		}
 	}
@@ -403,17 +404,24 @@
 		e.gone = now
 	}
 	e.sends = Rounds(len(v.entries))
-	v.dirty = true
+	v.alter()
 }
 
 func (v *View) renew(now time.Time, e *entry) bool {
 	ended := !e.lapsed.IsZero()
 	e.heard = now
 	e.lapsed = time.Time{}
-	v.dirty = v.dirty || ended
+	if ended {
+		v.alter()
+	}
 	return ended
 }
 
+func (v *View) alter() {
+	v.dirty = true
+	v.edition++
+}
+
 func (v *View) names() []string {
 	if !v.dirty {
 		return v.present
