--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -346,6 +346,15 @@
 	}
 }
 
+func TestLeaveTellsAFewMembersAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 1, nodes)
+	c.memory.SetFaults(plat.Faults{Down: true})
+	c.nodes[3].member.Leave(context.Background())
+	row := c.nodes[3].member.Self()
+	is.True(c.all(func(n *node) bool { return knows(n, row) })()) // no time has passed
+}
+
 func TestGoneIsNotResurrected(t *testing.T) {
 	is := is.New(t)
 	c := settled(t, 1, nodes)
@@ -406,6 +415,25 @@
 	is.True(took < limit)
 }
 
+// TestLateRenewalDoesNotUndoADeparture lets the node depart while its renewal
+// is on the way to the table.
+func TestLateRenewalDoesNotUndoADeparture(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := settled(t, 1, 3)
+	leaver := c.nodes[1].member
+	commit := leaver.Store.Commit
+	leaver.Store.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		leaver.Store.Commit = commit
+		leaver.Depart(ctx)
+		return commit(ctx, write)
+	}
+	is.NoErr(leaver.Renew(ctx))
+	row, err := c.memory.Store().Get(ctx, "members", leaver.Self().Name)
+	is.NoErr(err)
+	is.Equal(row.Version, int64(0))
+}
+
 func TestLaterIncarnationWins(t *testing.T) {
 	is := is.New(t)
 	c := settled(t, 1, nodes)
@@ -448,11 +476,20 @@
 	c.pass(time.Minute)
 	c.memory.SetFaults(plat.Faults{Down: true})
 	is.True(!frozen.member.Ready())
+	// Awake, but first nobody is heard, and then no configuration arrives.
 	frozen.alive = true
+	c.cut = func(from, to string) bool { return from == frozen.address || to == frozen.address }
+	neverReady := func() bool {
+		is.True(!frozen.member.Ready())
+		return false
+	}
+	c.run(5*time.Second, neverReady)
+	c.cut = func(string, string) bool { return false }
+	frozen.fetchFails = true
+	c.run(5*time.Second, neverReady)
+	frozen.fetchFails = false
 	limit := 10 * time.Second
-	took := c.run(limit, func() bool {
-		is.True(!frozen.member.Ready() || frozen.config.Number() == 2) // never ready with revision 1
-		return frozen.member.Ready()
-	})
+	took := c.run(limit, func() bool { return frozen.member.Ready() })
 	is.True(took < limit)
+	is.Equal(frozen.config.Number(), int64(2))
 }
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -57,6 +57,24 @@
 	leaveFanout = 64
 )
 
+// extent is how much of its view a node sends.
+type extent uint8
+
+const (
+	news      extent = iota // rows that changed lately
+	ownNews                 // the same, and the node's own row in any case
+	wholeView               // all rows
+)
+
+// peers holds the relay addresses of the other members present, as they were
+// at one edition of the view.
+type peers struct {
+	edition uint64
+	all     []string
+	near    []string // those in the own data centre
+	far     []string // those in other regions
+}
+
 // Controller keeps a View fresh. Its fields are set before its first use; its
 // methods are safe for concurrent use.
 type Controller struct {
@@ -85,6 +103,7 @@
 
 	mu        sync.Mutex
 	view      *View
+	peers     peers
 	seeds     []string // relay addresses heard from before the view is ready
 	inFlight  int
 	changedAt time.Time // last change of the view
@@ -219,7 +238,7 @@
 		c.notify()
 	}
 	for _, address := range addresses {
-		c.spawn(func() { c.exchange(ctx, address, false) })
+		c.spawn(func() { c.exchange(ctx, address, news) })
 	}
 }
 
@@ -272,7 +291,7 @@
 func (c *Controller) announce(ctx context.Context, state State) {
 	c.SetSelf(func(self *Member) { self.State = state })
 	c.mu.Lock()
-	addresses := c.others(func(Member) bool { return true })
+	addresses := c.others()
 	c.mu.Unlock()
 	c.shuffle(addresses)
 	addresses = addresses[:min(len(addresses), leaveFanout)]
@@ -281,7 +300,7 @@
 		told.Add(1)
 		c.run(func() {
 			defer told.Done()
-			c.exchange(ctx, address, false)
+			c.exchange(ctx, address, ownNews)
 		})
 	}
 	told.Wait()
@@ -289,8 +308,8 @@
 
 // exchange swaps news, or whole views, with the node at the address. If news
 // alone does not make the views equal, the whole view follows.
-func (c *Controller) exchange(ctx context.Context, address string, whole bool) {
-	req := c.request(whole)
+func (c *Controller) exchange(ctx context.Context, address string, sent extent) {
+	req := c.request(sent)
 	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	resp, err := c.Send(sendCtx, address, req)
@@ -305,23 +324,29 @@
 	if req.GetWantFull() && !resp.GetWantFull() {
 		c.answers[address] = true // an unready peer's view counts for nothing
 	}
-	wanted := (resp.GetWantFull() || differs) && !whole && c.allowFull(now)
+	wanted := (resp.GetWantFull() || differs) && sent != wholeView && c.allowFull(now)
 	c.mu.Unlock()
 	c.after(changed, address, resp.GetRevision(), resp.GetPlans())
 	if wanted {
-		c.exchange(ctx, address, true)
+		c.exchange(ctx, address, wholeView)
 	}
 	c.becomeReady(ctx, false)
 }
 
-func (c *Controller) request(whole bool) *relaypb.ExchangeRequest {
+func (c *Controller) request(sent extent) *relaypb.ExchangeRequest {
 	revision, plans := c.inForce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	c.view.SetSelf(now, func(self *Member) { self.Revision = revision })
 	rows := c.view.Deltas(now)
-	if whole {
+	switch sent {
+	case ownNews:
+		self := c.view.Self()
+		if !slices.Contains(rows, self) {
+			rows = append(rows, self)
+		}
+	case wholeView:
 		rows = c.view.Full(now)
 	}
 	return &relaypb.ExchangeRequest{
@@ -395,26 +420,29 @@
 // peers have given their whole view, and the configuration is caught up with.
 func (c *Controller) becomeReady(ctx context.Context, fromTable bool) {
 	c.mu.Lock()
-	peers := c.others(func(Member) bool { return true })
-	enough := min(catchUpPeers, len(peers))
+	if c.ready || c.catchingUp {
+		c.mu.Unlock()
+		return
+	}
+	known := c.others()
+	enough := min(catchUpPeers, len(known))
 	if c.Clock.Now().Sub(c.unreadyFrom) >= catchUpPatience {
 		enough = 1
 	}
 	heard := fromTable || len(c.answers) > 0 && len(c.answers) >= enough
-	start := heard && !c.ready && !c.catchingUp
-	c.catchingUp = c.catchingUp || start
+	c.catchingUp = heard
 	c.mu.Unlock()
-	if start {
-		c.run(func() { c.catchUp(ctx, peers, fromTable) })
+	if heard {
+		c.run(func() { c.catchUp(ctx, known, fromTable) })
 	}
 }
 
-func (c *Controller) catchUp(ctx context.Context, peers []string, fromTable bool) {
+func (c *Controller) catchUp(ctx context.Context, known []string, fromTable bool) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	var err error
 	if c.CatchUp != nil {
-		err = c.CatchUp(ctx, peers)
+		err = c.CatchUp(ctx, known)
 	}
 	c.mu.Lock()
 	c.catchingUp = false
@@ -440,22 +468,17 @@
 // centre and one of all, or of another region in a share of the rounds. While
 // the node knows nobody it answers those that found it.
 func (c *Controller) pickPeers() []string {
-	self := c.view.Self()
-	all := c.others(func(Member) bool { return true })
+	c.refreshPeers()
+	all, near, wide := c.peers.all, c.peers.near, c.peers.all
 	if len(all) == 0 {
 		return slices.Clone(c.seeds)
 	}
-	near := c.others(func(m Member) bool { return m.DataCentre == self.DataCentre })
-	wide := all
-	if c.Random() < farShare {
-		far := c.others(func(m Member) bool { return m.Region != self.Region })
-		if len(far) > 0 {
-			wide = far
-		}
-	}
 	if len(near) == 0 {
 		near = all
 	}
+	if len(c.peers.far) > 0 && c.Random() < farShare {
+		wide = c.peers.far
+	}
 	addresses := make([]string, 0, roundPeers+1)
 	addresses = append(addresses, c.choose(near))
 	if second := c.choose(wide); second != addresses[0] {
@@ -467,16 +490,32 @@
 	return addresses
 }
 
-func (c *Controller) others(keep func(Member) bool) []string {
+func (c *Controller) refreshPeers() {
+	if c.peers.edition == c.view.edition {
+		return
+	}
 	self := c.view.Self()
-	var addresses []string
+	next := peers{edition: c.view.edition}
 	for _, name := range c.view.names() {
-		row := c.view.entries[name].row
-		if name != self.Name && keep(row) {
-			addresses = append(addresses, row.RelayAddress)
+		row := &c.view.entries[name].row
+		if name == self.Name {
+			continue
+		}
+		next.all = append(next.all, row.RelayAddress)
+		if row.DataCentre == self.DataCentre {
+			next.near = append(next.near, row.RelayAddress)
+		}
+		if row.Region != self.Region {
+			next.far = append(next.far, row.RelayAddress)
 		}
 	}
-	return addresses
+	c.peers = next
+}
+
+// others returns the relay addresses of the other members present.
+func (c *Controller) others() []string {
+	c.refreshPeers()
+	return slices.Clone(c.peers.all)
 }
 
 func (c *Controller) inForce() (int64, []*relaypb.PlanVersion) {
