Count the work of runs that a good answer did not need as wasted

A trial of the demo printed 0 ms wasted although 52 attempts were shed after their look-ups had run: work was wasted only under requests without any good answer.

--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -98,7 +98,8 @@
 		CallsPerRequest float64 `json:"calls_per_request"`
 		MostCalls       int     `json:"most_calls"`
 		WorkMS          int64   `json:"work_ms"`
-		// WastedMS is the work done for requests without a good answer.
+		// WastedMS is the work done for requests without a good answer, and
+		// the work of runs that a good answer did not need.
 		WastedMS    int64   `json:"wasted_ms"`
 		RecoveryS   float64 `json:"recovery_s"`
 		Torn        int     `json:"torn"`
@@ -211,61 +212,6 @@
 	return result.Code(t.Code).Family() == result.NotRun
 }
 
-// addExecutions counts what ran. A request of a kind that may never repeat ran
-// double when its work began twice under any of its attempts. An attempt whose
-// answer said "not run" was false when any target began work under its name.
-func (r *Report) addExecutions(mesh *schema.Set, outcomes []Outcome, done []Executions) {
-	good := make(map[string]bool, len(outcomes))
-	refused := make(map[string]bool)
-	for _, outcome := range outcomes {
-		good[outcome.ID] = outcome.Good
-		for i, try := range outcome.Tries {
-			if try.notRun() {
-				refused[attemptName(outcome.ID, i)] = true
-			}
-		}
-	}
-	calls := map[string]int{}
-	runs := map[string]int{}
-	ranFalsely := map[string]bool{}
-	for _, target := range done {
-		for attempt, executions := range target.ByRequest {
-			base := baseRequest(attempt)
-			for _, execution := range executions {
-				calls[base] += execution.Arrived
-				r.WorkMS += execution.WorkMS
-				if !good[base] {
-					r.WastedMS += execution.WorkMS
-				}
-				if kind := mesh.Kind(execution.Kind); kind != nil && kind.Repeat == schema.Never {
-					runs[base+"/"+execution.Kind] += execution.Runs
-				}
-				if refused[attempt] && execution.Runs > 0 {
-					ranFalsely[attempt] = true
-				}
-			}
-		}
-	}
-	r.FalseNotRun = len(ranFalsely)
-	r.countCalls(calls, runs)
-}
-
-func (r *Report) countCalls(calls, runs map[string]int) {
-	for _, count := range runs {
-		if count > 1 {
-			r.DoubleRuns++
-		}
-	}
-	total := 0
-	for _, count := range calls {
-		total += count
-		r.MostCalls = max(r.MostCalls, count)
-	}
-	if r.Offered > 0 {
-		r.CallsPerRequest = float64(total) / float64(r.Offered)
-	}
-}
-
 // lines counts each kind in each phase, in the order of the phases and then of
 // the names.
 func lines(phases []Phase, outcomes []Outcome) []Line {
--- a/internal/lab/spell.go
+++ b/internal/lab/spell.go
@@ -41,18 +41,9 @@
 		if kind.Importance == schema.Critical {
 			counted.CriticalGood++
 		}
-		addCalls(counted.Useful, mesh, kind, 1/counted.Seconds)
+		walkCalls(mesh, kind, func(called *schema.Kind) {
+			counted.Useful[called.Service] += 1 / counted.Seconds
+		})
 	}
 	return counted
 }
-
-// addCalls adds share to every service that a request of the kind calls, once
-// for each call down its whole chain.
-func addCalls(useful map[string]float64, mesh *schema.Set, kind *schema.Kind, share float64) {
-	useful[kind.Service] += share
-	for _, name := range kind.Calls {
-		if called := mesh.Kind(name); called != nil {
-			addCalls(useful, mesh, called, share)
-		}
-	}
-}
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -113,5 +113,5 @@
     wait_port "$(basename "$file" .yaml)" "$(setting "$file" caller_listen)"
   done
   bin/dandelionfield apply -f "examples/$1/mesh" --node "$(setting "$first" admin_listen)" \
-    --token "$(setting "$first" operator_token)" --wait
+    --token "$(setting "$first" operator_token)" --wait | tail -n 2
 }
