Show what the bottleneck carried, and reach the switches of a full target

A trial of the lost data centre could not ask two targets what they ran: the naive relays' idle connections had used up the declared connections, so that the lab's own were closed. Switches and counters have a listener of their own now, and the naive relays keep 20 idle connections to a target in place of 200. Callers repeat in another data centre; before, the next entry node was mostly in the same one. Processor time per call no longer holds idle work.

--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -75,23 +75,26 @@
 		Good            int     `json:"good"`
 		CriticalOffered int     `json:"critical_offered"`
 		CriticalGood    int     `json:"critical_good"`
-		// Useful is how many calls a second of each service went into good
-		// requests, by the calls that their kinds declare.
+		// Demand is how many calls a second of each service the requests would
+		// take, by the calls that their kinds declare, if all were good and
+		// none repeated.
+		Demand map[string]float64 `json:"demand"`
+		// Useful is how many of them went into good requests.
 		Useful map[string]float64 `json:"useful"`
+		// Capacity is how many calls a second each service can work on, by its
+		// declared slots and the slow factor that is switched on.
+		Capacity map[string]float64 `json:"capacity"`
 	}
 
 	// Report is what a run showed.
 	Report struct {
 		// Label says what ran, for a table of several reports.
-		Label  []string `json:"label,omitempty"`
-		Spells []Spell  `json:"spells"`
-		// Capacity is how many calls a second each service can work on when
-		// nothing slows it.
-		Capacity map[string]float64 `json:"capacity,omitempty"`
-		Lines    []Line             `json:"lines"`
-		Offered  int                `json:"offered"`
-		Good     int                `json:"good"`
-		Refusals map[string]int     `json:"refusals"`
+		Label    []string       `json:"label,omitempty"`
+		Spells   []Spell        `json:"spells"`
+		Lines    []Line         `json:"lines"`
+		Offered  int            `json:"offered"`
+		Good     int            `json:"good"`
+		Refusals map[string]int `json:"refusals"`
 		// TriesPerRequest is the mean number of attempts of callers.
 		TriesPerRequest float64 `json:"tries_per_request"`
 		// CallsPerRequest is the mean number of calls that reached targets.
@@ -118,7 +121,6 @@
 	report := Report{
 		Refusals:  map[string]int{},
 		Spells:    spells(config, mesh, outcomes),
-		Capacity:  config.Capacity,
 		RecoveryS: Recovery(outcomes, config.Trigger),
 	}
 	tries := 0
--- a/internal/lab/added.go
+++ b/internal/lab/added.go
@@ -15,8 +15,12 @@
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 )
 
-// ticksPerSecond is the unit of processor time in /proc/<id>/stat.
-const ticksPerSecond = 100
+const (
+	// ticksPerSecond is the unit of processor time in /proc/<id>/stat.
+	ticksPerSecond = 100
+	// idleTime is how long the processes are watched while they are idle.
+	idleTime = 3 * time.Second
+)
 
 type (
 	// Added measures the time that a mesh adds to a call: it alternates direct
@@ -49,9 +53,11 @@
 		// AddedP50MS and AddedP99MS are quantiles of the difference in each pair.
 		AddedP50MS float64 `json:"added_p50_ms"`
 		AddedP99MS float64 `json:"added_p99_ms"`
-		// ProcessorMS is processor time per relayed call, idle work of the
-		// processes included.
+		// ProcessorMS is processor time per relayed call, less what the
+		// processes use while they are idle.
 		ProcessorMS float64 `json:"processor_ms"`
+		// IdleMS is the processor time that they use in an idle second.
+		IdleMS float64 `json:"idle_ms"`
 	}
 
 	pair struct {
@@ -64,7 +70,10 @@
 // Run makes the pairs and reports them. It ends early when the context ends.
 func (a *Added) Run(ctx context.Context) AddedReport {
 	client := newClient(a.Workers)
-	before := processorTime(a.Processes)
+	start := processorTime(a.Processes)
+	<-a.Clock.After(idleTime)
+	idle := float64(processorTime(a.Processes)-start) / float64(idleTime)
+	before, begun := processorTime(a.Processes), a.Clock.Now()
 	var mu sync.Mutex
 	var pairs []pair
 	var workers sync.WaitGroup
@@ -81,8 +90,10 @@
 	}
 	workers.Wait()
 	report := summarise(pairs)
+	report.IdleMS = idle * 1000
 	if len(pairs) > 0 {
-		report.ProcessorMS = (processorTime(a.Processes) - before).Seconds() * 1000 / float64(len(pairs))
+		used := (processorTime(a.Processes) - before).Seconds() - idle*a.Clock.Now().Sub(begun).Seconds()
+		report.ProcessorMS = used * 1000 / float64(len(pairs))
 	}
 	return report
 }
@@ -131,7 +142,8 @@
 	_, _ = fmt.Fprintf(w, "direct:  p50 %.3f ms, p99 %.3f ms\n", r.DirectP50MS, r.DirectP99MS)
 	_, _ = fmt.Fprintf(w, "relayed: p50 %.3f ms, p99 %.3f ms\n", r.RelayedP50MS, r.RelayedP99MS)
 	_, _ = fmt.Fprintf(w, "added (paired difference): p50 %.3f ms, p99 %.3f ms\n", r.AddedP50MS, r.AddedP99MS)
-	_, _ = fmt.Fprintf(w, "processor time per relayed call: %.3f ms\n", r.ProcessorMS)
+	_, _ = fmt.Fprintf(w, "processor time: %.3f ms per relayed call, besides %.1f ms in an idle second of all processes\n",
+		r.ProcessorMS, r.IdleMS)
 }
 
 func summarise(pairs []pair) AddedReport {
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
@@ -75,7 +76,12 @@
 				return err
 			}
 			target := NewTarget(config, clock.System{})
-			return serve(command.Context(), config.Listen, target.Server())
+			group, ctx := errgroup.WithContext(command.Context())
+			group.Go(func() error { return serve(ctx, config.Listen, target.Server()) })
+			if config.ControlListen != "" {
+				group.Go(func() error { return serve(ctx, config.ControlListen, &http.Server{Handler: target.Control()}) })
+			}
+			return group.Wait()
 		},
 	}
 	addConfigFlag(command, &path)
--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -20,6 +20,7 @@
 	adminPort
 	targetPort
 	platformPort
+	controlPort
 )
 
 // platformHost is the last part of the platform stand-in's address.
@@ -207,22 +208,23 @@
 	stand := l.Services[at]
 	kinds, err := l.targetKinds(mesh, host.Service)
 	return TargetConfig{
-		Name:         host.Name,
-		Service:      host.Service,
-		Listen:       l.address(host.IP, targetPort),
-		NodeAddress:  l.address(host.IP, callerPort),
-		Slots:        declared.Slots,
-		Connections:  declared.Connections,
-		Queue:        stand.Queue,
-		ServiceTime:  stand.ServiceTime,
-		Distribution: stand.Distribution,
-		Sigma:        stand.Sigma,
-		ColdStart:    declared.ColdStart,
-		ColdFactor:   stand.ColdFactor,
-		ShedStatus:   declared.ShedStatus,
-		Seed:         l.Seed,
-		PayloadBytes: stand.PayloadBytes,
-		Kinds:        kinds,
+		Name:          host.Name,
+		Service:       host.Service,
+		Listen:        l.address(host.IP, targetPort),
+		ControlListen: l.address(host.IP, controlPort),
+		NodeAddress:   l.address(host.IP, callerPort),
+		Slots:         declared.Slots,
+		Connections:   declared.Connections,
+		Queue:         stand.Queue,
+		ServiceTime:   stand.ServiceTime,
+		Distribution:  stand.Distribution,
+		Sigma:         stand.Sigma,
+		ColdStart:     declared.ColdStart,
+		ColdFactor:    stand.ColdFactor,
+		ShedStatus:    declared.ShedStatus,
+		Seed:          l.Seed,
+		PayloadBytes:  stand.PayloadBytes,
+		Kinds:         kinds,
 	}, err
 }
 
@@ -282,17 +284,30 @@
 	for _, service := range l.Services {
 		config.Capacity[service.Name] = l.capacity(mesh, service)
 	}
+	config.Entries = l.entries()
 	for _, host := range l.Hosts() {
-		config.Entries = append(config.Entries, l.address(host.IP, callerPort))
 		config.Targets = append(config.Targets, LoadTarget{
 			Name:    host.Name,
 			Service: host.Service,
-			Address: l.address(host.IP, targetPort),
+			Address: l.address(host.IP, controlPort),
 		})
 	}
 	return config
 }
 
+// entries returns the addresses for callers, ordered so that the next one is in
+// another data centre: a caller that repeats goes there.
+func (l *Layout) entries() []string {
+	hosts := l.Hosts()
+	entries := make([]string, 0, len(hosts))
+	for i := range l.Services {
+		for at := i; at < len(hosts); at += len(l.Services) {
+			entries = append(entries, l.address(hosts[at].IP, callerPort))
+		}
+	}
+	return entries
+}
+
 // capacity returns how many calls a second the slots of a service can work on.
 // Slots that wait for calls of their own are not taken off.
 func (l *Layout) capacity(mesh *schema.Set, service LayoutService) float64 {
--- a/internal/lab/naive.go
+++ b/internal/lab/naive.go
@@ -52,7 +52,7 @@
 }
 
 // naiveIdle is how many idle connections to one target are kept.
-const naiveIdle = 200
+const naiveIdle = 20
 
 // Handler returns the relay's HTTP door for the kinds of the mesh.
 func (n *Naive) Handler(mesh *schema.Set) http.Handler {
--- a/internal/lab/spell.go
+++ b/internal/lab/spell.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
@@ -17,20 +19,25 @@
 	for i, name := range []string{"before", "during", "after"} {
 		from, to := bounds[i], bounds[i+1]
 		if to > from {
-			list = append(list, spell(name, from, to, mesh, outcomes))
+			counted := spell(name, from, to, mesh, outcomes)
+			counted.Capacity = capacities(config, to)
+			list = append(list, counted)
 		}
 	}
 	return list
 }
 
 func spell(name string, from, to time.Duration, mesh *schema.Set, outcomes []Outcome) Spell {
-	counted := Spell{Name: name, Seconds: (to - from).Seconds(), Useful: map[string]float64{}}
+	counted := Spell{Name: name, Seconds: (to - from).Seconds(), Demand: map[string]float64{}, Useful: map[string]float64{}}
 	for _, outcome := range outcomes {
 		kind := mesh.Kind(outcome.Kind)
 		if kind == nil || outcome.At < from || outcome.At >= to {
 			continue
 		}
 		counted.Offered++
+		walkCalls(mesh, kind, func(called *schema.Kind) {
+			counted.Demand[called.Service] += 1 / counted.Seconds
+		})
 		if kind.Importance == schema.Critical {
 			counted.CriticalOffered++
 		}
@@ -47,3 +54,46 @@
 	}
 	return counted
 }
+
+// capacities returns the capacity of each service under the slow factor that
+// was switched last before a time of the trace.
+func capacities(config LoadConfig, before time.Duration) map[string]float64 {
+	capacities := maps.Clone(config.Capacity)
+	latest := map[string]time.Duration{}
+	for _, fault := range config.Faults {
+		factor := slowFactor(fault)
+		for _, service := range fault.Targets {
+			if config.Capacity[service] == 0 || factor == 0 || fault.At >= before || fault.At < latest[service] {
+				continue
+			}
+			latest[service] = fault.At
+			capacities[service] = config.Capacity[service] / factor
+		}
+	}
+	return capacities
+}
+
+// slowFactor returns the slow factor that a fault switches, or 0.
+func slowFactor(fault Fault) float64 {
+	switch factor := fault.Switch["slow_factor"].(type) {
+	case int:
+		return float64(factor)
+	case float64:
+		return factor
+	}
+	return 0
+}
+
+// bottleneck returns the service whose demand is largest beside its capacity.
+func (s Spell) bottleneck() string {
+	tightest, most := "", 0.0
+	for _, service := range slices.Sorted(maps.Keys(s.Demand)) {
+		if s.Capacity[service] == 0 {
+			continue
+		}
+		if load := s.Demand[service] / s.Capacity[service]; load > most {
+			tightest, most = service, load
+		}
+	}
+	return tightest
+}
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -51,9 +51,9 @@
 
 // PrintMarkdown writes one row a report.
 func PrintMarkdown(w io.Writer, reports []Report) {
-	_, _ = fmt.Fprintln(w, "| run | good/s before | during | after | critical good during | recovery |"+
+	_, _ = fmt.Fprintln(w, "| run | good/s before | during | after | critical good during | useful calls at the bottleneck during | recovery |"+
 		" attempts/request | calls at targets/request (most) | wasted work | torn, foreign | double runs | false not run |")
-	_, _ = fmt.Fprintln(w, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+	_, _ = fmt.Fprintln(w, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
 	for _, report := range reports {
 		_, _ = fmt.Fprintln(w, "| "+strings.Join(report.cells(), " | ")+" |")
 	}
@@ -77,6 +77,7 @@
 		during.rate(),
 		r.spell("after").rate(),
 		during.criticalShare(),
+		during.tightest(),
 		r.recovery(),
 		fmt.Sprintf("%.2f", r.TriesPerRequest),
 		fmt.Sprintf("%.2f (%d)", r.CallsPerRequest, r.MostCalls),
@@ -110,12 +111,21 @@
 	return fmt.Sprintf("%.1f%%", 100*float64(s.CriticalGood)/float64(s.CriticalOffered))
 }
 
+// tightest says how many useful calls the bottleneck made and could make.
+func (s Spell) tightest() string {
+	service := s.bottleneck()
+	if service == "" {
+		return "-"
+	}
+	return fmt.Sprintf("%s %.1f/s of %.1f/s", service, s.Useful[service], min(s.Demand[service], s.Capacity[service]))
+}
+
 func (r Report) printSpells(w io.Writer) {
 	for _, spell := range r.Spells {
-		_, _ = fmt.Fprintf(w, "%s the trigger: good %s a second; critical good %s; useful calls a second:",
+		_, _ = fmt.Fprintf(w, "%s the trigger: good %s a second; critical good %s; useful calls a second and capacity:",
 			spell.Name, spell.rate(), spell.criticalShare())
 		for _, service := range slices.Sorted(maps.Keys(spell.Useful)) {
-			_, _ = fmt.Fprintf(w, " %s=%.0f/%.0f", service, spell.Useful[service], r.Capacity[service])
+			_, _ = fmt.Fprintf(w, " %s=%.0f/%.0f", service, spell.Useful[service], spell.Capacity[service])
 		}
 		_, _ = fmt.Fprintln(w)
 	}
--- a/internal/lab/target.go
+++ b/internal/lab/target.go
@@ -31,6 +31,9 @@
 		Name    string `yaml:"name"`
 		Service string `yaml:"service"`
 		Listen  string `yaml:"listen"`
+		// ControlListen serves the switches and counters, so that they can be
+		// reached while all connections of Listen are taken.
+		ControlListen string `yaml:"control_listen"`
 		// NodeAddress is where the target sends its own calls.
 		NodeAddress string `yaml:"node_address"`
 		Slots       int    `yaml:"slots"`
@@ -136,11 +139,22 @@
 			t.serve(w, r, kind)
 		})
 	}
+	t.addControl(mux)
+	return mux
+}
+
+// Control returns the switches and counters alone.
+func (t *Target) Control() http.Handler {
+	mux := http.NewServeMux()
+	t.addControl(mux)
+	return mux
+}
+
+func (t *Target) addControl(mux *http.ServeMux) {
 	mux.HandleFunc("POST /-/faults", t.serveFaults)
 	mux.HandleFunc("GET /-/healthz", t.serveHealth)
 	mux.HandleFunc("GET /-/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Stats(), nil) })
 	mux.HandleFunc("GET /-/executions", t.serveExecutions)
-	return mux
 }
 
 // Server returns a server for the target that holds to its bound on connections.
