--- a/pkg/schema/check.go
+++ b/pkg/schema/check.go
@@ -119,10 +119,8 @@
 		content := field.Node.Content
 		for i := 0; i+1 < len(content); i += 2 {
 			key := place.Value{Node: content[i], Path: field.Path}
-			if !slices.Contains(known, content[i].Value) {
-				at.reader.Report(key, "another declared data centre"+suggest(content[i].Value, known))
-			} else if content[i].Value == centre.Name {
-				at.reader.Report(key, "another data centre")
+			if content[i].Value == centre.Name || !slices.Contains(known, content[i].Value) {
+				at.reader.Report(key, "another declared data centre"+suggest(content[i].Value, without(known, centre.Name)))
 			}
 		}
 	}
@@ -144,11 +142,9 @@
 		at.reader.Reportf(at.first("max_answer_bytes", "record_bytes"),
 			"max_answer_bytes at most record_bytes (%s)", place.FormatSize(limits.RecordBytes))
 	}
-	if limits.ClockMargin >= limits.OwnerLease {
-		at.reader.Reportf(at.first("clock_margin", "owner_lease"), "clock_margin below owner_lease (%s)", limits.OwnerLease)
-	}
-	if limits.OwnerLease > limits.KeyAge {
-		at.reader.Reportf(at.first("owner_lease", "key_age"), "owner_lease at most key_age (%s)", limits.KeyAge)
+	if limits.ClockMargin*marginsPerLease > limits.OwnerLease {
+		at.reader.Reportf(at.first("clock_margin", "owner_lease"),
+			"clock_margin at most 1/%d of owner_lease (%s)", marginsPerLease, limits.OwnerLease)
 	}
 }
 
@@ -178,6 +174,11 @@
 	return list.Items()
 }
 
+// without returns the names but one.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name })
+}
+
 func suggest(word string, names []string) string {
 	if suggestion := place.Closest(word, names); suggestion != "" {
 		return " (did you mean \"" + suggestion + "\"?)"
