--- /dev/null
+++ b/internal/lab/control.go
@@ -0,0 +1,107 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+)
+
+type (
+	// Faults are the switches of a target.
+	Faults struct {
+		SlowFactor    float64 `json:"slow_factor"`
+		Frozen        bool    `json:"frozen"`
+		Cold          bool    `json:"cold"`
+		LyingHealth   bool    `json:"lying_health"`
+		FailShare     float64 `json:"fail_share"`
+		Drain         bool    `json:"drain"`
+		TruncateShare float64 `json:"truncate_share"`
+		Down          bool    `json:"down"`
+	}
+
+	// Stats is what a target did since its start.
+	Stats struct {
+		Executions map[string]int `json:"executions"`
+		Arrived    int            `json:"arrived"`
+		Completed  int            `json:"completed"`
+		Shed       int            `json:"shed"`
+		Cancelled  int            `json:"cancelled"`
+		Failed     int            `json:"failed"`
+		InFlight   int            `json:"in_flight"`
+		WastedMS   int64          `json:"wasted_ms"`
+	}
+)
+
+// Control returns the switches and counters alone.
+func (t *Target) Control() http.Handler {
+	mux := http.NewServeMux()
+	t.addControl(mux)
+	return mux
+}
+
+func (t *Target) addControl(mux *http.ServeMux) {
+	mux.HandleFunc("POST /-/faults", t.serveFaults)
+	mux.HandleFunc("GET /-/healthz", t.serveHealth)
+	mux.HandleFunc("GET /-/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Stats(), nil) })
+	mux.HandleFunc("GET /-/executions", t.serveExecutions)
+}
+
+// Stats returns a copy of the counters.
+func (t *Target) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stats := t.stats
+	stats.InFlight = len(t.slots)
+	stats.Executions = maps.Clone(t.stats.Executions)
+	return stats
+}
+
+// Switch sets the faults. A slow factor of 0 means 1.
+func (t *Target) Switch(faults Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if faults.SlowFactor <= 0 {
+		faults.SlowFactor = 1
+	}
+	if faults.Frozen && t.thaw == nil {
+		t.thaw = make(chan struct{})
+	}
+	if !faults.Frozen && t.thaw != nil {
+		close(t.thaw)
+		t.thaw = nil
+	}
+	if faults.Cold {
+		t.coldAt = t.clock.Now()
+	}
+	t.faults = faults
+}
+
+func (t *Target) serveFaults(w http.ResponseWriter, r *http.Request) {
+	faults := Faults{SlowFactor: 1}
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.Switch(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	faults := t.current()
+	if !faults.LyingHealth {
+		t.waitThaw()
+	}
+	if !faults.LyingHealth && (faults.Drain || faults.Down) {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+func (t *Target) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	body, err := json.Marshal(t.done)
+	t.mu.Unlock()
+	writeJSON(w, json.RawMessage(body), err)
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -32,10 +32,10 @@
 
 // fillPath puts the request's name in place of every variable of a path, so
 // that "/stock/{item}" becomes "/stock/7-12". A request without a name, from
-// another tool than the lab's, asks for "0".
+// another tool than the lab's, asks for "unnamed".
 func fillPath(path, request string) string {
 	if request == "" {
-		request = "0"
+		request = unnamed
 	}
 	parts := strings.Split(path, "/")
 	for i, part := range parts {
--- a/internal/lab/layout_test.go
+++ b/internal/lab/layout_test.go
@@ -14,6 +14,8 @@
 func TestLayoutOfExamples(t *testing.T) {
 	is := is.New(t)
 	taken := map[string]string{}
+	control := map[string]string{}
+	centre := map[string]string{}
 	for _, firm := range []string{"cannelle", "kiudvali"} {
 		layout, mesh, err := ReadLayout(filepath.Join("../../examples", firm))
 		is.NoErr(err)
@@ -25,9 +27,11 @@
 			is.NoErr(err)
 			var target TargetConfig
 			is.NoErr(ReadYAML(filepath.Join(out, "target-"+host.Name+".yaml"), &target))
+			control[target.ControlListen] = host.Name
+			centre[node.CallerListen] = host.DataCentre
 			is.Equal(target.Listen, node.TargetAddress)
 			is.Equal(target.NodeAddress, node.CallerListen)
-			for _, address := range []string{node.CallerListen, node.RelayListen, node.AdminListen, target.Listen} {
+			for _, address := range []string{node.CallerListen, node.RelayListen, node.AdminListen, target.Listen, target.ControlListen} {
 				is.Equal(taken[address], "") // a second process listens there
 				taken[address] = host.Name
 			}
@@ -36,6 +40,13 @@
 			var load LoadConfig
 			is.NoErr(ReadYAML(filepath.Join(out, "load-"+name+".yaml"), &load))
 			is.Equal(len(load.Targets), 12)
+			for _, target := range load.Targets {
+				is.Equal(control[target.Address], target.Name)
+			}
+			for i, entry := range load.Entries {
+				next := load.Entries[(i+1)%len(load.Entries)]
+				is.True(centre[entry] != centre[next]) // a caller repeats where its trouble is too
+			}
 			for kind := range load.Mix {
 				is.True(mesh.Kind(kind) != nil) // the mix has a kind that is not declared
 			}
--- a/internal/lab/naive.go
+++ b/internal/lab/naive.go
@@ -104,6 +104,8 @@
 	if err != nil {
 		return naiveAnswer{}, err
 	}
+	// Without GetBody, net/http adds no repeats to those that are counted here.
+	request.GetBody = nil
 	request.Header = r.Header.Clone()
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
