--- a/internal/lab/naive.go
+++ b/internal/lab/naive.go
@@ -52,7 +52,7 @@
 }
 
 // naiveIdle is how many idle connections to one target are kept.
-const naiveIdle = 200
+const naiveIdle = 20
 
 // Handler returns the relay's HTTP door for the kinds of the mesh.
 func (n *Naive) Handler(mesh *schema.Set) http.Handler {
@@ -104,6 +104,8 @@
 	if err != nil {
 		return naiveAnswer{}, err
 	}
+	// Without GetBody, net/http adds no repeats to those that are counted here.
+	request.GetBody = nil
 	request.Header = r.Header.Clone()
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
