--- /dev/null
+++ b/internal/lab/command.go
@@ -0,0 +1,297 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// stopTimeout bounds how long a stand-in finishes its calls when it is stopped.
+const stopTimeout = 2 * time.Second
+
+// Command returns the command line of fieldlab.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fieldlab",
+		Short:         "Stand-ins, load and replay for trying dandelionfield",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(platformCommand(), targetCommand(), naiveCommand(), layoutCommand(),
+		loadCommand(), addedCommand(), tableCommand())
+	return root
+}
+
+// Main runs the command line until it ends or is interrupted, and returns the
+// exit code of the process.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := Command()
+	if err := command.ExecuteContext(ctx); err != nil {
+		command.PrintErrln("fieldlab:", err)
+		return 1
+	}
+	return 0
+}
+
+func platformCommand() *cobra.Command {
+	var listen string
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Stand in for the platform's table and object store, in memory",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serve(command.Context(), listen, &http.Server{Handler: NewPlatform(plat.NewMemory())})
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "", "IP:PORT to listen on")
+	_ = command.MarkFlagRequired("listen")
+	return command
+}
+
+func targetCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "target",
+		Short: "Stand in for one target",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var config TargetConfig
+			if err := ReadYAML(path, &config); err != nil {
+				return err
+			}
+			target := NewTarget(config, clock.System{})
+			group, ctx := errgroup.WithContext(command.Context())
+			group.Go(func() error { return serve(ctx, config.Listen, target.Server()) })
+			if config.ControlListen != "" {
+				group.Go(func() error { return serve(ctx, config.ControlListen, &http.Server{Handler: target.Control()}) })
+			}
+			return group.Wait()
+		},
+	}
+	addConfigFlag(command, &path)
+	return command
+}
+
+func naiveCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "naive",
+		Short: "Relay calls the naive way, for comparison",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var config NaiveConfig
+			if err := ReadYAML(path, &config); err != nil {
+				return err
+			}
+			mesh, err := schema.ParseDir(config.Mesh)
+			if err != nil {
+				return err
+			}
+			return serve(command.Context(), config.Listen, &http.Server{Handler: NewNaive(config).Handler(mesh)})
+		},
+	}
+	addConfigFlag(command, &path)
+	return command
+}
+
+func layoutCommand() *cobra.Command {
+	var firm, out, network string
+	var seed uint64
+	var fixed time.Duration
+	command := &cobra.Command{
+		Use:   "layout",
+		Short: "Write the settings of every process of a firm",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			layout, mesh, err := ReadLayout(firm)
+			if err != nil {
+				return err
+			}
+			if command.Flags().Changed("seed") {
+				layout.Seed = seed
+			}
+			if network != "" {
+				layout.Network = network
+			}
+			if fixed > 0 {
+				layout.FixTime(fixed)
+			}
+			meshDir, err := filepath.Abs(filepath.Join(firm, "mesh"))
+			if err != nil {
+				return err
+			}
+			if err := layout.Write(mesh, meshDir, out); err != nil {
+				return err
+			}
+			command.Println("platform", layout.PlatformAddress())
+			return nil
+		},
+	}
+	command.SetOut(os.Stdout)
+	command.Flags().StringVar(&firm, "firm", "", "directory with layout.yaml and mesh/")
+	command.Flags().StringVar(&out, "out", "", "directory to write to")
+	command.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the layout's")
+	command.Flags().StringVar(&network, "network", "", "first three parts of the hosts' addresses in place of the layout's")
+	command.Flags().DurationVar(&fixed, "fixed-time", 0, "one service time for all stand-ins")
+	_ = command.MarkFlagRequired("firm")
+	_ = command.MarkFlagRequired("out")
+	return command
+}
+
+func loadCommand() *cobra.Command {
+	var path, record, replay string
+	var label []string
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "load",
+		Short: "Send a trace of whole requests and check every answer",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var config LoadConfig
+			if err := ReadYAML(path, &config); err != nil {
+				return err
+			}
+			arrivals, err := loadTrace(config, record, replay)
+			if err != nil {
+				return err
+			}
+			report, err := runLoad(command.Context(), config, arrivals)
+			if err != nil {
+				return err
+			}
+			report.Label = label
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(report)
+			}
+			report.Print(os.Stdout)
+			return nil
+		},
+	}
+	addConfigFlag(command, &path)
+	command.Flags().StringSliceVar(&label, "label", nil, "words that name the run in a table")
+	command.Flags().StringVar(&record, "record", "", "file to keep the trace in")
+	command.Flags().StringVar(&replay, "replay", "", "file with a kept trace to send")
+	command.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
+	return command
+}
+
+func addedCommand() *cobra.Command {
+	added := &Added{Clock: clock.System{}}
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "added",
+		Short: "Measure the time that the mesh adds to a call",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			report := added.Run(command.Context())
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(report)
+			}
+			report.Print(os.Stdout)
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&added.Entry, "entry", "", "IP:PORT of the node that relays")
+	flags.StringVar(&added.Target, "target", "", "IP:PORT of the target that is called directly")
+	flags.StringVar(&added.Path, "path", "", "declared path of a GET kind")
+	flags.IntVar(&added.Pairs, "pairs", 2000, "pairs of calls")
+	flags.IntVar(&added.Workers, "workers", 4, "pairs under way at once")
+	flags.DurationVar(&added.Gap, "gap", 5*time.Millisecond, "pause of a worker between pairs")
+	flags.IntSliceVar(&added.Processes, "process", nil, "process ids whose processor time is counted")
+	flags.BoolVar(&asJSON, "json", false, "print the report as JSON")
+	for _, name := range []string{"entry", "target", "path"} {
+		_ = command.MarkFlagRequired(name)
+	}
+	return command
+}
+
+func tableCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "table REPORT...",
+		Short: "Print reports of load as one table in markdown",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, paths []string) error {
+			reports := make([]Report, 0, len(paths))
+			for _, path := range paths {
+				text, err := os.ReadFile(path)
+				if err != nil {
+					return badFile.Wrap(err, "read report")
+				}
+				var report Report
+				if err := json.Unmarshal(text, &report); err != nil {
+					return badFile.Wrap(err, "%s", path)
+				}
+				reports = append(reports, report)
+			}
+			PrintMarkdown(os.Stdout, reports)
+			return nil
+		},
+	}
+}
+
+func loadTrace(config LoadConfig, record, replay string) ([]Arrival, error) {
+	if replay != "" {
+		return ReadTrace(replay)
+	}
+	arrivals := NewTrace(config)
+	if record == "" {
+		return arrivals, nil
+	}
+	return arrivals, WriteTrace(record, arrivals)
+}
+
+func runLoad(ctx context.Context, config LoadConfig, arrivals []Arrival) (Report, error) {
+	mesh, err := schema.ParseDir(config.Mesh)
+	if err != nil {
+		return Report{}, err
+	}
+	load, err := NewLoad(config, mesh, clock.System{})
+	if err != nil {
+		return Report{}, err
+	}
+	load.Live = os.Stderr
+	return load.Run(ctx, arrivals), nil
+}
+
+func addConfigFlag(command *cobra.Command, path *string) {
+	command.Flags().StringVar(path, "config", "", "settings file")
+	_ = command.MarkFlagRequired("config")
+}
+
+// serve serves until the context ends, then lets calls finish for a moment.
+func serve(ctx context.Context, address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := server.Shutdown(stop); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return server.Close()
+}
--- /dev/null
+++ b/internal/node/rules.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/filter"
+	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// tracker wakes everybody who waits for the next revision.
+type tracker struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	since   time.Time
+}
+
+const (
+	// readyPeriod is how often a starting node looks whether it is ready.
+	readyPeriod = 20 * time.Millisecond
+	// plansWait is how long a node that is ready otherwise waits for owners.
+	plansWait = 5 * time.Second
+)
+
+func parseDocument(document []byte) (*schema.Set, error) {
+	return schema.Parse("configuration", document)
+}
+
+// enforce compiles a revision and puts it in force for requests.
+func (n *Node) enforce(revision *config.Revision) {
+	set := revision.Set
+	matcher := schema.NewMatcher(set)
+	chains := make(map[string][]string, len(set.Kinds))
+	for _, kind := range set.Kinds {
+		chains[kind.Name] = set.Chain(kind.Name)
+	}
+	n.rules.Store(&filter.Rules{
+		Revision: revision.Number,
+		Limits:   set.Limits,
+		Match:    matcher.Match,
+		Chain:    func(kind string) []string { return chains[kind] },
+	})
+	n.local.Regulate(n.owner(), ownerRules(set.Limits))
+	if document, version := n.config.Plan(n.settings.Service); version > 0 {
+		n.learnPlan(n.settings.Service, document, version)
+	}
+	if service := set.Service(n.settings.Service); service != nil {
+		n.local.Resize(n.gateSettings(*service), service.Connections)
+	}
+	n.members.SetSelf(func(self *member.Member) { self.Revision = revision.Number })
+	n.membersChanged()
+	n.status.advance(n.clock.Now())
+	n.metrics.Revision.Set(float64(revision.Number))
+	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest)
+}
+
+// becomeActive announces the node as a target once it has the configuration, a
+// view of the others, and the owners of idempotency keys. It does not wait for
+// owners for ever: a service without living targets has none.
+func (n *Node) becomeActive(ctx context.Context) {
+	for waited := time.Duration(0); !n.prepared() || (!n.plansKnown() && waited < plansWait); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.clock.After(readyPeriod):
+		}
+		if n.prepared() {
+			waited += readyPeriod
+		}
+	}
+	n.members.SetSelf(func(self *member.Member) {
+		if self.State == member.Starting {
+			self.State = member.Active
+		}
+	})
+	n.log.Info("node_active", "node", n.settings.Name, "revision", n.config.Number())
+}
+
+// prepared says whether the node has the configuration and a trusted view.
+func (n *Node) prepared() bool {
+	return n.rules.Load() != nil && n.members.Ready() && !n.leaving.Load()
+}
+
+// plansKnown says whether the owners of every service whose kinds may run only
+// once are known.
+func (n *Node) plansKnown() bool {
+	current := n.config.Current()
+	if current == nil {
+		return false
+	}
+	for _, kind := range current.Set.Kinds {
+		if kind.Repeat != schema.Never {
+			continue
+		}
+		if _, version := n.config.Plan(kind.Service); version == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// membersChanged gives the sender the targets of every declared service.
+func (n *Node) membersChanged() {
+	n.checkSuperseded()
+	current := n.config.Current()
+	if current == nil {
+		return
+	}
+	byService := map[string][]route.Target{}
+	all := n.members.All()
+	for _, m := range all {
+		if m.State != member.Active && m.State != member.Cold && m.State != member.Leaving {
+			continue
+		}
+		byService[m.Service] = append(byService[m.Service], route.Target{
+			Name:        m.Name,
+			Incarnation: m.Incarnation,
+			Address:     m.RelayAddress,
+			DataCentre:  m.DataCentre,
+			Region:      m.Region,
+			Leaving:     m.State == member.Leaving,
+			Cold:        m.State == member.Cold,
+		})
+	}
+	for _, service := range current.Set.Services {
+		n.sender.Update(service.Name, byService[service.Name])
+	}
+	n.metrics.Members.Set(float64(len(all)))
+}
+
+// checkSuperseded stops the node when a later process bears its name.
+func (n *Node) checkSuperseded() {
+	if later, ok := n.members.Superseded(); ok {
+		n.log.Warn("superseded", "node", n.settings.Name, "by", later.Incarnation)
+		n.Drain()
+	}
+}
+
+func (n *Node) kind(name string) *schema.Kind {
+	current := n.config.Current()
+	if current == nil {
+		return nil
+	}
+	return current.Set.Kind(name)
+}
+
+func (n *Node) declared(service string) schema.Service {
+	if current := n.config.Current(); current != nil {
+		if declared := current.Set.Service(service); declared != nil {
+			return *declared
+		}
+	}
+	return schema.DefaultService()
+}
+
+func (n *Node) shedStatus() int {
+	return n.declared(n.settings.Service).ShedStatus
+}
+
+func (n *Node) retryShare(service string) float64 {
+	return n.declared(service).RetryShare
+}
+
+// watch blocks until a revision above after is in force.
+func (n *Node) watch(ctx context.Context, after int64) (int64, *schema.Set, error) {
+	for {
+		changed := n.status.wait()
+		if current := n.config.Current(); current != nil && current.Number > after {
+			return current.Number, current.Set, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// advance notes a new revision and wakes those who wait.
+func (t *tracker) advance(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.since = now
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+}
+
+// wait returns a channel that is closed at the next revision.
+func (t *tracker) wait() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+// age returns the time since the revision in force was taken up.
+func (t *tracker) age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.since.IsZero() {
+		return 0
+	}
+	return now.Sub(t.since)
+}
