Answer conflicts and lost writes of the configuration as such

Cause: the resource API knew the errors of the platform's store, but the node's commit returns those of the configuration controller, so a conflict would have been answered as a failure (500) in place of 409 and a lost write in place of 503. It also printed a digest of its own beside the revision's, and took every member in state active for one that needs notice.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,8 +33,8 @@
 		Token    string
 		Registry *prometheus.Registry
 		// Apply commits the document as the revision after expected. It
-		// returns NewConflict or plat.Conflict when another revision is in
-		// force, and plat.Unavailable when the platform gave no answer. A dry
+		// returns NewConflict or config.Conflict when another revision is in
+		// force, and config.Unresolved when that is not known. A dry
 		// run checks the expected revision and commits nothing. Changes and
 		// Digest of the result may be left empty.
 		Apply func(ctx context.Context, document []byte, expected int64, dryRun bool) (Applied, error)
@@ -113,7 +113,7 @@
 // NewConflict returns the error of an apply whose expected revision is not the
 // one in force.
 func NewConflict(expected, current int64) error {
-	return Conflict.New("revision %d was expected, %d is in force", expected, current).
+	return Conflict.New("expected revision %d, but revision %d is in force", expected, current).
 		WithProperty(propertyExpected, expected).
 		WithProperty(propertyCurrent, current)
 }
@@ -141,7 +141,7 @@
 	v1.Get("/status", s.status)
 	v1.Post("/drain", s.drain)
 	if err := app.Build(); err != nil {
-		s.Log.Error("admin routes could not be built", "error", err)
+		s.Log.Error("admin_routes_failed", "error", err)
 		return http.NotFoundHandler()
 	}
 	return app
@@ -158,7 +158,7 @@
 	shownDigest := sha256.Sum256([]byte(shown))
 	tokenDigest := sha256.Sum256([]byte(s.Token))
 	if !bearer || subtle.ConstantTimeCompare(shownDigest[:], tokenDigest[:]) != 1 {
-		s.Log.Warn("operator refused", "remote", ctx.Request().RemoteAddr, "path", ctx.Path())
+		s.Log.Warn("operator_refused", "remote", ctx.Request().RemoteAddr, "path", ctx.Path())
 		ctx.Header("WWW-Authenticate", "Bearer")
 		fail(ctx, http.StatusUnauthorized, Failure{Error: "the node's operator token is needed as Authorization: Bearer TOKEN"})
 		return
@@ -190,7 +190,7 @@
 		fail(ctx, http.StatusInternalServerError, Failure{Error: err.Error()})
 		return
 	}
-	s.Log.Info("drain begun", "remote", ctx.Request().RemoteAddr)
+	s.Log.Info("drain_begun", "remote", ctx.Request().RemoteAddr)
 	_ = ctx.JSON(struct {
 		State string `json:"state"`
 	}{"draining"})
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -16,7 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
@@ -78,11 +78,11 @@
 		if d.Cmd == "set" {
 			l.ready = d.HasArg("ready")
 			l.fail = nil
-			if d.HasArg("unavailable") {
-				l.fail = plat.Unavailable.New("no answer")
+			if d.HasArg("unresolved") {
+				l.fail = config.Unresolved.New("whether revision 2 was accepted is not known")
 			}
-			if d.HasArg("platform_conflict") {
-				l.fail = plat.Conflict.New("row changed")
+			if d.HasArg("conflict") {
+				l.fail = config.Conflict.New("expected revision 1, but revision 2 is in force")
 			}
 			return "ok\n"
 		}
--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,8 +12,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/kataras/iris/v12"
 
+	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/internal/place"
-	"github.com/dandelionfield/dandelionfield/internal/plat"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
@@ -63,7 +62,7 @@
 	document := set.Document()
 	applied, err := s.Apply(ctx.Request().Context(), document, expected, dryRun)
 	if err != nil {
-		s.Log.Warn("revision refused", "remote", ctx.Request().RemoteAddr, "expected", expected, "error", err)
+		s.Log.Warn("apply_refused", "remote", ctx.Request().RemoteAddr, "expected", expected, "error", err)
 		s.failCommit(ctx, err, expected)
 		return
 	}
@@ -72,10 +71,10 @@
 		applied.Changes = old.Diff(set)
 	}
 	if applied.Digest == "" {
-		applied.Digest = schema.Digest(document)
+		applied.Digest = config.Digest(document)
 	}
 	if !dryRun {
-		s.Log.Info("revision accepted", "remote", ctx.Request().RemoteAddr, "revision", applied.Revision, "changes", len(applied.Changes))
+		s.Log.Info("apply_accepted", "remote", ctx.Request().RemoteAddr, "revision", applied.Revision, "changes", len(applied.Changes))
 	}
 	_ = ctx.JSON(applied)
 }
@@ -117,7 +116,7 @@
 	number, set, document := s.current()
 	_ = ctx.JSON(Listing{
 		Revision:  number,
-		Digest:    schema.Digest(document),
+		Digest:    config.Digest(document),
 		Resources: set.Resources(),
 		Document:  string(document),
 	})
@@ -194,7 +193,7 @@
 		return Event{}, nil, err
 	}
 	document := set.Document()
-	event := Event{Revision: number, Digest: schema.Digest(document)}
+	event := Event{Revision: number, Digest: config.Digest(document)}
 	if before == nil {
 		event.Document = string(document)
 	} else {
@@ -222,29 +221,28 @@
 	case errorx.IsOfType(err, Conflict):
 		value, _ := errorx.ExtractProperty(err, propertyCurrent)
 		current, _ := value.(int64)
-		failConflict(ctx, expected, current)
-	case errorx.IsOfType(err, plat.Conflict):
+		failConflict(ctx, err, expected, current)
+	case errorx.IsOfType(err, config.Conflict):
 		current, _, _ := s.current()
-		failConflict(ctx, expected, current)
-	case errorx.IsOfType(err, plat.Unavailable):
+		failConflict(ctx, err, expected, current)
+	case errorx.IsOfType(err, config.Unresolved):
 		fail(ctx, http.StatusServiceUnavailable, Failure{
-			Error: "the platform gave no answer, so the change may or may not have been accepted; " +
-				"look at the revision in force before applying again: " + err.Error(),
+			Error: "the platform gave no clear answer: " + errorx.Cast(err).Message() +
+				"; the same apply with expected revision " + strconv.FormatInt(expected, 10) +
+				" may be sent again and is never accepted twice",
 		})
 	default:
 		fail(ctx, http.StatusInternalServerError, Failure{Error: err.Error()})
 	}
 }
 
-// failConflict names both revisions. A current one that is not above the
-// expected one is old news: the platform knows of a change that this node has
-// not learned yet.
-func failConflict(ctx iris.Context, expected, current int64) {
-	failure := Failure{Error: fmt.Sprintf("revision %d was expected, but %d is in force", expected, current), Expected: &expected}
+// failConflict passes on the message, which names both revisions. A current one
+// that equals the expected one is old news: the platform knows of a change that
+// this node has not learned yet.
+func failConflict(ctx iris.Context, err error, expected, current int64) {
+	failure := Failure{Error: errorx.Cast(err).Message(), Expected: &expected}
 	if current != expected {
 		failure.Current = &current
-	} else {
-		failure.Error = fmt.Sprintf("revision %d was expected, but another change was accepted at the same moment", expected)
 	}
 	fail(ctx, http.StatusConflict, failure)
 }
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/member"
 )
 
 type (
@@ -132,9 +134,9 @@
 // Lagging names the members at which the revision is not yet in force.
 func (s *Status) Lagging(revision int64) []string {
 	lagging := []string{}
-	for _, member := range s.Members {
-		if member.Revision < revision {
-			lagging = append(lagging, member.Name)
+	for _, m := range s.Members {
+		if m.Revision < revision {
+			lagging = append(lagging, m.Name)
 		}
 	}
 	sort.Strings(lagging)
@@ -143,8 +145,8 @@
 
 func (s *Status) rollout() Rollout {
 	highest := s.Revision
-	for _, member := range s.Members {
-		highest = max(highest, member.Revision)
+	for _, m := range s.Members {
+		highest = max(highest, m.Revision)
 	}
 	lagging := s.Lagging(highest)
 	return Rollout{
@@ -211,6 +213,11 @@
 	}
 }
 
+// TakesWork reports whether the member's target takes work.
+func (m Member) TakesWork() bool {
+	return m.State == member.Active.String() || m.State == member.Cold.String()
+}
+
 // takesWork reports whether any target is ready. Ejected ones count: they are
 // probed and come back without a person.
 func (s Service) takesWork() bool {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -21,7 +21,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/dandelionfield/dandelionfield/internal/admin"
-	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/internal/setup"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -104,7 +104,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.offline {
-		return admin.Applied{}, plat.Unavailable.New("no answer")
+		return admin.Applied{}, config.Unresolved.New("no answer")
 	}
 	number := int64(len(m.history))
 	if expected != number {
@@ -123,7 +123,7 @@
 	m.history = append(m.history, set)
 	if m.loses {
 		m.loses = false
-		return admin.Applied{}, plat.Unavailable.New("answer lost")
+		return admin.Applied{}, config.Unresolved.New("answer lost")
 	}
 	return admin.Applied{Revision: number + 1}, nil
 }
@@ -167,8 +167,8 @@
 		Node: "orders-1", Incarnation: "i1", DataCentre: "tartu-1", Service: "orders", State: admin.StateReady,
 		Revision: number, Digest: "0011223344556677", PlatformReachable: !m.offline, PlatformSilentMS: 700_000,
 		Members: []admin.Member{
-			{Name: "orders-1", DataCentre: "tartu-1", Service: "orders", State: admin.StateReady, Revision: number},
-			{Name: "stock-1", DataCentre: "tartu-2", Service: "stock", State: admin.StateReady, Revision: other},
+			{Name: "orders-1", DataCentre: "tartu-1", Service: "orders", State: "active", Revision: number},
+			{Name: "stock-1", DataCentre: "tartu-2", Service: "stock", State: "active", Revision: other},
 		},
 		Services: []admin.Service{
 			{Name: "orders", Targets: []admin.Target{{Node: "orders-1", State: admin.StateReady, InFlight: 3, Limit: 115, Floor: 65536}}},
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -274,7 +274,7 @@
 		_, _ = fmt.Fprintf(w, "dry run: nothing changed, revision %d stays in force\n", applied.Revision)
 		return
 	}
-	_, _ = fmt.Fprintf(w, "revision %d accepted, digest %s\n", applied.Revision, applied.Digest)
+	_, _ = fmt.Fprintf(w, "revision %d accepted, digest %s\n", applied.Revision, short(applied.Digest))
 }
 
 // printChanges writes one line for each changed resource and field.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -15,6 +15,9 @@
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 )
 
+// shortDigest is how many letters of a digest are printed for people.
+const shortDigest = 12
+
 // codesIntro stands above the table of codes.
 const codesIntro = "| Code | Name | Family | HTTP status | Meaning | What the caller does |\n|---|---|---|---|---|---|\n"
 
@@ -55,7 +58,7 @@
 		platform = "silent for " + silence.Round(time.Second).String()
 	}
 	_, _ = fmt.Fprintf(w, "\nnode\t%s (%s, %s)\nincarnation\t%s\nstate\t%s\nrevision\t%d (%s)\nplatform\t%s\n",
-		status.Node, status.Service, status.DataCentre, status.Incarnation, status.State, status.Revision, status.Digest, platform)
+		status.Node, status.Service, status.DataCentre, status.Incarnation, status.State, status.Revision, short(status.Digest), platform)
 	_, _ = fmt.Fprintf(w, "members\t%d\n", len(status.Members))
 	printMembers(w, status, all)
 	printServices(w, status.Services)
@@ -71,7 +74,7 @@
 	var rows []string
 	for _, member := range status.Members {
 		lags := member.Revision < status.Rollout.Revision
-		if !all && !lags && member.State == admin.StateReady {
+		if !all && !lags && member.TakesWork() {
 			continue
 		}
 		revision := fmt.Sprint(member.Revision)
@@ -121,6 +124,11 @@
 	}
 }
 
+// short cuts a digest to what is enough for telling revisions apart.
+func short(digest string) string {
+	return digest[:min(len(digest), shortDigest)]
+}
+
 func count(holds bool) int {
 	if holds {
 		return 1
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -184,7 +184,7 @@
 		_, _ = fmt.Fprintln(a.stdout, "---")
 	}
 	return a.print(event, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "revision %d in force, digest %s\n", event.Revision, event.Digest)
+		_, _ = fmt.Fprintf(w, "revision %d in force, digest %s\n", event.Revision, short(event.Digest))
 		if event.Document == "" {
 			printChanges(w, event.Changes)
 		}
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -280,4 +280,3 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
-
--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"math"
 	"sort"
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/dandelionfield/dandelionfield/internal/place"
@@ -67,11 +65,6 @@
 	return document.Bytes()
 }
 
-// Digest returns a short hash of a document, for comparing at a glance.
-func Digest(document []byte) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64(document))
-}
-
 // Resources returns all resources in canonical order; the limits come last.
 func (s *Set) Resources() []Resource {
 	sorted := Set{
