Call nobody for a starting target, and tell of a replaced revision

Seen in a trial with three nodes: in their first seconds the status said that targets must be started, although they were starting; and a repeat of an apply that another revision had replaced since printed "accepted" alone.

A service with a member that has been starting for less than a minute is not degraded.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -56,10 +56,14 @@
 	// Applied is the answer to an accepted document.
 	Applied struct {
 		// Revision is the accepted one, or for a dry run the one in force.
-		Revision int64           `json:"revision"`
-		Digest   string          `json:"digest"`
-		DryRun   bool            `json:"dry_run"`
-		Changes  []schema.Change `json:"changes"`
+		Revision int64  `json:"revision"`
+		Digest   string `json:"digest"`
+		DryRun   bool   `json:"dry_run"`
+		// Superseded is the revision in force when that is a higher one than
+		// the accepted one: then the document was accepted before, and the
+		// changes are left out.
+		Superseded int64           `json:"superseded,omitempty"`
+		Changes    []schema.Change `json:"changes"`
 	}
 
 	// Listing is the answer to GET /v1/resources.
--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -67,6 +67,10 @@
 		return
 	}
 	applied.DryRun = dryRun
+	if latest, _, _ := s.current(); latest > applied.Revision && !dryRun {
+		applied.Superseded = latest
+		applied.Changes = []schema.Change{}
+	}
 	if applied.Changes == nil {
 		applied.Changes = old.Diff(set)
 	}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -47,6 +47,8 @@
 		State        string `json:"state"`
 		Revision     int64  `json:"revision"`
 		AdminAddress string `json:"admin_address"`
+		// AgeMS is the time since the member's incarnation started.
+		AgeMS int64 `json:"age_ms"`
 	}
 
 	// Rollout tells how far the highest known revision has come.
@@ -107,6 +109,8 @@
 const StateReady = "ready"
 
 const (
+	// startGrace is how long a member may start before a person is called.
+	startGrace = time.Minute
 	// rolloutGrace is how long members may lag before a person is called.
 	rolloutGrace = 30 * time.Second
 	// platformGrace is how long the platform may be silent before a person is
@@ -190,7 +194,7 @@
 		add("the node has no configuration", "apply a configuration")
 	}
 	for _, service := range s.Services {
-		if !service.takesWork() {
+		if !service.takesWork() && !s.starting(service.Name) {
 			add("no target of "+service.Name+" takes work", "start targets of "+service.Name)
 		}
 	}
@@ -213,6 +217,17 @@
 	}
 }
 
+// starting reports whether a member of the service is about to take work.
+func (s *Status) starting(service string) bool {
+	for _, m := range s.Members {
+		young := m.AgeMS < startGrace.Milliseconds()
+		if m.Service == service && m.State == member.Starting.String() && young {
+			return true
+		}
+	}
+	return false
+}
+
 // TakesWork reports whether the member's target takes work.
 func (m Member) TakesWork() bool {
 	return m.State == member.Active.String() || m.State == member.Cold.String()
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -35,6 +35,7 @@
 		breaks  bool          // every watch ends after one revision
 		offline bool          // the platform gives no answer
 		loses   bool          // the answer to the next change is lost
+		late    bool          // the next change is replaced before its answer
 		rival   bool          // another operator's change comes first
 		drained bool
 	}
@@ -121,6 +122,10 @@
 		set = &schema.Set{Limits: schema.DefaultLimits()}
 	}
 	m.history = append(m.history, set)
+	if m.late {
+		m.late = false
+		m.history = append(m.history, &schema.Set{Limits: schema.DefaultLimits()})
+	}
 	if m.loses {
 		m.loses = false
 		return admin.Applied{}, config.Unresolved.New("answer lost")
@@ -216,6 +221,8 @@
 		mesh.loses = true
 	case "fair":
 		mesh.rival = false
+	case "late":
+		mesh.late = true
 	case "rival":
 		mesh.loses, mesh.rival = true, true
 	case "offline":
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -200,6 +200,10 @@
 	if err != nil {
 		return err
 	}
+	if applied.Superseded > 0 {
+		return Conflict.New("revision %d was accepted, but revision %d has replaced it; look at it with `dandelionfield diff`, then apply again",
+			applied.Revision, applied.Superseded)
+	}
 	if err := a.print(applied, func(w io.Writer) { printApplied(w, applied) }); err != nil {
 		return err
 	}
