Refuse callers at a node that does not know the owners of keys yet

Cause: a node that had just restarted answered a keyed request 'owner gone' 0 ms after it had the configuration and before it had the owner plans (seen in the debug log of the rolling trial). Ruled out: the leaving node (its own log shows no refusal). A node is now active only with plans, and until then says 'no configuration', which is true: it ran nothing. A key whose owner is being replaced is also asked for again until the next one is known.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,9 @@
 	// Owner returns the incarnation that runs a key of a service, or the code
 	// that says why there is none. Fresh keys were never sent before.
 	Owner func(service string, key once.Key, fresh bool) (string, result.Code)
+	// Settling says whether the owner of a key is being replaced right now, so
+	// that the key will have another one soon.
+	Settling func(service string, key once.Key) bool
 	// RetryShare returns the declared share of repeats at a service.
 	RetryShare func(service string) float64
 	// Moved is called when an attempt shows that the view of members or plans
@@ -162,12 +165,9 @@
 	return target, result.OK
 }
 
+// owner returns the target beside the owner of the call's key.
 func (s *Sender) owner(c *call.Call) (route.Target, result.Code) {
-	key, err := once.ParseKey(c.Key)
-	if err != nil {
-		return route.Target{}, result.KeyInvalid
-	}
-	keeper, code := s.Owner(c.Kind.Service, key, c.KeyFresh)
+	keeper, code := s.keeper(c)
 	if code != result.OK {
 		return route.Target{}, code
 	}
@@ -183,6 +183,15 @@
 	return route.Target{}, result.OwnerGone
 }
 
+// keeper returns the incarnation that runs the call's key.
+func (s *Sender) keeper(c *call.Call) (string, result.Code) {
+	key, err := once.ParseKey(c.Key)
+	if err != nil {
+		return "", result.KeyInvalid
+	}
+	return s.Owner(c.Kind.Service, key, c.KeyFresh)
+}
+
 // ended tells the route and the allowance what an attempt showed.
 func (s *Sender) ended(c *call.Call, target route.Target, report route.Report) {
 	now := s.Clock.Now()
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -10,6 +10,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/admit"
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/once"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/route"
@@ -22,6 +23,8 @@
 	sender *Sender
 	call   *call.Call
 	tried  map[string]bool
+	// asked is the incarnation that the last attempt was addressed to.
+	asked string
 	// unknown is the last answer that leaves open whether the call ran. Once
 	// there is one, no later refusal may say "not run".
 	unknown *call.Answer
@@ -37,6 +40,9 @@
 	// fateQuestions is how often a lost attempt is asked for when the other
 	// node cannot be reached.
 	fateQuestions = 3
+	// ownerQuestions is how often it is looked for another owner of a key
+	// while the owner is being replaced.
+	ownerQuestions = 15
 	// fatePause is the time between two such questions.
 	fatePause = 100 * time.Millisecond
 )
@@ -67,7 +73,7 @@
 
 // again decides on one more attempt, pays for it, and waits out the backoff.
 func (s *sending) again(ctx context.Context, answer *call.Answer) bool {
-	if !s.repeatable(answer.Code) || ctx.Err() != nil {
+	if ctx.Err() != nil || !s.repeatable(ctx, answer.Code) {
 		return false
 	}
 	delay := s.sender.Backoff.Delay(s.repeats)
@@ -89,7 +95,7 @@
 }
 
 // repeatable says whether a call that ended with a code may be sent again.
-func (s *sending) repeatable(code result.Code) bool {
+func (s *sending) repeatable(ctx context.Context, code result.Code) bool {
 	switch code {
 	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetShed, result.MemoryBound:
 		// The service is overloaded: only another target may take the call,
@@ -99,7 +105,7 @@
 		s.sender.Moved()
 		return true
 	case result.NoOwner, result.OwnerGone:
-		return s.reowned()
+		return s.reowned(ctx)
 	case result.Lost, result.AnswerTruncated, result.TargetFailed, result.PartlyRun:
 		return s.call.Kind.Repeat == schema.Safe
 	}
@@ -107,16 +113,26 @@
 }
 
 // reowned says whether the key has another living owner than the one that was
-// tried. An owner runs a key only if no other one may, so that sending the key
-// to the owner of a newer plan is safe whatever became of it before.
-func (s *sending) reowned() bool {
-	s.sender.Moved()
-	target, code := s.sender.choose(s.call, s.tried)
-	if code != result.OK {
+// tried, and waits a little for one that is about to take over. An owner runs a
+// key only if no other one may, so that sending the key to the owner of a newer
+// plan is safe whatever became of it before.
+func (s *sending) reowned(ctx context.Context) bool {
+	key, err := once.ParseKey(s.call.Key)
+	if err != nil {
 		return false
 	}
-	s.sender.ended(s.call, target, route.Report{Outcome: route.Refused})
-	return !s.tried[target.Name]
+	for range ownerQuestions {
+		s.sender.Moved()
+		keeper, code := s.sender.keeper(s.call)
+		if code == result.OK && keeper != s.asked {
+			return true
+		}
+		if !s.sender.Settling(s.call.Kind.Service, key) || ctx.Err() != nil {
+			return false
+		}
+		s.pause(ctx)
+	}
+	return false
 }
 
 // elsewhere says whether a refused call has another target to go to.
@@ -142,6 +158,7 @@
 		return call.Refuse(code, "")
 	}
 	s.tried[target.Name] = true
+	s.asked = target.Incarnation
 	lent := s.call.Tokens.Lend()
 	request := s.sender.request(s.call, target, lent)
 	s.sender.Metrics.Attempts.WithLabelValues(s.call.Kind.Service).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	platform    health
 
 	callers sync.WaitGroup
+	// active is set once the node has announced itself, and stays set.
+	active  atomic.Bool
 	leaving atomic.Bool
 	drain   chan struct{}
 	once    sync.Once
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -173,6 +173,21 @@
 	return holding.Keeper(), result.OK
 }
 
+// settling says whether the node that holds a key is leaving, or has been
+// replaced by another process that is about to close its holdings.
+func (n *Node) settling(service string, key once.Key) bool {
+	holding, ok := n.plans.get(service).Find(key)
+	if !ok {
+		return false
+	}
+	for _, m := range n.members.Service(service) {
+		if m.Name == holding.Name {
+			return m.State == member.Leaving || m.Incarnation != holding.Incarnation
+		}
+	}
+	return false
+}
+
 // handOver gives this node's records to a successor before it goes, and says
 // whether there was anything to give.
 func (n *Node) handOver(ctx context.Context) bool {
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -83,6 +83,7 @@
 		},
 		Backoff:    budget.Backoff{Base: backoffBase, Max: backoffMax, Random: rand.Float64},
 		Owner:      n.keeper,
+		Settling:   n.settling,
 		RetryShare: n.retryShare,
 		Moved:      n.members.Kick,
 	}
@@ -119,7 +120,7 @@
 		Clock:      n.clock,
 		Metrics:    n.metrics,
 		Log:        n.log.Named("filter"),
-		Rules:      n.rules.Load,
+		Rules:      n.inForce,
 		Serving:    n.local.Serving,
 		TargetHost: host,
 		Allows:     n.sender.Allows,
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -77,6 +77,7 @@
 			self.State = member.Active
 		}
 	})
+	n.active.Store(true)
 	n.log.Info("node_active", "node", n.settings.Name, "revision", n.config.Number())
 }
 
@@ -85,6 +86,15 @@
 	return n.rules.Load() != nil && n.members.Ready() && !n.leaving.Load()
 }
 
+// inForce returns the rules for requests, nil until the node is active: before
+// that it may not know the owners of keys, and could tell no truth about them.
+func (n *Node) inForce() *filter.Rules {
+	if !n.active.Load() {
+		return nil
+	}
+	return n.rules.Load()
+}
+
 // plansKnown says whether the owners of every service whose kinds may run only
 // once are known.
 func (n *Node) plansKnown() bool {
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -200,7 +200,7 @@
 	}
 	go func() {
 		_ = command.Wait()
-		log.Close()
+		_ = log.Close()
 		close(p.ended)
 	}()
 	m.mu.Lock()
@@ -280,4 +280,3 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
-
