Probe a target's own limit more rarely after each shed

Ruled out: keeping important calls out of the slot that is being tried, as that would admit lower ones in preference to them.

--- a/internal/admit/goals_test.go
+++ b/internal/admit/goals_test.go
@@ -42,7 +42,8 @@
 // last tier can complete, or of the demand where that is less.
 func (l *loop) goodputShare() float64 {
 	last := chain[len(chain)-1]
-	perTarget := float64(cmp.Or(l.plan.shedAt, last.slots)) / last.workTime.Seconds() / float64(l.plan.calls)
+	taken := (1-l.plan.hang)*last.workTime.Seconds() + l.plan.hang*l.plan.deadline.Seconds()
+	perTarget := (1 - l.plan.hang) * float64(cmp.Or(l.plan.shedAt, last.slots)) / taken / float64(l.plan.calls)
 	slowed := float64(cmp.Or(l.plan.slowed, replicas))
 	capacity := perTarget * (replicas - slowed + slowed/l.plan.slow)
 	return l.goodput / min(capacity, l.plan.base*l.plan.surge) / (faultTo - faultFrom).Seconds()
@@ -87,6 +88,7 @@
 		{plan: plan{name: "both, one target", surge: 3, slow: 10, slowed: 1}},
 		{plan: plan{name: "both, two targets", surge: 3, slow: 10, slowed: 2}},
 		{plan: plan{name: "surge, targets shed", surge: 3, slow: 1, shedAt: 20, base: 480}, protected: true},
+		{plan: plan{name: "surge, calls hang", surge: 3, slow: 1, hang: 0.02}},
 		{plan: plan{name: "both, short deadline", surge: 3, slow: 10, deadline: 400 * time.Millisecond}, hopeless: true},
 	}
 	for _, p := range plans {
--- a/internal/admit/limit.go
+++ b/internal/admit/limit.go
@@ -8,8 +8,9 @@
 	collapseCut       = 0.7
 	minCollapseEnds   = 5
 	growthDoubling    = time.Second
-	shedGrowthShare   = 0.02 // of the slots, per second, right after a shed
-	collapseGrowth    = 0.5  // of the slots, per second, right after a collapse
+	maxShedGrowth     = 0.04 // of the slots, per second, right after a shed
+	minShedGrowth     = 0.005
+	collapseGrowth    = 0.5 // of the slots, per second, right after a collapse
 	maxGrowthShare    = 1.0
 	coldStartingShare = 0.1
 )
@@ -18,8 +19,9 @@
 //
 // A target that sheds has said how many it takes at the moment: those that
 // were in flight beside the shed call. The limit falls to that number and
-// rises again, slowly at first and twice as fast with each second that passes
-// without a further cut.
+// rises again, slowly at first and ever faster with the time that passes
+// without a further cut. Each shed at the same number halves the rate at the
+// start, because every attempt to go beyond costs a call, of any importance.
 type limiter struct {
 	settings Settings
 	limit    float64
@@ -28,7 +30,11 @@
 	// windowEnd closes the window over which outcomes are counted.
 	windowEnd time.Time
 	completed int
-	lost      int
+	// shedAt is the number of calls in flight at the last shed, and
+	// shedGrowth the share of the slots by which the limit grew after it.
+	shedAt     int
+	shedGrowth float64
+	lost       int
 }
 
 func newLimiter(s Settings) limiter {
@@ -36,6 +42,7 @@
 		settings: s,
 		limit:    float64(s.Slots),
 		growth:   maxGrowthShare * float64(s.Slots),
+		shedAt:   s.Slots,
 	}
 }
 
@@ -64,9 +71,7 @@
 	case Failed, TimedOut:
 		l.lost++
 	case Shed:
-		if float64(others) < l.limit {
-			l.cut(float64(others), shedGrowthShare)
-		}
+		l.shed(others)
 	case Abandoned:
 	}
 }
@@ -92,6 +97,21 @@
 	l.lost = 0
 }
 
+// shed takes in that the target shed a call beside others in flight.
+func (l *limiter) shed(others int) {
+	if float64(others) >= l.limit {
+		return
+	}
+	same := others >= l.shedAt-1 && others <= l.shedAt+1
+	l.shedAt = others
+	if same {
+		l.shedGrowth = max(l.shedGrowth/2, minShedGrowth)
+	} else {
+		l.shedGrowth = maxShedGrowth
+	}
+	l.cut(float64(others), l.shedGrowth)
+}
+
 func (l *limiter) cut(limit, growthShare float64) {
 	slots := float64(l.settings.Slots)
 	l.limit = max(limit, minLimitShare*slots, 1)
--- a/internal/admit/loop_test.go
+++ b/internal/admit/loop_test.go
@@ -58,6 +58,7 @@
 		repeats     int     // that callers make after a refusal
 		calls       int     // to the last tier, one after the other
 		split       bool    // each call takes a position of its own
+		hang        float64 // share of the last tier's calls that run into their deadline, during the fault
 		openDoor    bool
 		naive       bool // without door, order, deadlines and bound of the queue
 		exponential bool // work times
@@ -259,6 +260,9 @@
 		took *= l.plan.slow
 	}
 	work := time.Duration(took * float64(chain[tier].workTime))
+	if last && inFault(l.since()) && l.random.Float64() < l.plan.hang {
+		work = time.Hour
+	}
 	done := func(outcome Outcome, answered route.Outcome) {
 		n.settle(n.gate.Done(l.now, r.call.ID, outcome))
 		answer(answered)
