--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -33,10 +33,9 @@
 	renewNumerator   = 3
 	renewDenominator = 4
 	// freeMargins is the number of clock margins before its end from which a
-	// holding is no longer renewed and the slot may be claimed; at most one part
-	// in freeLeaseShare of the lease.
-	freeMargins    = 4
-	freeLeaseShare = 4
+	// holding is no longer renewed and the slot may be claimed. It is above the
+	// two margins of a cut, so that no renewal takes a cut back.
+	freeMargins = 4
 )
 
 // Next returns the plan as self should change it, and false when nothing is to
@@ -275,8 +274,7 @@
 // isFree says whether the slot's last holding has ended or was cut to end soon.
 func (d *draft) isFree(slot Slot) bool {
 	last, ok := slot.last()
-	windowMS := min(freeMargins*d.marginMS(), d.leaseMS()/freeLeaseShare)
-	return !ok || last.UntilMS <= d.nowMS+windowMS
+	return !ok || last.UntilMS <= d.nowMS+freeMargins*d.marginMS()
 }
 
 // cutMS is the end of a holding that is closed now: above the mint time of
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -79,7 +79,7 @@
 		// that it was made with, since it decides the slot of each key.
 		Slots int
 		// Lease is how far ahead a holding is renewed. It should be at least
-		// 16 times Margin, so that slots which were given up are soon claimed.
+		// 16 times Margin, so that holdings are renewed well before they count as free.
 		Lease time.Duration
 		// Margin is the most by which the clocks of two hosts differ.
 		Margin time.Duration
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -189,11 +189,12 @@
 // Any nodes that come and go reach a plan in which the living hold all slots, in
 // shares that differ by one at most.
 func TestSharesLevel(t *testing.T) {
-	rules := Rules{Slots: 12, Lease: time.Minute, Margin: 100 * time.Millisecond, KeyAge: time.Minute}
+	rules := Rules{Slots: 12, Margin: time.Second, KeyAge: time.Minute}
 	toggled := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 4)
 	rapid.Check(t, func(t *rapid.T) {
 		var p Plan
 		members := map[string]Node{}
+		rules.Lease = rapid.SampledFrom([]time.Duration{time.Minute, 4 * time.Second}).Draw(t, "lease")
 		for round := range rapid.IntRange(1, 6).Draw(t, "rounds") {
 			for _, name := range toggled.Draw(t, "toggled") {
 				if _, ok := members[name]; ok {
