--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -186,3 +186,20 @@
 		is.Equal(view.All(later), before)
 	})
 }
+
+func TestSignOfLifeCountsForTheLastNameAtAnAddress(t *testing.T) {
+	is := is.New(t)
+	view := merged([]member.Member{
+		{Name: "old", Incarnation: "a", StartedMS: 1, RelayAddress: "10.0.0.1:1"},
+		{Name: "new", Incarnation: "b", StartedMS: 2, RelayAddress: "10.0.0.1:1"},
+	})
+	view.PlatformUp(start)
+	later := start.Add(time.Minute)
+	is.Equal(len(view.Lapse(later)), 2)
+	for range 20 { // whatever the order of a map
+		is.True(!view.Heard(later, "10.0.0.2:1", 1))
+		view.Heard(later, "10.0.0.1:1", 1)
+	}
+	is.Equal(len(view.Lapsed()), 1)
+	is.Equal(view.Lapsed()[0].Name, "old")
+}
