--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -129,7 +129,7 @@
 	printed := 0
 	for ctx.Err() == nil {
 		done, err := a.watchOnce(ctx, &after, &printed, count)
-		if done || errorx.IsOfType(err, BadInput) {
+		if done || errorx.IsOfType(err, BadInput) || errorx.IsOfType(err, Refused) {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -184,7 +184,7 @@
 		_, _ = fmt.Fprintln(a.stdout, "---")
 	}
 	return a.print(event, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "revision %d in force, digest %s\n", event.Revision, event.Digest)
+		_, _ = fmt.Fprintf(w, "revision %d in force, digest %s\n", event.Revision, short(event.Digest))
 		if event.Document == "" {
 			printChanges(w, event.Changes)
 		}
--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"math"
 	"sort"
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/dandelionfield/dandelionfield/internal/place"
@@ -67,11 +65,6 @@
 	return document.Bytes()
 }
 
-// Digest returns a short hash of a document, for comparing at a glance.
-func Digest(document []byte) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64(document))
-}
-
 // Resources returns all resources in canonical order; the limits come last.
 func (s *Set) Resources() []Resource {
 	sorted := Set{
@@ -120,11 +113,12 @@
 	return rest, len(rest.Services)+len(rest.Kinds)+len(rest.DataCentres) < before
 }
 
-// Diff returns what changes when other takes the place of the set.
+// Diff returns what changes when other takes the place of the set, by type and
+// name; empty, not nil, when nothing does.
 func (s *Set) Diff(other *Set) []Change {
 	before := byIdentity(s.Resources())
 	after := byIdentity(other.Resources())
-	var changes []Change
+	changes := []Change{}
 	for identity, resource := range after {
 		old, existed := before[identity]
 		change := Change{Action: Changed, Type: resource.Type, Name: resource.Name}
