State the outcomes of each trace and say which a run missed

A trace names its bounds: recovery time, the share of critical requests, the share of what the bottleneck could carry, and the repeats of one attempt over its chain. Torn, foreign, double and falsely refused requests are missed outcomes of every trace.

--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -100,7 +100,10 @@
 		// CallsPerRequest is the mean number of calls that reached targets.
 		CallsPerRequest float64 `json:"calls_per_request"`
 		MostCalls       int     `json:"most_calls"`
-		WorkMS          int64   `json:"work_ms"`
+		// MostRepeats is the most calls that one attempt of a caller repeated
+		// over its whole chain.
+		MostRepeats int   `json:"most_repeats"`
+		WorkMS      int64 `json:"work_ms"`
 		// WastedMS is the work done for requests without a good answer, and
 		// the work of runs that a good answer did not need.
 		WastedMS    int64   `json:"wasted_ms"`
@@ -112,6 +115,8 @@
 		// Silent names the targets whose executions could not be read; what
 		// they ran is missing from this report.
 		Silent []string `json:"silent,omitempty"`
+		// Missed says which of the trace's stated outcomes the run missed.
+		Missed []string `json:"missed,omitempty"`
 	}
 )
 
@@ -139,6 +144,7 @@
 	if report.Offered > 0 {
 		report.TriesPerRequest = float64(tries) / float64(report.Offered)
 	}
+	report.Missed = config.Expect.missed(report)
 	return report
 }
 
@@ -149,14 +155,14 @@
 // With 100% good before the trigger, and 40%, 80%, 96%, 97% and 99% in the half
 // seconds after its end, the recovery time is 1 s.
 func Recovery(outcomes []Outcome, trigger Trigger) float64 {
-	before, _ := share(outcomes, 0, trigger.From)
+	before, _ := shareGood(outcomes, 0, trigger.From)
 	last := time.Duration(0)
 	for _, outcome := range outcomes {
 		last = max(last, outcome.At)
 	}
 	run, first := 0, time.Duration(0)
 	for from := trigger.To; from <= last; from += recoveryBucket {
-		now, seen := share(outcomes, from, from+recoveryBucket)
+		now, seen := shareGood(outcomes, from, from+recoveryBucket)
 		if !seen {
 			continue
 		}
@@ -175,9 +181,9 @@
 	return NotRecovered
 }
 
-// share returns the share of requests that arrived in [from, to) and ended
+// shareGood returns the share of requests that arrived in [from, to) and ended
 // well, and whether any arrived.
-func share(outcomes []Outcome, from, to time.Duration) (float64, bool) {
+func shareGood(outcomes []Outcome, from, to time.Duration) (float64, bool) {
 	offered, good := 0, 0
 	for _, outcome := range outcomes {
 		if outcome.At < from || outcome.At >= to {
@@ -191,7 +197,7 @@
 	if offered == 0 {
 		return 0, false
 	}
-	return float64(good) / float64(offered), true
+	return share(good, offered), true
 }
 
 func (r *Report) addTry(try Try) {
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -157,7 +157,7 @@
 func loadCommand() *cobra.Command {
 	var path, record, replay string
 	var label []string
-	var asJSON bool
+	var asJSON, strict bool
 	command := &cobra.Command{
 		Use:   "load",
 		Short: "Send a trace of whole requests and check every answer",
@@ -177,16 +177,21 @@
 			}
 			report.Label = label
 			if asJSON {
-				return json.NewEncoder(os.Stdout).Encode(report)
+				err = json.NewEncoder(os.Stdout).Encode(report)
+			} else {
+				report.Print(os.Stdout)
 			}
-			report.Print(os.Stdout)
-			return nil
+			if strict && len(report.Missed) > 0 {
+				return badTrace.New("%d stated outcomes missed", len(report.Missed))
+			}
+			return err
 		},
 	}
 	addConfigFlag(command, &path)
 	command.Flags().StringSliceVar(&label, "label", nil, "words that name the run in a table")
 	command.Flags().StringVar(&record, "record", "", "file to keep the trace in")
 	command.Flags().StringVar(&replay, "replay", "", "file with a kept trace to send")
+	command.Flags().BoolVar(&strict, "strict", false, "fail when the run misses a stated outcome of its trace")
 	command.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
 	return command
 }
--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -74,6 +74,7 @@
 		Phases  []Phase  `yaml:"phases"`
 		Faults  []Fault  `yaml:"faults"`
 		Trigger Trigger  `yaml:"trigger"`
+		Expect  Expect   `yaml:"expect"`
 	}
 
 	// Host is one host of a layout.
@@ -293,6 +294,7 @@
 		Phases:   trace.Phases,
 		Faults:   trace.Faults,
 		Trigger:  trace.Trigger,
+		Expect:   trace.Expect,
 		Capacity: map[string]float64{},
 	}
 	if trace.Callers != nil {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -52,6 +52,7 @@
 		Phases   []Phase            `yaml:"phases"`
 		Faults   []Fault            `yaml:"faults"`
 		Trigger  Trigger            `yaml:"trigger"`
+		Expect   Expect             `yaml:"expect"`
 		// Capacity is how many calls a second each service can work on.
 		Capacity map[string]float64 `yaml:"capacity"`
 	}
--- a/internal/lab/spell.go
+++ b/internal/lab/spell.go
@@ -84,6 +84,17 @@
 	return 0
 }
 
+// bottleneckShare returns the useful calls of the bottleneck as a share of what
+// it could carry: its capacity, or its demand where that is less.
+func (s Spell) bottleneckShare() float64 {
+	service := s.bottleneck()
+	could := min(s.Demand[service], s.Capacity[service])
+	if could == 0 {
+		return 1
+	}
+	return s.Useful[service] / could
+}
+
 // bottleneck returns the service whose demand is largest beside its capacity.
 func (s Spell) bottleneck() string {
 	tightest, most := "", 0.0
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -20,12 +20,15 @@
 	_ = table.Flush()
 	r.printSpells(w)
 	_, _ = fmt.Fprintf(w, "goodput: %d of %d requests; recovery: %s\n", r.Good, r.Offered, r.recovery())
-	_, _ = fmt.Fprintf(w, "attempts per request: %.2f by callers; calls at targets per request: %.2f, most %d\n",
-		r.TriesPerRequest, r.CallsPerRequest, r.MostCalls)
+	_, _ = fmt.Fprintf(w, "attempts per request: %.2f by callers; repeats of one attempt, most: %d; calls at targets per request: %.2f, most %d\n",
+		r.TriesPerRequest, r.MostRepeats, r.CallsPerRequest, r.MostCalls)
 	_, _ = fmt.Fprintf(w, "work: %d ms, wasted: %d ms\n", r.WorkMS, r.WastedMS)
 	_, _ = fmt.Fprintf(w, "torn answers: %d; foreign answers: %d; double executions: %d; false not run: %d\n",
 		r.Torn, r.Foreign, r.DoubleRuns, r.FalseNotRun)
 	_, _ = fmt.Fprintf(w, "failed attempts: %s\n", r.refusals())
+	for _, missed := range r.Missed {
+		_, _ = fmt.Fprintln(w, "missed:", missed)
+	}
 	if len(r.Silent) > 0 {
 		_, _ = fmt.Fprintf(w, "targets that could not be asked what they ran: %s\n", strings.Join(r.Silent, ", "))
 	}
@@ -52,15 +55,18 @@
 // PrintMarkdown writes one row a report.
 func PrintMarkdown(w io.Writer, reports []Report) {
 	_, _ = fmt.Fprintln(w, "| run | good/s before | during | after | critical good during | useful calls at the bottleneck during | recovery |"+
-		" attempts/request | calls at targets/request (most) | wasted work | torn, foreign | double runs | false not run |")
-	_, _ = fmt.Fprintln(w, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+		" attempts/request | repeats of one attempt, most | calls at targets/request (most) | wasted work | torn, foreign | double runs | false not run |")
+	_, _ = fmt.Fprintln(w, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
 	for _, report := range reports {
 		_, _ = fmt.Fprintln(w, "| "+strings.Join(report.cells(), " | ")+" |")
 	}
 	for _, report := range reports {
+		name := strings.Join(report.Label, " ")
 		if len(report.Silent) > 0 {
-			_, _ = fmt.Fprintf(w, "\n%s: could not ask %s what they ran.\n",
-				strings.Join(report.Label, " "), strings.Join(report.Silent, ", "))
+			_, _ = fmt.Fprintf(w, "\n%s: could not ask %s what they ran.\n", name, strings.Join(report.Silent, ", "))
+		}
+		if len(report.Missed) > 0 {
+			_, _ = fmt.Fprintf(w, "\n%s missed: %s.\n", name, strings.Join(report.Missed, "; "))
 		}
 	}
 }
@@ -80,6 +86,7 @@
 		during.tightest(),
 		r.recovery(),
 		fmt.Sprintf("%.2f", r.TriesPerRequest),
+		fmt.Sprint(r.MostRepeats),
 		fmt.Sprintf("%.2f (%d)", r.CallsPerRequest, r.MostCalls),
 		fmt.Sprintf("%.1f%%", wasted),
 		fmt.Sprintf("%d, %d", r.Torn, r.Foreign),
--- a/internal/lab/work.go
+++ b/internal/lab/work.go
@@ -7,7 +7,10 @@
 	// needed is how many runs of each kind its answer takes.
 	needed map[string]int
 	byKind map[string]Execution
-	calls  int
+	// arrived counts the calls at targets by attempt and kind.
+	arrived map[string]map[string]int
+	calls   int
+	kind    *schema.Kind
 }
 
 // addExecutions counts what ran. A request of a kind that may never repeat ran
@@ -32,7 +35,7 @@
 				continue
 			}
 			for _, execution := range executions {
-				request.add(execution)
+				request.add(attempt, execution)
 				if refused[attempt] && execution.Runs > 0 {
 					ranFalsely[attempt] = true
 				}
@@ -46,6 +49,7 @@
 func (r *Report) addWork(mesh *schema.Set, requests map[string]*requestWork) {
 	calls := 0
 	for _, request := range requests {
+		r.MostRepeats = max(r.MostRepeats, request.repeats(mesh))
 		calls += request.calls
 		r.MostCalls = max(r.MostCalls, request.calls)
 		for name, execution := range request.byKind {
@@ -64,15 +68,24 @@
 // newRequestWork returns the record of a request. One without a good answer
 // needed no work at all.
 func newRequestWork(mesh *schema.Set, outcome Outcome) *requestWork {
-	work := &requestWork{needed: map[string]int{}, byKind: map[string]Execution{}}
-	if kind := mesh.Kind(outcome.Kind); kind != nil && outcome.Good {
-		walkCalls(mesh, kind, func(called *schema.Kind) { work.needed[called.Name]++ })
+	work := &requestWork{
+		needed:  map[string]int{},
+		byKind:  map[string]Execution{},
+		arrived: map[string]map[string]int{},
+		kind:    mesh.Kind(outcome.Kind),
+	}
+	if work.kind != nil && outcome.Good {
+		walkCalls(mesh, work.kind, func(called *schema.Kind) { work.needed[called.Name]++ })
 	}
 	return work
 }
 
-func (w *requestWork) add(execution Execution) {
+func (w *requestWork) add(attempt string, execution Execution) {
 	w.calls += execution.Arrived
+	if w.arrived[attempt] == nil {
+		w.arrived[attempt] = map[string]int{}
+	}
+	w.arrived[attempt][execution.Kind] += execution.Arrived
 	sum := w.byKind[execution.Kind]
 	sum.Kind = execution.Kind
 	sum.Runs += execution.Runs
@@ -90,6 +103,36 @@
 	return execution.WorkMS * int64(extra) / int64(execution.Runs)
 }
 
+// repeats returns the most calls that one attempt of the caller repeated over
+// the whole chain. Each call of a kind accounts for one call of each kind that
+// it declares to call; what arrived beyond that was a repeat. A call that was
+// shed at once made none of its own, so there may have been more repeats.
+//
+// An order that arrived twice, and made its look-up three times in all, repeated
+// twice: itself once, and one of the two look-ups.
+func (w *requestWork) repeats(mesh *schema.Set) int {
+	most := 0
+	if w.kind == nil {
+		return most
+	}
+	for _, arrived := range w.arrived {
+		expected := map[string]int{w.kind.Name: 1}
+		for name, count := range arrived {
+			if kind := mesh.Kind(name); kind != nil {
+				for _, called := range kind.Calls {
+					expected[called] += count
+				}
+			}
+		}
+		repeats := 0
+		for name, count := range arrived {
+			repeats += max(count-expected[name], 0)
+		}
+		most = max(most, repeats)
+	}
+	return most
+}
+
 // walkCalls visits a kind and every call down its declared chain, a kind that is
 // called twice twice.
 func walkCalls(mesh *schema.Set, kind *schema.Kind, visit func(*schema.Kind)) {
