--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -135,8 +135,7 @@
 			return failure.Problems
 		}
 	case http.StatusConflict:
-		return Conflict.New("revision %d was expected, but %d is in force; look at it with `dandelionfield diff`, then apply again",
-			failure.Expected, failure.Current)
+		return Conflict.New("%s; look at it with `dandelionfield diff`, then apply again", failure.Error)
 	case http.StatusUnauthorized:
 		return Failed.New("%s; give it with --token or %s", failure.Error, tokenVariable)
 	case http.StatusNotFound, http.StatusBadRequest:
@@ -146,7 +145,7 @@
 }
 
 // stream sends the lines of a watch into the channel and closes it when the
-// connection ends.
+// connection ends. It always ends with an error, which says why.
 func (c *client) stream(ctx context.Context, after int64, events chan<- admin.Event) error {
 	defer close(events)
 	response, err := c.send(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?after=%d", after), nil)
@@ -171,5 +170,8 @@
 			return ctx.Err()
 		}
 	}
-	return lines.Err()
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return Failed.New("%s ended the watch", c.node)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -61,6 +61,7 @@
 		entries    map[string]*entry
 		present    []string // sorted names of the members neither gone nor lapsed
 		dirty      bool     // present must be made anew
+		edition    uint64   // counts what could change present
 		hash       uint64
 		settled    bool // a later row of our own name is another process
 		superseded *Member
@@ -230,15 +231,23 @@
 }
 
 // Heard notes a sign of life from the member at a relay address, where the
-// revision is in force, and returns whether that ended a lapse.
+// revision is in force, and returns whether that ended a lapse. Of several
+// names at the address, as when a host was replaced, the last started is meant.
 func (v *View) Heard(now time.Time, relayAddress string, revision int64) bool {
+	var heard *entry
 	for name, e := range v.entries {
-		if e.row.RelayAddress == relayAddress && e.row.State != Gone && name != v.name {
-			e.row.Revision = max(e.row.Revision, revision)
-			return v.renew(now, e)
+		if e.row.RelayAddress != relayAddress || e.row.State == Gone || name == v.name {
+			continue
+		}
+		if heard == nil || e.row.StartedMS > heard.row.StartedMS {
+			heard = e
 		}
 	}
-	return false
+	if heard == nil {
+		return false
+	}
+	heard.row.Revision = max(heard.row.Revision, revision)
+	return v.renew(now, heard)
 }
 
 // Renewed notes that the member's lease row was written at a version of the
@@ -297,7 +306,7 @@
 			}
 		case judged && e.lapsed.IsZero() && now.Sub(e.heard) >= LeaseDuration:
 			e.lapsed = now
-			v.dirty = true
+			v.alter()
 			lapsed = append(lapsed, e.row)
 		}
 	}
@@ -395,17 +404,24 @@
 		e.gone = now
 	}
 	e.sends = Rounds(len(v.entries))
-	v.dirty = true
+	v.alter()
 }
 
 func (v *View) renew(now time.Time, e *entry) bool {
 	ended := !e.lapsed.IsZero()
 	e.heard = now
 	e.lapsed = time.Time{}
-	v.dirty = v.dirty || ended
+	if ended {
+		v.alter()
+	}
 	return ended
 }
 
+func (v *View) alter() {
+	v.dirty = true
+	v.edition++
+}
+
 func (v *View) names() []string {
 	if !v.dirty {
 		return v.present
--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -33,8 +33,14 @@
 	renewNumerator   = 3
 	renewDenominator = 4
 	// freeMargins is the number of clock margins before its end from which a
-	// holding is no longer renewed and the slot may be claimed.
+	// holding is no longer renewed and the slot may be claimed; at most one part
+	// in freeLeaseShare of the lease.
 	freeMargins = 4
+	// cutMargins is the least number of clock margins from now to the end of a
+	// holding that is closed now, so that the end is above the mint time of
+	// every accepted key.
+	cutMargins     = 2
+	freeLeaseShare = 4
 )
 
 // Next returns the plan as self should change it, and false when nothing is to
@@ -66,6 +72,11 @@
 	return d.finish(), true
 }
 
+// CutLead is the time from the closing of a holding to its end.
+func CutLead(rules Rules) time.Duration {
+	return cutMargins*rules.Margin + rules.ClaimLead
+}
+
 // HandOver returns the plan after from has closed its ledger by Export and to
 // has imported every record: to keeps the records of all that from kept, and
 // the slots that from still holds become free.
@@ -273,13 +284,14 @@
 // isFree says whether the slot's last holding has ended or was cut to end soon.
 func (d *draft) isFree(slot Slot) bool {
 	last, ok := slot.last()
-	return !ok || last.UntilMS <= d.nowMS+freeMargins*d.marginMS()
+	windowMS := min(freeMargins*d.marginMS(), d.leaseMS()/freeLeaseShare)
+	return !ok || last.UntilMS <= d.nowMS+windowMS+d.rules.ClaimLead.Milliseconds()
 }
 
 // cutMS is the end of a holding that is closed now: above the mint time of
 // every key that the holder has accepted.
 func (d *draft) cutMS() int64 {
-	return d.nowMS + 2*d.marginMS() + 1
+	return d.nowMS + CutLead(d.rules).Milliseconds() + 1
 }
 
 // shares counts the slots of each living node that are not free.
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -78,11 +78,15 @@
 		// Slots is the number of slots of a new plan. A plan keeps the number
 		// that it was made with, since it decides the slot of each key.
 		Slots int
-		// Lease is how far ahead a holding is renewed. It is at least
-		// 16 times Margin.
+		// Lease is how far ahead a holding is renewed. It should be at least
+		// 16 times Margin, so that slots which were given up are soon claimed.
 		Lease time.Duration
 		// Margin is the most by which the clocks of two hosts differ.
 		Margin time.Duration
+		// ClaimLead is how much earlier than needed a holding is closed, so that
+		// the next holder has claimed the slot before the end comes and no key
+		// finds it without an owner.
+		ClaimLead time.Duration
 		// KeyAge is how long a key is accepted after its minting.
 		KeyAge time.Duration
 	}
