--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -200,7 +200,7 @@
 	}
 	go func() {
 		_ = command.Wait()
-		log.Close()
+		_ = log.Close()
 		close(p.ended)
 	}()
 	m.mu.Lock()
