Lend half of the retry tokens and prove that none are created

With copies in place of loans the property fails at once (5 repeats with a budget of 1). With a second answer of an attempt counted again, the test of loans fails. Without the burst bound the test of the allowance fails.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// allowanceMemory is the time constant with which unused repeats fade.
+	// allowanceMemory is the time constant with which saved repeats fade, and
+	// the time after which a missing one is there again.
 	allowanceMemory = 10 * time.Second
 	minJitter       = 0.5
 )
@@ -65,9 +66,13 @@
 	return true
 }
 
-// Lend takes out what is lent with an attempt.
+// Lend takes out what is lent with an attempt: half, and the odd token too.
+//
+// A repeat further down redoes less work, which speaks for lending much. What
+// is lent comes back with the answer or not at all, which speaks for keeping
+// some: with 3 tokens the chain lends 2, then 1, then 1.
 func (p *Purse) Lend() int {
-	lent := max(p.Tokens, 0)
+	lent := (max(p.Tokens, 0) + 1) / 2
 	p.Tokens -= lent
 	p.outstanding += lent
 	return lent
@@ -122,9 +127,9 @@
 	return true
 }
 
-// advance lets the tokens tend to one. A service without recent completions
-// thus keeps a single repeat, enough to find out that it is back, and no burst
-// saved up in better times.
+// advance lets saved tokens fade to one, and refills a missing one. A service
+// without recent completions thus keeps a single repeat now and then, enough
+// to find out that it is back, and no burst saved up in better times.
 func (a *Allowance) advance(now time.Time) {
 	elapsed := now.Sub(a.at)
 	if a.at.IsZero() || elapsed < 0 {
@@ -132,6 +137,10 @@
 	}
 	a.at = now
 	rest := min(1, a.burst)
+	if a.tokens <= rest {
+		a.tokens = min(rest, a.tokens+elapsed.Seconds()/allowanceMemory.Seconds())
+		return
+	}
 	a.tokens = rest + (a.tokens-rest)*math.Exp(-elapsed.Seconds()/allowanceMemory.Seconds())
 }
 
