Prove the choice of targets and judge targets against the others

A restored target was given more trust than the others of a failing service, which got those ejected in turn; it now earns trust by completions only.

--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -137,7 +137,7 @@
 			count++
 		}
 	}
-	if count == 0 || sum < ejectBelow*float64(count) {
+	if count == 0 || sum < othersAcceptable*float64(count) {
 		return false
 	}
 	return e.success < worseThanOthers*sum/float64(count)
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -25,9 +25,11 @@
 	// ejectBelow is the share of successes under which a target is ejected
 	// even when some calls complete in between.
 	ejectBelow = 0.5
-	// worseThanOthers is how far the share must lie below that of the other
-	// targets.
-	worseThanOthers = 0.75
+	// othersAcceptable is the mean share that the other targets must reach
+	// for one to be ejected, and worseThanOthers how far below that mean its
+	// own share must lie.
+	othersAcceptable = 0.6
+	worseThanOthers  = 0.5
 
 	firstEjection = 500 * time.Millisecond
 	// maxEjection bounds the ejection of a target that cannot be reached or
@@ -90,7 +92,7 @@
 		e.completed(r.Latency)
 	case Refused:
 		e.refusedAt = now
-		e.alive()
+		e.restore()
 	case Failed:
 		return e.failed(now, failureWeight)
 	case Silent:
@@ -108,22 +110,19 @@
 	}
 	e.latency += time.Duration(latencyWeight * float64(latency-e.latency))
 	e.success += successWeight * (1 - e.success)
-	e.alive()
+	e.restore()
 	e.completions++
 	if e.completions >= restoreAfter {
 		e.ejections = 0
 	}
 }
 
-// alive ends an ejection: the target has answered sensibly.
-func (e *entry) alive() {
+// restore ends an ejection. The share of successes stays: the target earns
+// trust by the calls that it completes from now on.
+func (e *entry) restore() {
 	e.failures = 0
-	if e.ejectedUntil.IsZero() {
-		return
-	}
 	e.ejectedUntil = time.Time{}
 	e.trialUntil = time.Time{}
-	e.success = max(e.success, ejectBelow+successWeight)
 }
 
 // failed takes in a failure and reports whether the target looks bad.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -158,11 +158,11 @@
 	if !e.ended(now, r) {
 		return
 	}
-	if r.Outcome == Unreachable || t.worse(e) {
+	if t.worse(e) {
 		e.eject(now, r.Outcome, t.settings.Random)
 		return
 	}
-	e.alive()
+	e.restore()
 }
 
 // Targets returns the state of all targets, ordered by name.
