Promise cuts only from the known plan, and hand over after an outage

Reading the promise again showed a hole: it compared the next plan with the plan that the ledger knew, not with the one that the next plan was made from. With its own renewal not yet learned, a holder could miss a cut, learn the renewal afterwards and accept keys beyond the cut. Now a promise is made only for a plan that follows the one learned last, and the base version of a cut is not needed any more.

A planned stop during an outage of the store left its slots without an owner until the horizon. The ledger is closed by then and the successor has all records, so the successor may write the handover itself when the store is back.

A node whose clock was set back within the margin between two starts counted itself as superseded by its dead predecessor, and would have claimed nothing until the key age had passed. A node that isn't leaving has its address bound, so it takes over unless the other start is later by more than the margin.

--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -82,10 +82,6 @@
 		// cutMS is the mint time from which nothing is accepted because a plan
 		// that cuts the holding may have been written; 0 when there is none.
 		cutMS int64
-		// cutBase is the version that this plan was to replace. Once a higher
-		// version is known, either it has the cut or the write can never
-		// take effect.
-		cutBase int64
 	}
 )
 
@@ -123,7 +119,10 @@
 	}
 }
 
-// Learn takes in a plan that was committed. Older ones change nothing.
+// Learn takes in a plan that was committed. Older ones change nothing. A newer one
+// ends the promised cuts: they were made for a plan that was to replace the one
+// known so far, so either the newer one has them or that write can never take
+// effect.
 func (l *Ledger[A]) Learn(p Plan) {
 	if p.Version <= l.plan.Version {
 		return
@@ -131,19 +130,18 @@
 	l.plan = p.clone()
 	l.fitPromises(len(p.Slots))
 	for i := range l.promises {
-		if p.Version > l.promises[i].cutBase {
-			l.promises[i].cutMS = 0
-		}
+		l.promises[i].cutMS = 0
 	}
 }
 
 // Promise makes the ledger honour the cuts that next makes in its holdings,
 // whether or not the write of next is known to have taken effect. It returns
-// false when next must not be written, because it takes away a mint time that
-// was accepted, or hands over the records of a ledger that isn't closed.
+// false when next must not be written: because it was not made from the plan that
+// was learned last, takes away a mint time that was accepted, or hands over the
+// records of a ledger that isn't closed.
 func (l *Ledger[A]) Promise(now time.Time, next Plan) bool {
 	now = l.advance(now)
-	if next.Version <= l.plan.Version || len(next.Slots) < len(l.plan.Slots) {
+	if next.Version != l.plan.Version+1 || len(next.Slots) < len(l.plan.Slots) {
 		return false
 	}
 	l.fitPromises(len(next.Slots))
@@ -158,7 +156,6 @@
 	for i, cut := range cuts {
 		if cut != 0 {
 			l.promises[i].cutMS = lowest(l.promises[i].cutMS, cut)
-			l.promises[i].cutBase = max(l.promises[i].cutBase, next.Version-1)
 		}
 	}
 	return true
@@ -311,10 +308,10 @@
 	if now.Sub(k.Minted) > l.rules.KeyAge {
 		return result.Forgotten
 	}
-	if l.plan.neverCovered(k) {
+	holding, ok := l.plan.Find(k)
+	if !ok && l.plan.passedBy(k) {
 		return result.KeyTooOld
 	}
-	holding, ok := l.plan.Find(k)
 	if !ok || holding.Keeper() != l.self.Incarnation || l.closed {
 		return result.OwnerGone
 	}
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -28,6 +28,8 @@
 		skewMS  int64
 		frozen  bool
 		running []Key
+		// taken is the node whose records the process has imported last.
+		taken Node
 	}
 
 	// model runs ledgers on hosts that freeze, crash and are replaced, above a
@@ -133,6 +135,9 @@
 		self.StartedMS -= 2*testRules.Margin.Milliseconds() + 1
 	}
 	next, changed := Next(m.clock(p), p.plan, self, members, testRules)
+	if p.taken.Incarnation != "" && e.Arg%3 == 0 {
+		next, changed = HandOver(m.clock(p), p.plan, p.taken, p.node, testRules)
+	}
 	if changed {
 		m.write(p, next, e.Arg)
 	}
@@ -249,6 +254,7 @@
 	if to == p || to.frozen || !to.ledger.Import(p.node.Incarnation, records) {
 		return
 	}
+	to.taken = p.node
 	m.learn(p, m.table)
 	if next, changed := HandOver(m.clock(p), p.plan, p.node, to.node, testRules); changed {
 		m.seen["handover"]++
--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -53,10 +53,10 @@
 	if len(d.plan.Slots) == 0 {
 		d.plan.Slots = make([]Slot, rules.Slots)
 	}
-	d.closePredecessors()
 	if self.Leaving {
 		d.closeOwn()
 	} else {
+		d.closePredecessors()
 		d.renew()
 		d.giveUpSurplus()
 		d.claim()
@@ -69,7 +69,8 @@
 
 // HandOver returns the plan after from has closed its ledger by Export and to
 // has imported every record: to keeps the records of all that from kept, and
-// the slots that from still holds become free.
+// the slots that from still holds become free. Either of the two may write it,
+// so that to can do it when the platform is back and from is gone.
 func HandOver(now time.Time, p Plan, from, to Node, rules Rules) (Plan, bool) {
 	d := &draft{plan: p.clone(), nowMS: now.UnixMilli(), self: from, rules: rules}
 	d.closeOwn()
@@ -88,16 +89,19 @@
 	return d.finish(), true
 }
 
-// superseded says whether a later incarnation has taken over at the address.
+// superseded says whether a later incarnation has taken over at the address. A
+// start that is later by less than the margin is a former incarnation's, from
+// before the clock was set back.
 func (d *draft) superseded(members []Node) bool {
+	latestMS := d.self.StartedMS + d.marginMS()
 	for _, member := range members {
-		if d.sameAddress(member.Name, member.Address, member.Incarnation) && member.StartedMS >= d.self.StartedMS {
+		if d.sameAddress(member.Name, member.Address, member.Incarnation) && member.StartedMS > latestMS {
 			return true
 		}
 	}
 	for _, slot := range d.plan.Slots {
 		for _, h := range slot.Holdings {
-			if d.sameAddress(h.Name, h.Address, h.Incarnation) && h.StartedMS >= d.self.StartedMS {
+			if d.sameAddress(h.Name, h.Address, h.Incarnation) && h.StartedMS > latestMS {
 				return true
 			}
 		}
@@ -317,7 +321,7 @@
 }
 
 // livingNodes returns self and the members that may hold slots, by name, with
-// the latest incarnation only of each name and address.
+// the latest incarnation only of each name and address, which is self at its own.
 func livingNodes(self Node, members []Node) []Node {
 	var living []Node
 	for _, node := range append([]Node{self}, members...) {
@@ -326,7 +330,7 @@
 		})
 		if known < 0 {
 			living = append(living, node)
-		} else if node.StartedMS > living[known].StartedMS {
+		} else if known > 0 && node.StartedMS > living[known].StartedMS {
 			living[known] = node
 		}
 	}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -68,7 +68,8 @@
 		Address     string
 		// StartedMS is the start of the incarnation in Unix milliseconds, read
 		// after the relay address was bound: the bind proves that the former
-		// incarnation at the address accepts nothing any more.
+		// incarnation at the address accepts nothing any more. A node that is
+		// not leaving keeps it bound.
 		StartedMS int64
 		Leaving   bool
 	}
@@ -185,7 +186,7 @@
 	if ok && living(holding.Keeper()) {
 		return holding, 0
 	}
-	if p.neverCovered(k) {
+	if !ok && p.passedBy(k) {
 		return Holding{}, result.KeyTooOld
 	}
 	if sentBefore {
@@ -209,19 +210,16 @@
 	return int(xxhash.Sum64String(k.Text) % uint64(len(p.Slots)))
 }
 
-// neverCovered says whether the mint time lies before a holding of the slot and
-// in none. Holdings are only ever added at the end of the list, so no later
-// plan will cover it. Holdings are dropped from the list only when all of
-// their keys are older than KeyAge, which has to be checked first.
-func (p Plan) neverCovered(k Key) bool {
+// passedBy says of a key that Find doesn't find whether a holding of its slot
+// begins later. Holdings are only ever added at the end of the list, so no later
+// plan will cover it. They are dropped from the list only when all of their keys
+// are older than KeyAge, which has to be checked first.
+func (p Plan) passedBy(k Key) bool {
 	if len(p.Slots) == 0 {
 		return false
 	}
-	if _, ok := p.Find(k); ok {
-		return false
-	}
-	holdings := p.Slots[p.slotOf(k)].Holdings
-	return len(holdings) > 0 && k.Minted.UnixMilli() < holdings[len(holdings)-1].FromMS
+	last, ok := p.Slots[p.slotOf(k)].last()
+	return ok && k.Minted.UnixMilli() < last.FromMS
 }
 
 func (p Plan) clone() Plan {
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -95,6 +95,7 @@
 		d.ScanArgs(t, "name", &name)
 		s.nodes[arg(0)] = Node{Name: name, Address: name, Incarnation: arg(0), StartedMS: startMS + s.nowMS}
 		s.ledgers[arg(0)] = NewLedger[string](s.nodes[arg(0)], s.rules, s.bytes)
+		s.ledgers[arg(0)].Learn(s.table)
 	case "stop":
 		delete(s.nodes, arg(0))
 		delete(s.ledgers, arg(0))
@@ -107,6 +108,10 @@
 		taken := d.HasArg("open") || s.ledgers[arg(1)].Import(arg(0), l.Export())
 		next, changed := HandOver(s.now(), s.table, self, s.nodes[arg(1)], s.rules)
 		return fmt.Sprintln("taken", taken) + s.commit(d, arg(0), next, changed && taken)
+	case "takeover":
+		from := Node{Incarnation: arg(1)}
+		next, changed := HandOver(s.now(), s.table, from, self, s.rules)
+		return s.commit(d, arg(0), next, changed)
 	case "accept":
 		kind, hash := "order", uint64(1)
 		d.MaybeScanArgs(t, "kind", &kind)
