--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -22,7 +22,8 @@
 
 const (
 	nodes         = 30
-	tick          = 50 * time.Millisecond
+	fineTick      = 50 * time.Millisecond
+	coarseTick    = time.Second // for hours in which nothing is timed
 	inForceWithin = 4 * time.Second
 	leavingWithin = 3 * time.Second
 )
@@ -37,6 +38,7 @@
 		clock  *manualClock
 		random *rand.Rand
 		memory *plat.Memory
+		tick   time.Duration
 		nodes  []*node
 		loss   float64
 		cut    func(from, to string) bool
@@ -67,6 +69,7 @@
 		clock:  &manualClock{now: time.UnixMilli(1_700_000_000_000)},
 		random: rand.New(rand.NewPCG(seed, 1)),
 		memory: plat.NewMemory(),
+		tick:   fineTick,
 		cut:    func(string, string) bool { return false },
 	}
 	for i := range size {
@@ -182,7 +185,7 @@
 func (c *cluster) run(limit time.Duration, done func() bool) time.Duration {
 	begin := c.clock.now
 	for c.clock.now.Sub(begin) < limit && !done() {
-		c.clock.now = c.clock.now.Add(tick)
+		c.clock.now = c.clock.now.Add(c.tick)
 		for _, n := range c.nodes {
 			if n.alive {
 				n.step(c.clock.now)
@@ -368,6 +371,7 @@
 	gone := c.all(func(n *node) bool { return len(n.member.All()) == nodes-1 })
 	is.True(gone())
 	// An old message arrives at every node, as after a partition of an hour.
+	c.tick = coarseTick
 	c.pass(time.Hour)
 	for _, n := range c.nodes {
 		n.member.Answer(&relaypb.ExchangeRequest{From: stale.RelayAddress, Deltas: []*relaypb.Member{{
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -38,10 +38,10 @@
 	fullPerMember = 25 * time.Millisecond
 	fullInterval  = time.Second
 
-	// knockShare is the share of rounds that ask a lapsed member, at most; it
-	// falls with knockMembers/n, so that n nodes do not flood one address.
-	knockShare   = 0.1
-	knockMembers = 3.0
+	// lapsedShare is the share of rounds that ask a lapsed member, at most; it
+	// falls with lapsedRate/n, so that n nodes do not flood one address.
+	lapsedShare   = 0.1
+	lapsedRate = 3.0
 
 	// catchUpPeers is how many peers a node hears, if the platform does not
 	// answer, before it trusts its view.
@@ -484,7 +484,7 @@
 	if second := c.choose(wide); second != addresses[0] {
 		addresses = append(addresses, second)
 	}
-	if lapsed := c.view.Lapsed(); len(lapsed) > 0 && c.Random() < min(knockShare, knockMembers/float64(len(all))) {
+	if lapsed := c.view.Lapsed(); len(lapsed) > 0 && c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
 		addresses = append(addresses, lapsed[c.index(len(lapsed))].RelayAddress)
 	}
 	return addresses
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -91,7 +91,7 @@
 		}
 		if !now.Before(nextRenew) {
 			nextRenew = now.Add(c.pause(c.Renew(ctx), renewInterval))
-			c.buryExpired(ctx)
+			c.deleteExpired(ctx)
 		}
 		next := nextRenew
 		if nextList.Before(next) {
@@ -207,9 +207,9 @@
 	}
 }
 
-// buryExpired deletes the row of a member that lapsed long ago. If the member
+// deleteExpired deletes the row of a member that lapsed long ago. If the member
 // has renewed since, the delete conflicts and has no effect.
-func (c *Controller) buryExpired(ctx context.Context) {
+func (c *Controller) deleteExpired(ctx context.Context) {
 	c.mu.Lock()
 	member, version, ok := c.view.Expired(c.Clock.Now())
 	c.lease.writes++
@@ -222,7 +222,7 @@
 	defer cancel()
 	change := plat.Change{Key: member.Name, Expected: version, Delete: true}
 	if _, err := c.Store.Commit(ctx, plat.Write{Table: leaseTable, ID: id, Changes: []plat.Change{change}}); err != nil {
-		c.Log.Debug("lease_not_buried", "member", member.Name, "error", err)
+		c.Log.Debug("expired_lease_not_deleted", "member", member.Name, "error", err)
 	}
 }
 
