--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
@@ -240,3 +241,55 @@
 	is.Equal(version, second)
 	is.Equal(taken, []int64{second})
 }
+
+// fastClock runs a thousand times as fast as the host's.
+type fastClock struct{ start time.Time }
+
+const speed = 1000
+
+func (c fastClock) Now() time.Time { return c.start.Add(speed * time.Since(c.start)) }
+
+func (c fastClock) After(d time.Duration) <-chan time.Time { return time.After(d / speed) }
+
+// TestBootAndRunInGoroutines boots in an outage, with a dead host among three
+// peers, and then follows the platform, for the race detector.
+func TestBootAndRunInGoroutines(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	memory := plat.NewMemory()
+	peer := controller(memory.Store())
+	_, err := peer.Commit(ctx, []byte("first"), 0)
+	is.NoErr(err)
+	memory.SetFaults(plat.Faults{Down: true})
+
+	clk := fastClock{start: time.Now()}
+	c := config.New(memory.Store(), parse, clk, hclog.NewNullLogger())
+	inForce := make(chan int64, 2)
+	c.OnRevision = func(r *config.Revision) { inForce <- r.Number }
+	c.Fetch = func(_ context.Context, address string, plans []string) (*relaypb.FetchResponse, error) {
+		if address == "dead" {
+			return nil, errors.New("no answer")
+		}
+		return peer.Answer(&relaypb.FetchRequest{Plans: plans}), nil
+	}
+	is.NoErr(c.Boot(ctx, func() []string { return []string{"dead", "a", "b"} }))
+	is.Equal(<-inForce, int64(1))
+
+	memory.SetFaults(plat.Faults{})
+	done := make(chan struct{})
+	go func() {
+		c.Run(ctx)
+		close(done)
+	}()
+	_, err = peer.Commit(ctx, []byte("second"), 1)
+	is.NoErr(err)
+	select {
+	case number := <-inForce:
+		is.Equal(number, int64(2))
+	case <-ctx.Done():
+		t.Fatal("the second revision did not come into force")
+	}
+	cancel()
+	<-done
+}
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -40,8 +40,8 @@
 
 	// lapsedShare is the share of rounds that ask a lapsed member, at most; it
 	// falls with lapsedRate/n, so that n nodes do not flood one address.
-	lapsedShare   = 0.1
-	lapsedRate = 3.0
+	lapsedShare = 0.1
+	lapsedRate  = 3.0
 
 	// catchUpPeers is how many peers a node hears, if the platform does not
 	// answer, before it trusts its view.
