Count rates by the time at which the good answers came

A trial of the trace "slow" showed 56 useful calls a second at a bottleneck that could carry 30: requests were counted when they arrived, and those of the last seconds of the trigger were carried after its end. Rates now count answers in their own second; shares still follow the arrivals.

--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -69,17 +69,22 @@
 
 	// Spell is the part of a run before, during or after the trigger.
 	Spell struct {
-		Name            string  `json:"name"`
-		Seconds         float64 `json:"seconds"`
-		Offered         int     `json:"offered"`
-		Good            int     `json:"good"`
-		CriticalOffered int     `json:"critical_offered"`
-		CriticalGood    int     `json:"critical_good"`
+		Name    string  `json:"name"`
+		Seconds float64 `json:"seconds"`
+		Offered int     `json:"offered"`
+		// Good counts the requests that arrived in the spell and ended well,
+		// whenever that was.
+		Good            int `json:"good"`
+		CriticalOffered int `json:"critical_offered"`
+		CriticalGood    int `json:"critical_good"`
 		// Demand is how many calls a second of each service the requests would
 		// take, by the calls that their kinds declare, if all were good and
 		// none repeated.
 		Demand map[string]float64 `json:"demand"`
-		// Useful is how many of them went into good requests.
+		// Answered counts the good answers that came within the spell, to
+		// requests of this spell or an earlier one.
+		Answered int `json:"answered"`
+		// Useful is how many calls a second went into those answers.
 		Useful map[string]float64 `json:"useful"`
 		// Capacity is how many calls a second each service can work on, by its
 		// declared slots and the slow factor that is switched on.
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -54,7 +54,7 @@
 
 // PrintMarkdown writes one row a report.
 func PrintMarkdown(w io.Writer, reports []Report) {
-	_, _ = fmt.Fprintln(w, "| run | good/s before | during | after | critical good during | useful calls at the bottleneck during | recovery |"+
+	_, _ = fmt.Fprintln(w, "| run | good answers/s of requests/s before | during | after | critical good during | useful calls at the bottleneck during | recovery |"+
 		" attempts/request | repeats of one attempt, most | calls at targets/request (most) | wasted work | torn, foreign | double runs | false not run |")
 	_, _ = fmt.Fprintln(w, "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
 	for _, report := range reports {
@@ -108,7 +108,7 @@
 	if s.Seconds == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%.0f of %.0f", float64(s.Good)/s.Seconds, float64(s.Offered)/s.Seconds)
+	return fmt.Sprintf("%.0f of %.0f", float64(s.Answered)/s.Seconds, float64(s.Offered)/s.Seconds)
 }
 
 func (s Spell) criticalShare() string {
@@ -129,7 +129,7 @@
 
 func (r Report) printSpells(w io.Writer) {
 	for _, spell := range r.Spells {
-		_, _ = fmt.Fprintf(w, "%s the trigger: good %s a second; critical good %s; useful calls a second and capacity:",
+		_, _ = fmt.Fprintf(w, "%s the trigger: good answers %s requests a second; critical good %s; useful calls a second and capacity:",
 			spell.Name, spell.rate(), spell.criticalShare())
 		for _, service := range slices.Sorted(maps.Keys(spell.Useful)) {
 			_, _ = fmt.Fprintf(w, " %s=%.0f/%.0f", service, spell.Useful[service], spell.Capacity[service])
