--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -102,6 +102,23 @@
   done
 }
 
+# wait_members ADMIN TOKEN: waits until the node knows all nodes in $out, since
+# "in force everywhere" speaks of the nodes that it knows.
+wait_members() {
+  local want known try
+  want=$(ls "$out"/node-*.yaml | wc -l)
+  for try in $(seq 100); do
+    known=$(bin/dandelionfield status --node "$1" --token "$2" |
+      awk '/^MEMBER/ { on = 1; next } /^$/ { on = 0 } on' | wc -l)
+    if [ "$known" -eq "$want" ]; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "$known of $want nodes are known after 10 s" >&2
+  return 1
+}
+
 # start_nodes FIRM: starts the nodes and applies the firm's declarations.
 start_nodes() {
   local file first
@@ -112,6 +129,7 @@
   for file in "$out"/node-*.yaml; do
     wait_port "$(basename "$file" .yaml)" "$(setting "$file" caller_listen)"
   done
+  wait_members "$(setting "$first" admin_listen)" "$(setting "$first" operator_token)"
   bin/dandelionfield apply -f "examples/$1/mesh" --node "$(setting "$first" admin_listen)" \
     --token "$(setting "$first" operator_token)" --wait | tail -n 2
 }
