--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -55,7 +55,6 @@
 	if err != nil {
 		return admin.Applied{}, err
 	}
-	n.log.Info("revision_accepted", "revision", revision.Number, "digest", revision.Digest)
 	n.members.Kick()
 	return admin.Applied{Revision: revision.Number, Digest: revision.Digest}, nil
 }
@@ -84,13 +83,13 @@
 		status.Services = n.describeServices(current.Set, now)
 	}
 	for _, m := range n.members.All() {
-		status.Members = append(status.Members, describeMember(m))
+		status.Members = append(status.Members, describeMember(m, now))
 	}
 	status.Complete()
 	return status
 }
 
-func describeMember(m member.Member) admin.Member {
+func describeMember(m member.Member, now time.Time) admin.Member {
 	return admin.Member{
 		Name:         m.Name,
 		Incarnation:  m.Incarnation,
@@ -99,6 +98,7 @@
 		State:        m.State.String(),
 		Revision:     m.Revision,
 		AdminAddress: m.AdminAddress,
+		AgeMS:        max(now.UnixMilli()-m.StartedMS, 0),
 	}
 }
 
