--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -73,7 +73,7 @@
 			is := is.New(t)
 			b := newBed(t)
 			answers := make(chan *call.Answer, 1)
-			go func() { answers <- b.sender.Send(context.Background(), order()) }()
+			go func() { answers <- b.send(order()) }()
 			<-b.began
 			b.wire.silence(set)
 			close(b.release)
@@ -91,16 +91,23 @@
 	is := is.New(t)
 	b := newBed(t)
 	close(b.release)
-	is.Equal(b.sender.Send(context.Background(), order()).Code, result.OK)
+	is.Equal(b.send(order()).Code, result.OK)
 	<-b.began
 	b.wire.silence(func(s *mute) { s.toward.Store(true) })
 	c := order()
 	c.Tokens = call.NewTokens(0)
-	answer := b.sender.Send(context.Background(), c)
+	answer := b.send(c)
 	is.Equal(answer.Code.Family(), result.NotRun)
 	is.Equal(b.runs.Load(), int32(1))
 }
 
+// send sends a call within its deadline, as the filter chain does.
+func (b *bed) send(c *call.Call) *call.Answer {
+	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	defer cancel()
+	return b.sender.Send(ctx, c)
+}
+
 func newBed(t *testing.T) *bed {
 	t.Helper()
 	b := &bed{began: make(chan struct{}, 8), release: make(chan struct{})}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -23,8 +23,9 @@
 
 const (
 	// attemptKeep is how long ended attempts and tombstones are kept: longer
-	// than any deadline, so that no attempt arrives after it was forgotten.
-	attemptKeep = 30 * time.Second
+	// than the longest deadline (1 min) and twice the largest clock margin
+	// (10 s), so that no attempt runs after it was forgotten.
+	attemptKeep = 90 * time.Second
 	// backoffBase and backoffMax bound the wait before a repeat.
 	backoffBase = 25 * time.Millisecond
 	backoffMax  = 500 * time.Millisecond
@@ -103,7 +104,7 @@
 		Metrics:     n.metrics,
 		Log:         n.log.Named("local"),
 		Gate:        admit.NewGate(n.gateSettings(service)),
-		Book:        fate.New[*relaypb.CarryResponse](fate.Settings{Keep: attemptKeep, MaxBytes: bookBytes}),
+		Book:        fate.New[*relaypb.CarryResponse](fate.Settings{Keep: attemptKeep, MaxBytes: bookBytes, Margin: schema.MaxClockMargin}),
 		Ledger:      once.NewLedger[*relaypb.CarryResponse](n.owner(), ownerRules(schema.DefaultLimits()), bookBytes),
 		LedgerBytes: bookBytes,
 		Kind:        n.kind,
--- a/pkg/schema/defaults.go
+++ b/pkg/schema/defaults.go
@@ -13,12 +13,16 @@
 	maxRetries      = 100
 	maxMessageBytes = 64 << 20
 	maxMemoryBytes  = 1 << 40
-	maxDeadline     = time.Hour
-	maxKeyAge       = 7 * 24 * time.Hour
-	maxDistance     = 10 * time.Second
-	minDeadline     = time.Millisecond
-	minOwnerLease   = time.Second
-	maxOwnerLease   = 24 * time.Hour
+	maxWait         = time.Hour
+	// maxDeadline is below the time for which nodes keep the records of attempts.
+	maxDeadline = time.Minute
+	// MaxClockMargin is the largest clock margin that can be declared.
+	MaxClockMargin = 10 * time.Second
+	maxKeyAge      = 7 * 24 * time.Hour
+	maxDistance    = 10 * time.Second
+	minDeadline    = time.Millisecond
+	minOwnerLease  = time.Second
+	maxOwnerLease  = 24 * time.Hour
 	// marginsPerLease is how many clock margins fit into an owner lease, so that
 	// a holding is renewed well before its end by any host's clock.
 	marginsPerLease = 16
--- a/pkg/schema/parse.go
+++ b/pkg/schema/parse.go
@@ -197,8 +197,8 @@
 		{Key: "slots", Required: true, Read: place.Int(&service.Slots, 1, maxSlots)},
 		{Key: "connections", Required: true, Read: place.Int(&service.Connections, 1, maxConnections)},
 		{Key: "queue", Read: place.Int(&service.Queue, 0, maxQueue)},
-		{Key: "queue_wait", Read: place.Duration(&service.QueueWait, 0, maxDeadline)},
-		{Key: "cold_start", Read: place.Duration(&service.ColdStart, 0, maxDeadline)},
+		{Key: "queue_wait", Read: place.Duration(&service.QueueWait, 0, maxWait)},
+		{Key: "cold_start", Read: place.Duration(&service.ColdStart, 0, maxWait)},
 		{Key: "retry_share", Read: place.Float(&service.RetryShare, 0, 1)},
 		{Key: "shed_status", Read: place.Int(&service.ShedStatus, 400, 599)},
 		{Key: "health_path", Read: place.Match(&service.HealthPath, healthPattern, "a path that begins with /")},
@@ -258,7 +258,7 @@
 		{Key: "record_bytes", Read: place.Size(&limits.RecordBytes, 1, maxMemoryBytes)},
 		{Key: "key_age", Read: place.Duration(&limits.KeyAge, minOwnerLease, maxKeyAge)},
 		{Key: "owner_lease", Read: place.Duration(&limits.OwnerLease, minOwnerLease, maxOwnerLease)},
-		{Key: "clock_margin", Read: place.Duration(&limits.ClockMargin, 0, maxDeadline)},
+		{Key: "clock_margin", Read: place.Duration(&limits.ClockMargin, 0, MaxClockMargin)},
 	})
 	if p.declare(reader, object, TypeLimits, LimitsName) {
 		p.set.Limits = limits
