--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -73,24 +73,23 @@
 		return Decision{Code: result.RunningStill}
 	}
 	g.offered++
-	released := g.dropExpired(now)
 	if !g.worthwhile(now, c) {
 		g.hopeless++
-		return Decision{Code: result.DeadlinePassed, Released: released}
+		return Decision{Code: result.DeadlinePassed}
 	}
 	if g.queue.len() == 0 && len(g.running) < g.limiter.current(now) {
 		g.start(now, c)
-		return Decision{Verdict: Admitted, Released: released}
+		return Decision{Verdict: Admitted}
 	}
-	return g.enqueue(now, c, released)
+	return g.enqueue(now, c)
 }
 
 // enqueue lets the call compete with the queued ones: for a slot that has
 // become free, and for a place in the queue.
-func (g *Gate) enqueue(now time.Time, c Call, released []Release) Decision {
+func (g *Gate) enqueue(now time.Time, c Call) Decision {
 	g.queue.insert(waiter{call: c, order: Order(c.Importance, c.Position), arrived: now})
 	d := Decision{Verdict: Queued}
-	for _, r := range append(released, append(g.fill(now), g.evict()...)...) {
+	for _, r := range append(g.fill(now), g.evict()...) {
 		switch {
 		case r.ID != c.ID:
 			d.Released = append(d.Released, r)
@@ -118,7 +117,7 @@
 		cut := o == Abandoned || o == TimedOut
 		g.times.observe(run.kind, now.Sub(run.started), cut, g.limiter.current(now))
 	}
-	return append(g.dropExpired(now), g.fill(now)...)
+	return g.fill(now)
 }
 
 // Tick re-evaluates the limit and the floor and returns the fate of queued
@@ -137,7 +136,7 @@
 // through Done with Abandoned.
 func (g *Gate) Cancel(now time.Time, id string) []Release {
 	g.queue.remove(func(w waiter) bool { return w.call.ID == id })
-	return append(g.dropExpired(now), g.fill(now)...)
+	return g.fill(now)
 }
 
 // Floor returns the order below which the door is to refuse calls.
@@ -175,32 +174,50 @@
 	g.startSum += now.Sub(g.epoch)
 }
 
-// fill gives free slots to the queued calls of the highest order.
+// fill gives free slots to the queued calls of the highest order, and drops
+// those among them that come too late.
 func (g *Gate) fill(now time.Time) []Release {
 	var released []Release
 	limit := g.limiter.current(now)
 	for g.queue.len() > 0 && len(g.running) < limit {
 		next := g.queue.takeHighest()
+		if code := g.expired(now, next); code != 0 {
+			released = append(released, Release{ID: next.call.ID, Code: code})
+			continue
+		}
 		g.start(now, next.call)
 		released = append(released, Release{ID: next.call.ID, Verdict: Admitted})
 	}
 	return released
 }
 
-// dropExpired takes out queued calls that waited too long or that could not end
-// before their deadline any more.
+// dropExpired takes out all queued calls that come too late. It looks at the
+// whole queue, so it runs with each Tick rather than with each call.
 func (g *Gate) dropExpired(now time.Time) []Release {
 	var released []Release
-	for _, w := range g.queue.remove(func(w waiter) bool { return !g.worthwhile(now, w.call) }) {
-		released = append(released, Release{ID: w.call.ID, Code: result.DeadlinePassed})
-	}
-	waited := func(w waiter) bool { return now.Sub(w.arrived) >= g.settings.QueueWait }
-	for _, w := range g.queue.remove(waited) {
-		released = append(released, Release{ID: w.call.ID, Code: result.QueueExpired})
-	}
+	g.queue.remove(func(w waiter) bool {
+		code := g.expired(now, w)
+		if code == 0 {
+			return false
+		}
+		released = append(released, Release{ID: w.call.ID, Code: code})
+		return true
+	})
 	return released
 }
 
+// expired returns why the queued call comes too late, or 0: it could not end
+// before its deadline any more, or it has waited too long.
+func (g *Gate) expired(now time.Time, w waiter) result.Code {
+	switch {
+	case !g.worthwhile(now, w.call):
+		return result.DeadlinePassed
+	case now.Sub(w.arrived) >= g.settings.QueueWait:
+		return result.QueueExpired
+	}
+	return 0
+}
+
 // evict takes out the calls of the lowest order that the queue has no room for.
 func (g *Gate) evict() []Release {
 	var released []Release
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -49,14 +49,6 @@
 }
 
 // remove takes out the calls for which the function returns true.
-func (q *queue) remove(drop func(w waiter) bool) []waiter {
-	var removed []waiter
-	q.waiters = slices.DeleteFunc(q.waiters, func(w waiter) bool {
-		if !drop(w) {
-			return false
-		}
-		removed = append(removed, w)
-		return true
-	})
-	return removed
+func (q *queue) remove(drop func(w waiter) bool) {
+	q.waiters = slices.DeleteFunc(q.waiters, drop)
 }
