Count all data centres for the share of targets that stays in use

With one target in each data centre the share was taken of the opened ones only. It did no harm, as a data centre without usable targets opens the next one in any case: the new test passes with the former code too, and fails without ejection.

--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -100,15 +100,10 @@
 // or else the less loaded of two drawn at random.
 func (t *Table) pick(now time.Time, open int, not map[string]bool) *entry {
 	var usable, ejected []*entry
-	total := 0
 	for _, tier := range t.tiers[:open] {
 		for _, e := range tier {
-			if e.target.Leaving {
-				continue
-			}
-			total++
 			switch {
-			case not[e.target.Name]:
+			case e.target.Leaving || not[e.target.Name]:
 			case e.dueForTrial(now):
 				return e
 			case e.usable():
@@ -118,13 +113,28 @@
 			}
 		}
 	}
-	good := total - t.ejectedCount(open)
-	if float64(good) < minUsableShare*float64(total) {
+	if t.fewUsable() {
 		usable = append(usable, ejected...)
 	}
 	return t.lessLoaded(now, usable)
 }
 
+// fewUsable reports whether so many targets are ejected that they are used
+// nevertheless. All tiers count: a data centre often has just one target.
+func (t *Table) fewUsable() bool {
+	staying, usable := 0, 0
+	for _, e := range t.entries {
+		if e.target.Leaving {
+			continue
+		}
+		staying++
+		if e.usable() {
+			usable++
+		}
+	}
+	return float64(usable) < minUsableShare*float64(staying)
+}
+
 // worse reports whether the target does worse than the others that are in use.
 // When a service as a whole is slow or failing, every target looks bad. To
 // eject some by chance would keep them out after it has recovered, and while
@@ -143,18 +153,6 @@
 	return e.success < worseThanOthers*sum/float64(count)
 }
 
-func (t *Table) ejectedCount(open int) int {
-	count := 0
-	for _, tier := range t.tiers[:open] {
-		for _, e := range tier {
-			if !e.target.Leaving && !e.usable() {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 // lessLoaded draws two targets and returns the one under less pressure.
 // Drawing only two keeps many nodes with the same stale reports from all
 // choosing the same target.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -226,6 +226,22 @@
 	is.Equal(f.table.open, 1) // back to the own data centre
 }
 
+func TestOneTargetInEachDataCentre(t *testing.T) {
+	is := is.New(t)
+	targets := targetsIn("a", "b", "c")
+	f := newField(Settings{DataCentre: "a"}, []Target{targets[0], targets[3], targets[6]})
+	f.answer = func(target string) (time.Duration, Outcome) {
+		if target == "a0" {
+			return time.Millisecond, Unreachable
+		}
+		return f.usual(), Complete
+	}
+	f.run(200, 10*time.Second)
+	is.Equal(f.ejected(), []string{"a0"})
+	is.True(f.sent["a0"] < 2000/3/10) // a tenth of a fair share
+	is.True(f.sent["b0"] > 0)
+}
+
 func TestSpillDoesNotFlap(t *testing.T) {
 	is := is.New(t)
 	f := newField(Settings{DataCentre: "a"}, targetsIn("a", "b"))
