--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 PACKAGES := ./...
 
-.PHONY: setup build test vet lint format generate check demo bench clean
+.PHONY: setup build test vet lint format generate check demo mesh bench clean
 
 setup: $(TOOLS)/golangci-lint
 	go mod download
@@ -39,6 +39,9 @@
 demo: build
 	scripts/demo.sh
 
+mesh: build
+	scripts/mesh.sh
+
 bench: build
 	scripts/bench.sh
 
