Test the chain at the entry and the node beside the target

Targets that cut off, overrun, garble, shed and hang are played byte by byte; forged context, deadlines, keys and bodies are sent through the chain. Without the check of the host that a handle comes from, a handle from another host inherits (testdata/inward). With a body that net/http may read again, a call on a reused connection that closes runs three times in all instead of two (testdata/answers).

--- /dev/null
+++ b/internal/filter/filter_test.go
@@ -0,0 +1,150 @@
+package filter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/local"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// fixed is a clock that stands still.
+type fixed struct {
+	now time.Time
+}
+
+const declarations = `
+resource: service
+name: orders
+slots: 10
+connections: 10
+---
+resource: request_kind
+name: place_order
+service: orders
+method: POST
+path: /orders
+importance: high
+repeat: never
+deadline: 2s
+retries: 3
+calls: [read_stock]
+---
+resource: request_kind
+name: read_stock
+service: orders
+method: GET
+path: /stock/{item}
+importance: low
+deadline: 1s
+retries: 1
+---
+resource: limits
+max_request_bytes: 8B
+`
+
+func (f fixed) Now() time.Time {
+	return f.now
+}
+
+func (f fixed) After(time.Duration) <-chan time.Time {
+	return nil
+}
+
+// TestInward sends requests through the chain and states the result and what
+// the call that leaves the chain carries. The one call under way has the handle
+// "known", and belongs to a critical request with 0.5 s and 2 tokens left.
+func TestInward(t *testing.T) {
+	datadriven.RunTest(t, "testdata/inward", func(t *testing.T, d *datadriven.TestData) string {
+		now := time.Unix(1_800_000_000, 0)
+		parent := &call.Serving{
+			RequestID:  "parent",
+			Importance: schema.Critical,
+			Position:   7,
+			Deadline:   now.Add(500 * time.Millisecond),
+			Tokens:     call.NewTokens(2),
+		}
+		inward := newInward(t, d, now, parent)
+		request := readRequest(d)
+		exchange := &Exchange{Request: request, Call: &call.Call{}, Remote: "127.0.0.1"}
+		if d.HasArg("remote") {
+			d.ScanArgs(t, "remote", &exchange.Remote)
+		}
+		var left string
+		chain := Chain(inward.Filters(), func(_ context.Context, e *Exchange) *call.Answer {
+			left = describeCall(e.Call, now)
+			return &call.Answer{Code: result.OK}
+		})
+		answer := chain(context.Background(), exchange)
+		return fmt.Sprintf("%s\n%schildren_ran=%t\n", answer.Code, left, parent.ChildrenRan())
+	})
+}
+
+func newInward(t *testing.T, d *datadriven.TestData, now time.Time, parent *call.Serving) *Inward {
+	t.Helper()
+	set, err := schema.Parse("declarations", []byte(declarations))
+	if err != nil {
+		t.Fatal(err)
+	}
+	matcher := schema.NewMatcher(set)
+	rules := &Rules{Revision: 1, Limits: set.Limits, Match: matcher.Match, Chain: set.Chain}
+	if d.HasArg("no_rules") {
+		rules = nil
+	}
+	return &Inward{
+		Clock:   fixed{now},
+		Metrics: metric.New(),
+		Log:     hclog.NewNullLogger(),
+		Rules:   func() *Rules { return rules },
+		Serving: func(handle string) (*call.Serving, bool) {
+			if handle == "known" {
+				return parent, true
+			}
+			return nil, false
+		},
+		TargetHost: "127.0.0.1",
+		Allows: func(services []string, _ uint32) (string, bool) {
+			return services[0], !d.HasArg("closed")
+		},
+	}
+}
+
+// readRequest reads a method and a path, then headers, then the body.
+func readRequest(d *datadriven.TestData) *http.Request {
+	lines := strings.Split(d.Input, "\n")
+	method, path, _ := strings.Cut(lines[0], " ")
+	var body string
+	header := http.Header{}
+	for _, line := range lines[1:] {
+		name, value, ok := strings.Cut(line, ": ")
+		if !ok {
+			body = line
+			continue
+		}
+		header.Add(name, value)
+	}
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header = header
+	return request
+}
+
+func describeCall(c *call.Call, now time.Time) string {
+	id := c.RequestID
+	if id != "parent" {
+		id = "new"
+	}
+	packed := local.Pack(c.Header)
+	return fmt.Sprintf("kind=%s request=%s importance=%s left=%s tokens=%d key=%q fresh=%t headers=%d\n",
+		c.Kind.Name, id, c.Importance, c.Deadline.Sub(now), c.Tokens.Left(), c.Key, c.KeyFresh, len(packed))
+}
--- /dev/null
+++ b/internal/local/local_test.go
@@ -0,0 +1,213 @@
+package local
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// rawTarget answers every request with the same bytes, whatever HTTP says.
+type rawTarget struct {
+	listener net.Listener
+	answer   string
+	hang     chan struct{}
+	requests atomic.Int32
+	// closeReused makes it close a connection without an answer when a second
+	// request comes on it.
+	closeReused bool
+	// serving is called while a request is under way.
+	serving func(handle string)
+}
+
+const incarnation = "inc-1"
+
+// TestAnswers plays what a target sends, byte by byte, and states the result
+// that the node gives and the body that it lets through.
+func TestAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
+		target := newRawTarget(t)
+		target.answer = strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), `\n`, "\r\n")
+		target.closeReused = d.HasArg("close_reused")
+		if d.HasArg("hang") {
+			target.hang = make(chan struct{})
+			t.Cleanup(func() { close(target.hang) })
+		}
+		kind := &schema.Kind{Name: "k", Service: "s"}
+		limits := schema.DefaultLimits()
+		limits.MaxAnswerBytes = 64
+		server := newServer(target.listener.Addr().String(), kind, limits)
+		if d.HasArg("child") {
+			var code int
+			d.ScanArgs(t, "child", &code)
+			target.serving = func(handle string) {
+				serving, _ := server.Serving(handle)
+				serving.ChildSent()
+				serving.ChildEnded(result.Code(code))
+			}
+		}
+		if d.HasArg("unreachable") {
+			_ = target.listener.Close()
+		}
+		var answer *relaypb.CarryResponse
+		sends := 1
+		if target.closeReused {
+			sends = 2
+		}
+		for range sends {
+			answer = server.Carry(context.Background(), newAttempt(kind))
+		}
+		return fmt.Sprintf("%s status=%d body=%q requests=%d\n",
+			result.Code(answer.Code), answer.Status, answer.Body, target.requests.Load())
+	})
+}
+
+// The same attempt that arrives many times, at once and later, runs once, and
+// every sender gets its answer.
+func TestDuplicateAttemptRunsOnce(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine"
+	target.hang = make(chan struct{})
+	kind := &schema.Kind{Name: "k", Service: "s", Repeat: schema.Never}
+	server := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
+	request := newAttempt(kind)
+	var wait sync.WaitGroup
+	bodies := make([]string, 5)
+	for i := range bodies {
+		wait.Go(func() { bodies[i] = string(server.Carry(context.Background(), request).Body) })
+	}
+	time.AfterFunc(50*time.Millisecond, func() { close(target.hang) })
+	wait.Wait()
+	late := server.Carry(context.Background(), request)
+	for _, body := range append(bodies, string(late.Body)) {
+		is.Equal(body, "mine")
+	}
+	is.Equal(target.requests.Load(), int32(1))
+}
+
+// An attempt of which the node has said that it never saw it must not run when
+// it arrives after all.
+func TestLateArrivalAfterNeverSeenIsRefused(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	kind := &schema.Kind{Name: "k", Service: "s"}
+	server := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
+	request := newAttempt(kind)
+	fate := server.Fate(context.Background(), &relaypb.FateRequest{AttemptId: request.AttemptId, Incarnation: incarnation})
+	is.Equal(fate.State, relaypb.FateState_FATE_STATE_NEVER_SEEN)
+	is.Equal(result.Code(server.Carry(context.Background(), request).Code), result.Tombstoned)
+	is.Equal(target.requests.Load(), int32(0))
+}
+
+func TestAttemptForOtherIncarnationIsRefused(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	kind := &schema.Kind{Name: "k", Service: "s"}
+	server := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
+	request := newAttempt(kind)
+	request.Incarnation = "inc-0"
+	is.Equal(result.Code(server.Carry(context.Background(), request).Code), result.OtherIncarnation)
+	fate := server.Fate(context.Background(), &relaypb.FateRequest{AttemptId: request.AttemptId, Incarnation: "inc-0"})
+	is.Equal(fate.State, relaypb.FateState_FATE_STATE_OTHER_INCARNATION)
+	is.Equal(target.requests.Load(), int32(0))
+}
+
+func newAttempt(kind *schema.Kind) *relaypb.CarryRequest {
+	return &relaypb.CarryRequest{
+		AttemptId:   uuid.Must(uuid.NewV7()).String(),
+		RequestId:   "r",
+		Incarnation: incarnation,
+		Service:     kind.Service,
+		Kind:        kind.Name,
+		TimeLeftMs:  2000,
+		Method:      http.MethodGet,
+		Path:        "/x",
+	}
+}
+
+func newServer(target string, kind *schema.Kind, limits schema.Limits) *Server {
+	return New(Settings{
+		Incarnation: incarnation,
+		Service:     kind.Service,
+		Target:      NewTarget(target, 4, NewHeld(func() int64 { return 1 << 20 })),
+		Clock:       clock.System{},
+		Metrics:     metric.New(),
+		Log:         hclog.NewNullLogger(),
+		Gate:        admit.NewGate(admit.Settings{Slots: 4, Queue: 4, QueueWait: time.Second}),
+		Book:        fate.New[*relaypb.CarryResponse](fate.Settings{Keep: time.Minute, MaxBytes: 1 << 20}),
+		Ledger:      once.NewLedger[*relaypb.CarryResponse](once.Node{}, once.Rules{}, 1<<20),
+		Kind:        func(string) *schema.Kind { return kind },
+		Limits:      func() schema.Limits { return limits },
+		ShedStatus:  func() int { return http.StatusServiceUnavailable },
+		Levels:      func(time.Time) []*relaypb.Level { return nil },
+		Revision:    func() int64 { return 1 },
+	})
+}
+
+func newRawTarget(t *testing.T) *rawTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rawTarget{listener: listener, serving: func(string) {}}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(connection)
+		}
+	}()
+	return r
+}
+
+func (r *rawTarget) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for served := 0; ; served++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		r.requests.Add(1)
+		if r.closeReused && served > 0 {
+			return
+		}
+		r.serving(request.Header.Get(ContextHeader))
+		if r.hang != nil {
+			<-r.hang
+		}
+		if _, err := connection.Write([]byte(r.answer)); err != nil {
+			return
+		}
+		if !r.closeReused {
+			return
+		}
+	}
+}
+
