Ask every node for its load when an operator wants the status

Cause: the status showed what answers to this node's own calls had told, so that a node that had called nobody showed 0/0 for all services. Each member is now asked once, at most 64 at a time and for at most 1 s, and one that does not answer is shown as silent. The load still travels on answers for the choice of targets; this costs nothing until somebody asks.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,17 +112,6 @@
 	return levels
 }
 
-// FloorsByNode returns the known floors by the incarnation of the node.
-func (s *Sender) FloorsByNode(now time.Time) map[string]uint32 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	byNode := map[string]uint32{}
-	for _, floor := range s.door.Floors(now) {
-		byNode[floor.Node] = floor.Floor
-	}
-	return byNode
-}
-
 // Targets returns the state of a service's targets, for status.
 func (s *Sender) Targets(name string) []route.State {
 	s.mu.Lock()
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -210,4 +210,3 @@
 		}
 	}
 }
-
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -2,17 +2,29 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	dto "github.com/prometheus/client_model/go"
-
+	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionfield/dandelionfield/internal/admin"
 	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
+const (
+	// reportTimeout bounds how long a status waits for members that are silent.
+	reportTimeout = time.Second
+	// reportsAtOnce is how many members a status asks at the same time.
+	reportsAtOnce = 64
+	// stateSilent is the state of a target whose node did not answer.
+	stateSilent = "silent"
+)
+
 func (n *Node) adminServer() *admin.Server {
 	return &admin.Server{
 		Log:      n.log.Named("admin"),
@@ -60,7 +72,7 @@
 }
 
 // describe is the node's status.
-func (n *Node) describe(context.Context) admin.Status {
+func (n *Node) describe(ctx context.Context) admin.Status {
 	self := n.members.Self()
 	now := n.clock.Now()
 	reachable, silent := n.platform.state(now)
@@ -80,7 +92,7 @@
 	if current := n.config.Current(); current != nil {
 		status.Revision = current.Number
 		status.Digest = current.Digest
-		status.Services = n.describeServices(current.Set, now)
+		status.Services = n.describeServices(ctx, current.Set, now)
 	}
 	for _, m := range n.members.All() {
 		status.Members = append(status.Members, describeMember(m, now))
@@ -102,31 +114,69 @@
 	}
 }
 
-func (n *Node) describeServices(set *schema.Set, now time.Time) []admin.Service {
-	floors := n.sender.FloorsByNode(now)
+// describeServices asks the node beside every target for its load, so that the
+// status does not depend on which targets this node has called itself.
+func (n *Node) describeServices(ctx context.Context, set *schema.Set, now time.Time) []admin.Service {
+	reports := n.gatherReports(ctx)
 	services := make([]admin.Service, 0, len(set.Services))
 	for _, declared := range set.Services {
 		service := admin.Service{Name: declared.Name}
-		states := map[string]string{}
+		ejected := n.ejected(declared.Name, now)
 		for _, m := range n.members.Service(declared.Name) {
-			states[m.Incarnation] = targetState(m.State)
-		}
-		for _, state := range n.sender.Targets(declared.Name) {
-			service.Targets = append(service.Targets, admin.Target{
-				Node:     state.Target.Name,
-				State:    states[state.Target.Incarnation],
-				InFlight: state.Reported.InFlight,
-				Limit:    state.Reported.Limit,
-				Queued:   state.Reported.Queued,
-				Floor:    floors[state.Target.Incarnation],
-				Ejected:  state.EjectedUntil.After(now),
-			})
+			service.Targets = append(service.Targets, describeTarget(m, reports[m.Incarnation], ejected[m.Incarnation]))
 		}
 		services = append(services, service)
 	}
 	return services
 }
 
+func describeTarget(m member.Member, report *relaypb.ReportResponse, ejected bool) admin.Target {
+	target := admin.Target{Node: m.Name, State: targetState(m.State), Ejected: ejected}
+	if report == nil {
+		target.State = stateSilent
+		return target
+	}
+	target.InFlight = int(report.Load.InFlight)
+	target.Limit = int(report.Load.Limit)
+	target.Queued = int(report.Load.Queued)
+	target.Floor = report.Floor
+	return target
+}
+
+// ejected returns the incarnations that this node sends no calls to for now.
+func (n *Node) ejected(service string, now time.Time) map[string]bool {
+	ejected := map[string]bool{}
+	for _, state := range n.sender.Targets(service) {
+		ejected[state.Target.Incarnation] = state.EjectedUntil.After(now)
+	}
+	return ejected
+}
+
+// gatherReports asks all members for their reports at the same time; one that
+// does not answer has none.
+func (n *Node) gatherReports(ctx context.Context) map[string]*relaypb.ReportResponse {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	reports := map[string]*relaypb.ReportResponse{}
+	var group errgroup.Group
+	group.SetLimit(reportsAtOnce)
+	for _, m := range n.members.All() {
+		group.Go(func() error {
+			response, err := n.client.To(m.RelayAddress).Report(ctx, connect.NewRequest(&relaypb.ReportRequest{}))
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reports[m.Incarnation] = response.Msg
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return reports
+}
+
 func targetState(state member.State) string {
 	if state == member.Active || state == member.Cold {
 		return admin.StateReady
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -46,6 +46,21 @@
 	return connect.NewResponse(r.node.config.Answer(request.Msg)), nil
 }
 
+// Report tells how loaded the target beside this node is.
+func (r *relayService) Report(context.Context, *connect.Request[relaypb.ReportRequest]) (*connect.Response[relaypb.ReportResponse], error) {
+	load := r.node.local.Load()
+	return connect.NewResponse(&relaypb.ReportResponse{
+		Load: &relaypb.Load{
+			InFlight: uint32(load.InFlight),
+			Limit:    uint32(load.Limit),
+			Queued:   uint32(load.Queued),
+			Cold:     load.Cold,
+			Leaving:  r.node.leaving.Load(),
+		},
+		Floor: r.node.local.Floor(),
+	}), nil
+}
+
 // Handover takes over the idempotency records of a leaving node.
 func (r *relayService) Handover(_ context.Context, request *connect.Request[relaypb.HandoverRequest]) (*connect.Response[relaypb.HandoverResponse], error) {
 	accepted := r.node.takeOver(request.Msg)
--- a/internal/relaypb/relaypbconnect/relay.connect.go
+++ b/internal/relaypb/relaypbconnect/relay.connect.go
@@ -42,6 +42,8 @@
 	RelayExchangeProcedure = "/dandelionfield.relay.v1.Relay/Exchange"
 	// RelayFetchProcedure is the fully-qualified name of the Relay's Fetch RPC.
 	RelayFetchProcedure = "/dandelionfield.relay.v1.Relay/Fetch"
+	// RelayReportProcedure is the fully-qualified name of the Relay's Report RPC.
+	RelayReportProcedure = "/dandelionfield.relay.v1.Relay/Report"
 	// RelayHandoverProcedure is the fully-qualified name of the Relay's Handover RPC.
 	RelayHandoverProcedure = "/dandelionfield.relay.v1.Relay/Handover"
 )
@@ -57,6 +59,8 @@
 	Exchange(context.Context, *connect.Request[relaypb.ExchangeRequest]) (*connect.Response[relaypb.ExchangeResponse], error)
 	// Fetch returns the configuration that is in force at the node.
 	Fetch(context.Context, *connect.Request[relaypb.FetchRequest]) (*connect.Response[relaypb.FetchResponse], error)
+	// Report tells an operator's node how loaded the target beside this one is.
+	Report(context.Context, *connect.Request[relaypb.ReportRequest]) (*connect.Response[relaypb.ReportResponse], error)
 	// Handover moves the idempotency records of a leaving owner to its successor.
 	Handover(context.Context, *connect.Request[relaypb.HandoverRequest]) (*connect.Response[relaypb.HandoverResponse], error)
 }
@@ -96,6 +100,12 @@
 			connect.WithSchema(relayMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		report: connect.NewClient[relaypb.ReportRequest, relaypb.ReportResponse](
+			httpClient,
+			baseURL+RelayReportProcedure,
+			connect.WithSchema(relayMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
 		handover: connect.NewClient[relaypb.HandoverRequest, relaypb.HandoverResponse](
 			httpClient,
 			baseURL+RelayHandoverProcedure,
@@ -111,6 +121,7 @@
 	fate     *connect.Client[relaypb.FateRequest, relaypb.FateResponse]
 	exchange *connect.Client[relaypb.ExchangeRequest, relaypb.ExchangeResponse]
 	fetch    *connect.Client[relaypb.FetchRequest, relaypb.FetchResponse]
+	report   *connect.Client[relaypb.ReportRequest, relaypb.ReportResponse]
 	handover *connect.Client[relaypb.HandoverRequest, relaypb.HandoverResponse]
 }
 
@@ -134,6 +145,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Report calls dandelionfield.relay.v1.Relay.Report.
+func (c *relayClient) Report(ctx context.Context, req *connect.Request[relaypb.ReportRequest]) (*connect.Response[relaypb.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
 // Handover calls dandelionfield.relay.v1.Relay.Handover.
 func (c *relayClient) Handover(ctx context.Context, req *connect.Request[relaypb.HandoverRequest]) (*connect.Response[relaypb.HandoverResponse], error) {
 	return c.handover.CallUnary(ctx, req)
@@ -150,6 +166,8 @@
 	Exchange(context.Context, *connect.Request[relaypb.ExchangeRequest]) (*connect.Response[relaypb.ExchangeResponse], error)
 	// Fetch returns the configuration that is in force at the node.
 	Fetch(context.Context, *connect.Request[relaypb.FetchRequest]) (*connect.Response[relaypb.FetchResponse], error)
+	// Report tells an operator's node how loaded the target beside this one is.
+	Report(context.Context, *connect.Request[relaypb.ReportRequest]) (*connect.Response[relaypb.ReportResponse], error)
 	// Handover moves the idempotency records of a leaving owner to its successor.
 	Handover(context.Context, *connect.Request[relaypb.HandoverRequest]) (*connect.Response[relaypb.HandoverResponse], error)
 }
@@ -185,6 +203,12 @@
 		connect.WithSchema(relayMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayReportHandler := connect.NewUnaryHandler(
+		RelayReportProcedure,
+		svc.Report,
+		connect.WithSchema(relayMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
 	relayHandoverHandler := connect.NewUnaryHandler(
 		RelayHandoverProcedure,
 		svc.Handover,
@@ -201,6 +225,8 @@
 			relayExchangeHandler.ServeHTTP(w, r)
 		case RelayFetchProcedure:
 			relayFetchHandler.ServeHTTP(w, r)
+		case RelayReportProcedure:
+			relayReportHandler.ServeHTTP(w, r)
 		case RelayHandoverProcedure:
 			relayHandoverHandler.ServeHTTP(w, r)
 		default:
@@ -228,6 +254,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionfield.relay.v1.Relay.Fetch is not implemented"))
 }
 
+func (UnimplementedRelayHandler) Report(context.Context, *connect.Request[relaypb.ReportRequest]) (*connect.Response[relaypb.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionfield.relay.v1.Relay.Report is not implemented"))
+}
+
 func (UnimplementedRelayHandler) Handover(context.Context, *connect.Request[relaypb.HandoverRequest]) (*connect.Response[relaypb.HandoverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionfield.relay.v1.Relay.Handover is not implemented"))
 }
