--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -86,10 +86,11 @@
 	return n.rules.Load() != nil && n.members.Ready() && !n.leaving.Load()
 }
 
-// inForce returns the rules for requests, nil until the node is active: before
-// that it may not know the owners of keys, and could tell no truth about them.
+// inForce returns the rules for requests. There are none until the node is
+// active, because before that it may not know the owners of keys, and none after
+// a freeze that outlasted its lease, until it has learned what is in force now.
 func (n *Node) inForce() *filter.Rules {
-	if !n.active.Load() {
+	if !n.active.Load() || !n.members.Ready() {
 		return nil
 	}
 	return n.rules.Load()
