--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -200,14 +200,10 @@
 }
 
 // Conclude returns what a caller may conclude of a key that it sent several
-// times, from the conclusion so far and the newest code. A code of the family
-// NotRun speaks of the sending that it answers. It does not take back that an
-// earlier sending may have run.
+// times, from the conclusion so far and the newest code. Callers outside the
+// project apply the same rule, Code.Then.
 func Conclude(former, newest result.Code) result.Code {
-	if former.Family() == result.Unknown && newest.Family() == result.NotRun {
-		return former
-	}
-	return newest
+	return former.Then(newest)
 }
 
 func (p Plan) slotOf(k Key) int {
--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,226 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/joomcode/errorx"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+// mesh plays the answers of a script, whichever node is asked, and writes down
+// what arrived.
+type mesh struct {
+	t      *testing.T
+	caller *Caller
+	names  map[string]string
+	play   []string
+	log    strings.Builder
+	keys   map[string]string
+
+	mu      sync.Mutex
+	now     time.Time
+	timeout time.Duration
+	expire  context.CancelFunc
+	cancel  context.CancelFunc
+}
+
+// nobody is an address at which nothing listens.
+const nobody = "127.0.0.1:1"
+
+func newMesh(t *testing.T, nodes []datadriven.CmdArg) *mesh {
+	m := &mesh{t: t, names: map[string]string{}, keys: map[string]string{}, now: time.UnixMilli(1_700_000_000_000)}
+	var addresses []string
+	for i, node := range nodes {
+		address := nobody
+		if node.Key == "up" {
+			address = m.listen("n" + strconv.Itoa(i+1))
+		}
+		addresses = append(addresses, address)
+	}
+	m.caller = New(addresses)
+	m.caller.HTTP = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	m.caller.Clock = m
+	m.caller.Random = func() float64 { return 0 }
+	m.caller.MaxAnswerBytes = 20
+	m.caller.withTimeout = m.withTimeout
+	return m
+}
+
+func (m *mesh) listen(name string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A server notices that a caller is gone only after the whole body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		m.arrived(name, r)
+		m.answer(w, r)
+	}))
+	m.t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (m *mesh) Now() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// After fires at once and moves the time on: only backoffs wait on the clock.
+func (m *mesh) After(d time.Duration) <-chan time.Time {
+	fmt.Fprintf(&m.log, "wait %v\n", d)
+	m.advance(d)
+	fired := make(chan time.Time, 1)
+	fired <- m.Now()
+	return fired
+}
+
+func (m *mesh) advance(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+}
+
+func (m *mesh) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, m.expire = context.WithCancel(ctx)
+	m.timeout = timeout
+	return ctx, m.expire
+}
+
+func (m *mesh) arrived(name string, r *http.Request) {
+	fmt.Fprintf(&m.log, "%s %s %s", name, r.Method, r.URL.RequestURI())
+	if key := r.Header.Get(keyHeader); key != "" {
+		fmt.Fprintf(&m.log, " key=%s", m.keyName(key))
+	}
+	if r.Header.Get(freshHeader) != "" {
+		fmt.Fprint(&m.log, " fresh")
+	}
+	fmt.Fprintf(&m.log, " left=%s\n", r.Header.Get(deadlineHeader))
+}
+
+func (m *mesh) keyName(key string) string {
+	if key == "" {
+		return "none"
+	}
+	if _, ok := m.keys[key]; !ok {
+		m.keys[key] = "k" + strconv.Itoa(len(m.keys)+1)
+	}
+	return m.keys[key]
+}
+
+// answer plays the next line: a code's name, or what happens to the connection.
+func (m *mesh) answer(w http.ResponseWriter, r *http.Request) {
+	if len(m.play) == 0 {
+		m.t.Errorf("a sending that the script does not expect")
+		panic(http.ErrAbortHandler)
+	}
+	fields := strings.Fields(m.play[0])
+	m.play = m.play[1:]
+	code, known := result.Parse(fields[0])
+	status, body, length := http.StatusOK, "whole", 0
+	for _, field := range fields[1:] {
+		name, value, _ := strings.Cut(field, "=")
+		switch name {
+		case "retry":
+			w.Header().Set("Retry-After", strings.ReplaceAll(value, "_", " "))
+		case "status":
+			status, _ = strconv.Atoi(value)
+		case "body":
+			body = value
+		case "cut":
+			length, _ = strconv.Atoi(value)
+		case "took":
+			took, _ := time.ParseDuration(value)
+			m.advance(took)
+		case "location":
+			w.Header().Set("Location", value)
+		}
+	}
+	switch {
+	case fields[0] == "silent":
+		m.advance(m.timeout)
+		m.expire()
+		<-r.Context().Done()
+	case fields[0] == "caller_gone":
+		m.cancel()
+		<-r.Context().Done()
+	case fields[0] == "lost":
+		panic(http.ErrAbortHandler)
+	case known:
+		w.Header().Set(codeHeader, strconv.Itoa(int(code)))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(length+len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(body))
+}
+
+func (m *mesh) do(d *datadriven.TestData) string {
+	m.log.Reset()
+	m.play = strings.FieldsFunc(d.Input, func(r rune) bool { return r == '\n' })
+	request := Request{Path: "/orders", Header: http.Header{}}
+	for _, arg := range d.CmdArgs {
+		value := strings.Join(arg.Vals, "")
+		switch arg.Key {
+		case "method":
+			request.Method = value
+		case "path":
+			request.Path = value
+		case "safe":
+			request.Repeat = Safe
+		case "deadline":
+			request.Deadline, _ = time.ParseDuration(value)
+		case "key":
+			request.Key = value
+		case "context":
+			request.Header.Set(contextHeader, value)
+		default:
+			m.t.Fatalf("unknown argument %s", arg.Key)
+		}
+	}
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(context.Background())
+	defer m.cancel()
+	answer, err := m.caller.Do(ctx, request)
+	fmt.Fprintf(&m.log, "= %s %s sendings=%d key=%s", answer.Code, answer.Code.Family(), answer.Sendings, m.keyName(answer.Key))
+	if answer.Status != 0 {
+		fmt.Fprintf(&m.log, " status=%d body=%s", answer.Status, answer.Body)
+	}
+	if answer.Replayed {
+		fmt.Fprint(&m.log, " replayed")
+	}
+	if typed := errorx.Cast(err); typed != nil {
+		fmt.Fprintf(&m.log, " error=%s", typed.Type().FullName())
+	}
+	for _, line := range m.play {
+		fmt.Fprintf(&m.log, "\nnot played: %s", line)
+	}
+	return m.log.String() + "\n"
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		var m *mesh
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "nodes":
+				m = newMesh(t, d.CmdArgs)
+				return ""
+			case "retries":
+				m.caller.Retries, _ = strconv.Atoi(d.CmdArgs[0].Key)
+				return ""
+			case "do":
+				return m.do(d)
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -121,6 +121,21 @@
 	return Family(c / 100)
 }
 
+// Then returns what a caller may conclude of a request that it sent several
+// times, from the conclusion so far and the newest code. A code of the family
+// NotRun speaks of the sending that it answers. It does not take back that an
+// earlier sending may have run:
+//
+//	Lost, then Overloaded   Lost
+//	Overloaded, then Lost   Lost
+//	Lost, then Replayed     Replayed
+func (c Code) Then(newest Code) Code {
+	if c.Family() == Unknown && newest.Family() == NotRun {
+		return c
+	}
+	return newest
+}
+
 // Info returns the description of the code and whether the code is known.
 func (c Code) Info() (Info, bool) {
 	info, ok := byCode[c]
