Prove that callers are told the truth and run nothing twice

A caller that repeats by itself decides on execution as much as a node does: which key a repeat carries, whether the key is called fresh, and what several sendings together mean.

Scripts play answers of a mesh to a real HTTP client: codes, cut-off bodies, broken and silent connections, nodes without a listener.

Ruled out: the race that the detector first saw. It was in the test, whose fake node wrote its log without a lock; a read that ends in EOF orders nothing.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -23,12 +23,11 @@
 type mesh struct {
 	t      *testing.T
 	caller *Caller
-	names  map[string]string
-	play   []string
-	log    strings.Builder
-	keys   map[string]string
 
 	mu      sync.Mutex
+	play    []string
+	log     strings.Builder
+	keys    map[string]string
 	now     time.Time
 	timeout time.Duration
 	expire  context.CancelFunc
@@ -39,8 +38,8 @@
 const nobody = "127.0.0.1:1"
 
 func newMesh(t *testing.T, nodes []datadriven.CmdArg) *mesh {
-	m := &mesh{t: t, names: map[string]string{}, keys: map[string]string{}, now: time.UnixMilli(1_700_000_000_000)}
-	var addresses []string
+	m := &mesh{t: t, keys: map[string]string{}, now: time.UnixMilli(1_700_000_000_000)}
+	addresses := make([]string, 0, len(nodes))
 	for i, node := range nodes {
 		address := nobody
 		if node.Key == "up" {
@@ -76,13 +75,19 @@
 
 // After fires at once and moves the time on: only backoffs wait on the clock.
 func (m *mesh) After(d time.Duration) <-chan time.Time {
-	fmt.Fprintf(&m.log, "wait %v\n", d)
 	m.advance(d)
+	m.note("wait %v\n", d)
 	fired := make(chan time.Time, 1)
 	fired <- m.Now()
 	return fired
 }
 
+func (m *mesh) note(format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fmt.Fprintf(&m.log, format, args...)
+}
+
 func (m *mesh) advance(d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -90,40 +95,64 @@
 }
 
 func (m *mesh) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	ctx, m.expire = context.WithCancel(ctx)
 	m.timeout = timeout
 	return ctx, m.expire
 }
 
 func (m *mesh) arrived(name string, r *http.Request) {
-	fmt.Fprintf(&m.log, "%s %s %s", name, r.Method, r.URL.RequestURI())
+	line := fmt.Sprintf("%s %s %s", name, r.Method, r.URL.RequestURI())
 	if key := r.Header.Get(keyHeader); key != "" {
-		fmt.Fprintf(&m.log, " key=%s", m.keyName(key))
+		line += " key=" + m.keyName(key)
 	}
 	if r.Header.Get(freshHeader) != "" {
-		fmt.Fprint(&m.log, " fresh")
+		line += " fresh"
 	}
-	fmt.Fprintf(&m.log, " left=%s\n", r.Header.Get(deadlineHeader))
+	m.note("%s left=%s\n", line, r.Header.Get(deadlineHeader))
 }
 
 func (m *mesh) keyName(key string) string {
 	if key == "" {
 		return "none"
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if _, ok := m.keys[key]; !ok {
 		m.keys[key] = "k" + strconv.Itoa(len(m.keys)+1)
 	}
 	return m.keys[key]
 }
 
-// answer plays the next line: a code's name, or what happens to the connection.
-func (m *mesh) answer(w http.ResponseWriter, r *http.Request) {
+// line takes the next line of the script.
+func (m *mesh) line() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if len(m.play) == 0 {
 		m.t.Errorf("a sending that the script does not expect")
 		panic(http.ErrAbortHandler)
 	}
 	fields := strings.Fields(m.play[0])
 	m.play = m.play[1:]
+	return fields
+}
+
+// end ends what the caller waits with: the sending or the whole request.
+func (m *mesh) end(silent bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if silent {
+		m.now = m.now.Add(m.timeout)
+		m.expire()
+		return
+	}
+	m.cancel()
+}
+
+// answer plays the next line: a code's name, or what happens to the connection.
+func (m *mesh) answer(w http.ResponseWriter, r *http.Request) {
+	fields := m.line()
 	code, known := result.Parse(fields[0])
 	status, body, length := http.StatusOK, "whole", 0
 	for _, field := range fields[1:] {
@@ -145,12 +174,8 @@
 		}
 	}
 	switch {
-	case fields[0] == "silent":
-		m.advance(m.timeout)
-		m.expire()
-		<-r.Context().Done()
-	case fields[0] == "caller_gone":
-		m.cancel()
+	case fields[0] == "silent", fields[0] == "caller_gone":
+		m.end(fields[0] == "silent")
 		<-r.Context().Done()
 	case fields[0] == "lost":
 		panic(http.ErrAbortHandler)
@@ -163,8 +188,6 @@
 }
 
 func (m *mesh) do(d *datadriven.TestData) string {
-	m.log.Reset()
-	m.play = strings.FieldsFunc(d.Input, func(r rune) bool { return r == '\n' })
 	request := Request{Path: "/orders", Header: http.Header{}}
 	for _, arg := range d.CmdArgs {
 		value := strings.Join(arg.Vals, "")
@@ -185,23 +208,27 @@
 			m.t.Fatalf("unknown argument %s", arg.Key)
 		}
 	}
-	var ctx context.Context
-	ctx, m.cancel = context.WithCancel(context.Background())
-	defer m.cancel()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m.mu.Lock()
+	m.cancel = cancel
+	m.log.Reset()
+	m.play = strings.FieldsFunc(d.Input, func(r rune) bool { return r == '\n' })
+	m.mu.Unlock()
 	answer, err := m.caller.Do(ctx, request)
-	fmt.Fprintf(&m.log, "= %s %s sendings=%d key=%s", answer.Code, answer.Code.Family(), answer.Sendings, m.keyName(answer.Key))
+	m.note("= %s %s sendings=%d key=%s", answer.Code, answer.Code.Family(), answer.Sendings, m.keyName(answer.Key))
 	if answer.Status != 0 {
-		fmt.Fprintf(&m.log, " status=%d body=%s", answer.Status, answer.Body)
+		m.note(" status=%d body=%s", answer.Status, answer.Body)
 	}
 	if answer.Replayed {
-		fmt.Fprint(&m.log, " replayed")
+		m.note(" replayed")
 	}
 	if typed := errorx.Cast(err); typed != nil {
-		fmt.Fprintf(&m.log, " error=%s", typed.Type().FullName())
-	}
-	for _, line := range m.play {
-		fmt.Fprintf(&m.log, "\nnot played: %s", line)
+		m.note(" error=%s", typed.Type().FullName())
 	}
+	m.note("%s", strings.Repeat("\nan answer was not played", len(m.play)))
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.log.String() + "\n"
 }
 
--- /dev/null
+++ b/pkg/caller/example_test.go
@@ -0,0 +1,39 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/dandelionfield/dandelionfield/pkg/caller"
+)
+
+// A franchisee's collection is recorded once, although the first answer is
+// lost: the repeat goes out with the same key and brings the recorded answer.
+func ExampleCaller_Do() {
+	seen := map[string]bool{}
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key := r.Header.Get("Idempotency-Key")
+		if !seen[key] {
+			seen[key] = true
+			panic(http.ErrAbortHandler) // the work is done, the connection breaks
+		}
+		w.Header().Set("Dandelion-Code", "101")
+		_, _ = fmt.Fprint(w, "30 eggs recorded")
+	}))
+	defer node.Close()
+
+	c := caller.New([]string{strings.TrimPrefix(node.URL, "http://")})
+	answer, err := c.Do(context.Background(), caller.Request{
+		Method: http.MethodPost,
+		Path:   "/collections/record",
+		Body:   []byte(`{"farm":"f3","eggs":30}`),
+	})
+	fmt.Println(err, answer.Code, answer.Sendings)
+	fmt.Println(string(answer.Body))
+	// Output:
+	// <nil> replayed 2
+	// 30 eggs recorded
+}
