--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -36,6 +36,8 @@
 		Result string `json:"result"`
 		Code   int    `json:"code"`
 		Status int    `json:"status"`
+		// RetryAfter is how long the answer told the caller to wait.
+		RetryAfter time.Duration `json:"-"`
 		// Torn is set for an answer that claimed success and was not whole.
 		Torn bool `json:"torn,omitempty"`
 		// Foreign is set for a whole answer that belongs to another request.
@@ -81,6 +83,8 @@
 		// take, by the calls that their kinds declare, if all were good and
 		// none repeated.
 		Demand map[string]float64 `json:"demand"`
+		// CriticalDemand is the part of Demand that critical requests make.
+		CriticalDemand map[string]float64 `json:"critical_demand"`
 		// Answered counts the good answers that came within the spell, to
 		// requests of this spell or an earlier one.
 		Answered int `json:"answered"`
--- a/internal/lab/expect.go
+++ b/internal/lab/expect.go
@@ -12,7 +12,7 @@
 	// Recovery is the longest time from the end of the trigger until goodput is back.
 	Recovery time.Duration `yaml:"recovery,omitempty"`
 	// CriticalShare is the least share of critical requests that are good
-	// during the trigger.
+	// during the trigger, of those that the capacity allows.
 	CriticalShare float64 `yaml:"critical_share,omitempty"`
 	// BottleneckShare is the least share of what the bottleneck could carry
 	// during the trigger that went into good requests.
@@ -37,7 +37,7 @@
 	late := r.RecoveryS == NotRecovered || r.RecoveryS > e.Recovery.Seconds()
 	miss(e.Recovery > 0 && late, "recovery: %s, at most %s is stated", r.recovery(), e.Recovery)
 	during := r.spell("during")
-	critical := share(during.CriticalGood, during.CriticalOffered)
+	critical := during.criticalGoodShare()
 	miss(e.CriticalShare > 0 && critical < e.CriticalShare,
 		"critical requests during the trigger: %.3f, at least %.3f is stated", critical, e.CriticalShare)
 	bottleneck := during.bottleneckShare()
