--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -26,6 +26,8 @@
 	mu        sync.Mutex
 	dir       string
 	processes map[string]*process
+	// history is what watch_revisions has seen.
+	history *history
 }
 
 type process struct {
@@ -74,31 +76,36 @@
 			"expect":  expect,
 			"switch":  faultSwitch,
 			"logged":  logged,
+			"ended":   ended,
+			"declare": declare,
+			"contend": contend,
+			"share":   share,
+
+			"in_force":        inForce,
+			"watch_revisions": watchRevisions,
+			"revisions_rose":  revisionsRose,
+			"note_calls":      noteCalls,
+			"no_calls_since":  noCallsSince,
 		},
 	})
 }
 
-// startMesh NETWORK starts the platform, the targets and the nodes, and applies
-// the declarations.
+// startMesh [-naive] NETWORK starts the platform, the targets and the nodes, and
+// applies the declarations. With -naive, naive relays take the place of nodes.
 func startMesh(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
-	ts.Check(ts.Exec("fieldlab", "layout", "--firm", ts.Getenv("FIRM"), "--out", m.dir, "--network", args[0]))
-	platform := args[0] + ".200:7104"
+	network := args[len(args)-1]
+	ts.Check(ts.Exec("fieldlab", "layout", "--firm", ts.Getenv("FIRM"), "--out", m.dir, "--network", network))
+	platform := network + ".200:7104"
 	m.start(ts, "platform", "fieldlab", "platform", "--listen", platform)
 	waitPort(ts, platform)
-	for _, kind := range []string{"target", "node"} {
-		files, err := filepath.Glob(filepath.Join(m.dir, kind+"-*.yaml"))
-		ts.Check(err)
-		for _, file := range files {
-			name := strings.TrimSuffix(filepath.Base(file), ".yaml")
-			program := map[string]string{"target": "fieldlab", "node": "dandelionfield"}[kind]
-			m.start(ts, name, program, kind, "--config", file)
-		}
-		for _, file := range files {
-			waitPort(ts, setting(ts, file, map[string]string{"target": "listen", "node": "admin_listen"}[kind]))
-		}
+	m.startAll(ts, "fieldlab", "target", "listen")
+	if args[0] == "-naive" {
+		m.startAll(ts, "fieldlab", "naive", "listen")
+		return
 	}
-	ts.Setenv("ADMIN", args[0]+".11:7102")
+	m.startAll(ts, "dandelionfield", "node", "admin_listen")
+	ts.Setenv("ADMIN", network+".11:7102")
 	ts.Setenv("DANDELIONFIELD_TOKEN", "loopback-trial-only")
 	ts.Check(ts.Exec("dandelionfield", "apply", "-f", filepath.Join(ts.Getenv("FIRM"), "mesh"),
 		"--node", ts.Getenv("ADMIN"), "--wait"))
@@ -130,10 +137,18 @@
 
 // leave NAME... asks processes to stop and waits for their own end.
 func leave(ts *testscript.TestScript, neg bool, args []string) {
+	m := ts.Value(meshKey{}).(*mesh)
+	for _, name := range args {
+		ts.Check(m.get(ts, name).command.Process.Signal(syscall.SIGTERM))
+		ended(ts, neg, []string{name})
+	}
+}
+
+// ended NAME... waits until processes that were asked to stop have ended.
+func ended(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
 	for _, name := range args {
 		p := m.get(ts, name)
-		ts.Check(p.command.Process.Signal(syscall.SIGTERM))
 		select {
 		case <-p.ended:
 		case <-time.After(stopTimeout):
@@ -157,8 +172,7 @@
 	}
 	bound, err := strconv.ParseFloat(args[3], 64)
 	ts.Check(err)
-	holds := map[string]bool{"==": found == bound, "<=": found <= bound, ">=": found >= bound}[args[2]]
-	if !holds {
+	if !compare(found, args[2], bound) {
 		ts.Fatalf("%s is %v, and %s %v must hold", args[1], found, args[2], bound)
 	}
 }
@@ -184,6 +198,17 @@
 	}
 }
 
+// startAll starts the processes of one kind and waits until they listen.
+func (m *mesh) startAll(ts *testscript.TestScript, program, kind, listen string) {
+	files := mustGlob(ts, filepath.Join(m.dir, kind+"-*.yaml"))
+	for _, file := range files {
+		m.start(ts, strings.TrimSuffix(filepath.Base(file), ".yaml"), program, kind, "--config", file)
+	}
+	for _, file := range files {
+		waitPort(ts, setting(ts, file, listen))
+	}
+}
+
 func (m *mesh) start(ts *testscript.TestScript, name, program string, arguments ...string) {
 	path, err := exec.LookPath(filepath.Join(binaries(ts), program))
 	ts.Check(err)
--- /dev/null
+++ b/internal/proof/steps_test.go
@@ -0,0 +1,247 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/dandelionfield/dandelionfield/internal/admin"
+	"github.com/dandelionfield/dandelionfield/internal/cli"
+	"github.com/dandelionfield/dandelionfield/internal/lab"
+)
+
+type (
+	// operator is one apply that runs beside another.
+	operator struct {
+		firm string
+		code int
+		said string
+	}
+
+	// history is the revisions that the nodes showed, in the order of the looks.
+	history struct {
+		stop  context.CancelFunc
+		ended chan struct{}
+		shown map[string][]int64
+	}
+)
+
+const (
+	// inForceTimeout is the promised 4 s and a reserve for a busy host.
+	inForceTimeout = 10 * time.Second
+	// lookInterval is the time between two looks at the revisions of all nodes.
+	lookInterval = 20 * time.Millisecond
+	// statusTimeout bounds one look at a node, which may be frozen or gone.
+	statusTimeout = time.Second
+)
+
+// declare FIRM OLD NEW copies the firm's directory, with one text of the
+// declarations replaced.
+func declare(ts *testscript.TestScript, neg bool, args []string) {
+	firm := ts.MkAbs(args[0])
+	ts.Check(os.CopyFS(firm, os.DirFS(ts.Getenv("FIRM"))))
+	path := filepath.Join(firm, "mesh", "mesh.yaml")
+	text := ts.ReadFile(path)
+	if strings.Count(text, args[1]) != 1 {
+		ts.Fatalf("%q does not stand once in the declarations", args[1])
+	}
+	ts.Check(os.WriteFile(path, []byte(strings.Replace(text, args[1], args[2], 1)), 0o644))
+}
+
+// contend REVISION FIRM NODE FIRM NODE lets two operators apply at the same
+// moment, both expecting the revision. One must win, and the other must hear of
+// both revisions. WINNER becomes the firm of the one who won.
+func contend(ts *testscript.TestScript, neg bool, args []string) {
+	expected, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	var both [2]operator
+	var ended sync.WaitGroup
+	for i := range both {
+		both[i].firm = ts.MkAbs(args[1+2*i])
+		command := exec.Command(filepath.Join(binaries(ts), "dandelionfield"), "apply", "--expected", args[0],
+			"-f", filepath.Join(both[i].firm, "mesh"), "--node", args[2+2*i])
+		command.Env = append(os.Environ(), "DANDELIONFIELD_TOKEN="+ts.Getenv("DANDELIONFIELD_TOKEN"))
+		ended.Go(func() {
+			said, _ := command.CombinedOutput()
+			both[i].code, both[i].said = command.ProcessState.ExitCode(), string(said)
+		})
+	}
+	ended.Wait()
+	slices.SortFunc(both[:], func(a, b operator) int { return a.code - b.code })
+	won, lost := both[0], both[1]
+	if won.code != cli.ExitOK || lost.code != cli.ExitConflict {
+		ts.Fatalf("one must win and the other meet a conflict:\n%d %s\n%d %s", won.code, won.said, lost.code, lost.said)
+	}
+	for _, revision := range []int{expected, expected + 1} {
+		if !strings.Contains(lost.said, fmt.Sprintf("revision %d", revision)) {
+			ts.Fatalf("the other operator was not told of revision %d: %s", revision, lost.said)
+		}
+	}
+	ts.Setenv("WINNER", won.firm)
+}
+
+// inForce REVISION [FIRM] requires that the revision comes into force at every
+// node in time, with the same document, which is the firm's when it is named.
+func inForce(ts *testscript.TestScript, neg bool, args []string) {
+	revision, err := strconv.ParseInt(args[0], 10, 64)
+	ts.Check(err)
+	addresses := adminAddresses(ts)
+	deadline := time.Now().Add(inForceTimeout)
+	for {
+		found := map[string]int{}
+		reached := 0
+		for _, address := range addresses {
+			status, err := statusOf(address, ts.Getenv("DANDELIONFIELD_TOKEN"))
+			if err == nil && status.Revision == revision {
+				found[status.Digest]++
+				reached++
+			}
+		}
+		if reached == len(addresses) && len(found) == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("revision %d is in force at %d of %d nodes, by digest: %v", revision, reached, len(addresses), found)
+		}
+		time.Sleep(lookInterval)
+	}
+	for _, address := range addresses {
+		if len(args) < 2 {
+			return
+		}
+		ts.Check(ts.Exec("dandelionfield", "diff", "-f", filepath.Join(ts.MkAbs(args[1]), "mesh"), "--node", address))
+		if said := ts.ReadFile("stdout"); !strings.Contains(said, "no changes") {
+			ts.Fatalf("%s has other declarations: %s", address, said)
+		}
+	}
+}
+
+// watchRevisions begins to look at the revision of every node.
+func watchRevisions(ts *testscript.TestScript, neg bool, args []string) {
+	m := ts.Value(meshKey{}).(*mesh)
+	ctx, stop := context.WithCancel(context.Background())
+	h := &history{stop: stop, ended: make(chan struct{}), shown: map[string][]int64{}}
+	addresses, token := adminAddresses(ts), ts.Getenv("DANDELIONFIELD_TOKEN")
+	go func() {
+		defer close(h.ended)
+		for ctx.Err() == nil {
+			for _, address := range addresses {
+				if status, err := statusOf(address, token); err == nil {
+					h.shown[status.Node] = append(h.shown[status.Node], status.Revision)
+				}
+			}
+			time.Sleep(lookInterval)
+		}
+	}()
+	ts.Defer(stop)
+	m.history = h
+}
+
+// revisionsRose NODES ends the looks, and requires that so many nodes were seen
+// and that none showed a lower revision after a higher one. Revision 0 is "none
+// yet".
+func revisionsRose(ts *testscript.TestScript, neg bool, args []string) {
+	h := ts.Value(meshKey{}).(*mesh).history
+	h.stop()
+	<-h.ended
+	if want, err := strconv.Atoi(args[0]); err != nil || len(h.shown) != want {
+		ts.Fatalf("%d nodes were seen, not %s", len(h.shown), args[0])
+	}
+	for name, shown := range h.shown {
+		shown = slices.DeleteFunc(shown, func(revision int64) bool { return revision == 0 })
+		if !slices.IsSorted(shown) {
+			ts.Fatalf("%s showed a lower revision after a higher one: %v", name, slices.Compact(shown))
+		}
+	}
+}
+
+// noteCalls NAME keeps how many calls a target has received.
+func noteCalls(ts *testscript.TestScript, neg bool, args []string) {
+	ts.Setenv("CALLS", strconv.Itoa(arrived(ts, args[0])))
+}
+
+// noCallsSince NAME requires that no call has reached a target since noteCalls,
+// and that some did before. With ! it requires the contrary of the first.
+func noCallsSince(ts *testscript.TestScript, neg bool, args []string) {
+	before, err := strconv.Atoi(ts.Getenv("CALLS"))
+	ts.Check(err)
+	now := arrived(ts, args[0])
+	if before == 0 || (now == before) == neg {
+		ts.Fatalf("%s had received %d calls, and has received %d", args[0], before, now)
+	}
+}
+
+// share FILE PHASE KIND OPERATOR NUMBER|KIND compares the share of good
+// requests of a kind in a phase with a number or with that of another kind.
+func share(ts *testscript.TestScript, neg bool, args []string) {
+	var report lab.Report
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &report))
+	find := func(kind string) float64 {
+		i := slices.IndexFunc(report.Lines, func(l lab.Line) bool { return l.Phase == args[1] && l.Kind == kind })
+		if i < 0 {
+			ts.Fatalf("no %s in %s", kind, args[1])
+		}
+		return report.Lines[i].Share
+	}
+	bound, err := strconv.ParseFloat(args[4], 64)
+	if errors.Is(err, strconv.ErrSyntax) {
+		bound = find(args[4])
+	}
+	if found := find(args[2]); !compare(found, args[3], bound) {
+		ts.Fatalf("%s of %s in %s are good, and %s %v must hold", strconv.FormatFloat(found, 'f', 3, 64),
+			args[2], args[1], args[3], bound)
+	}
+}
+
+func compare(found float64, operator string, bound float64) bool {
+	return map[string]bool{"==": found == bound, "<=": found <= bound, ">=": found >= bound}[operator]
+}
+
+func arrived(ts *testscript.TestScript, target string) int {
+	m := ts.Value(meshKey{}).(*mesh)
+	address := setting(ts, filepath.Join(m.dir, "target-"+target+".yaml"), "control_listen")
+	response, err := http.Get("http://" + address + "/-/stats")
+	ts.Check(err)
+	defer response.Body.Close()
+	var stats lab.Stats
+	ts.Check(json.NewDecoder(response.Body).Decode(&stats))
+	return stats.Arrived
+}
+
+func adminAddresses(ts *testscript.TestScript) []string {
+	m := ts.Value(meshKey{}).(*mesh)
+	var addresses []string
+	for _, file := range mustGlob(ts, filepath.Join(m.dir, "node-*.yaml")) {
+		addresses = append(addresses, setting(ts, file, "admin_listen"))
+	}
+	return addresses
+}
+
+func statusOf(address, token string) (admin.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return admin.Status{}, err
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return admin.Status{}, err
+	}
+	defer response.Body.Close()
+	var status admin.Status
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
