--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -80,6 +80,7 @@
 			"declare": declare,
 			"contend": contend,
 			"share":   share,
+			"spared":  spared,
 			"owner":   owner,
 			"holds":   holds,
 
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -223,23 +223,34 @@
 // share FILE PHASE KIND OPERATOR NUMBER|KIND compares the share of good
 // requests of a kind in a phase with a number or with that of another kind.
 func share(ts *testscript.TestScript, neg bool, args []string) {
-	var report lab.Report
-	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &report))
-	find := func(kind string) float64 {
-		i := slices.IndexFunc(report.Lines, func(l lab.Line) bool { return l.Phase == args[1] && l.Kind == kind })
-		if i < 0 {
-			ts.Fatalf("no %s in %s", kind, args[1])
-		}
-		return report.Lines[i].Share
-	}
 	bound, err := strconv.ParseFloat(args[4], 64)
 	if errors.Is(err, strconv.ErrSyntax) {
-		bound = find(args[4])
+		bound = shareOf(ts, args[0], args[1], args[4])
+	}
+	if found := shareOf(ts, args[0], args[1], args[2]); !compare(found, args[3], bound) {
+		ts.Fatalf("%.3f of %s in %s are good, and %s %v must hold", found, args[2], args[1], args[3], bound)
+	}
+}
+
+// spared FILE PHASE KIND KIND requires that the share of the first kind that was
+// lost in a phase is at most half of that of the second kind, and that some of
+// the second were lost. Without an order of refusal the two are about equal.
+func spared(ts *testscript.TestScript, neg bool, args []string) {
+	first := 1 - shareOf(ts, args[0], args[1], args[2])
+	second := 1 - shareOf(ts, args[0], args[1], args[3])
+	if second == 0 || first > second/2 {
+		ts.Fatalf("lost in %s: %.3f of %s and %.3f of %s", args[1], first, args[2], second, args[3])
 	}
-	if found := find(args[2]); !compare(found, args[3], bound) {
-		ts.Fatalf("%s of %s in %s are good, and %s %v must hold", strconv.FormatFloat(found, 'f', 3, 64),
-			args[2], args[1], args[3], bound)
+}
+
+func shareOf(ts *testscript.TestScript, file, phase, kind string) float64 {
+	var report lab.Report
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(file)), &report))
+	i := slices.IndexFunc(report.Lines, func(l lab.Line) bool { return l.Phase == phase && l.Kind == kind })
+	if i < 0 {
+		ts.Fatalf("no %s in %s", kind, phase)
 	}
+	return report.Lines[i].Share
 }
 
 func compare(found float64, operator string, bound float64) bool {
