Blame targets only for their own failures and send only a chain's floors

Cause: an answer carried the floors of all services the node knew. A target counted as failed when a call below it was refused or failed or its caller left, its gate cut the limit for it, a dead target beside a live node counted as refusing for load, and a passed deadline as a silent node. Now an answer brings the floors of the services in the called kind's chain, the node learns its own gate's floor, failures below count as Blameless, a node is Silent only when a question about the attempt was not answered, reports name the incarnation, and tokens go by loan, so that a duplicated answer brings nothing back twice.

The mark of a failure below travels as a header between nodes, taken out at both ends.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -69,6 +69,7 @@
 	mu      sync.Mutex
 	pending int
 	ran     bool
+	failed  bool
 }
 
 // NewTokens returns a purse with n tokens.
@@ -84,17 +85,18 @@
 }
 
 // Lend takes the tokens that go with an attempt.
-func (t *Tokens) Lend() int {
+func (t *Tokens) Lend() *budget.Loan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.purse.Lend()
+	return t.purse.LendTo()
 }
 
-// Return puts back what an answer brought of a loan.
-func (t *Tokens) Return(n int) {
+// Return puts back what an attempt's answer brought of its loan. Only the first
+// answer counts, so a duplicate cannot bring back what another attempt holds.
+func (t *Tokens) Return(loan *budget.Loan, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.purse.Return(n)
+	loan.Return(n)
 }
 
 // Left returns the number of tokens in the purse.
@@ -119,6 +121,17 @@
 	if code.Family() != result.NotRun {
 		s.ran = true
 	}
+	if code.Family() != result.Complete {
+		s.failed = true
+	}
+}
+
+// ChildrenFailed says whether any call of the target was refused or failed. A
+// call that has not ended counts, because the target waits for it.
+func (s *Serving) ChildrenFailed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed || s.pending > 0
 }
 
 // ChildrenRan says whether any call of the target ran or may have run. A call
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,13 +95,17 @@
 	return s.door.Allows(s.Clock.Now(), services, order)
 }
 
-// Levels returns what is known of the floors of services, to be passed on.
-func (s *Sender) Levels(now time.Time) []*relaypb.Level {
+// Levels returns what is known of the floors of services, to be passed on. The
+// floors of one node are left out: it adds its own, which is newer.
+func (s *Sender) Levels(now time.Time, services []string, without string) []*relaypb.Level {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	floors := s.door.Floors(now)
-	levels := make([]*relaypb.Level, 0, len(floors))
+	floors := s.door.FloorsOf(now, services)
+	levels := make([]*relaypb.Level, 0, len(floors)+1)
 	for _, floor := range floors {
+		if floor.Node == without {
+			continue
+		}
 		levels = append(levels, &relaypb.Level{
 			Service: floor.Service,
 			Node:    floor.Node,
@@ -194,6 +198,7 @@
 
 // ended tells the route and the allowance what an attempt showed.
 func (s *Sender) ended(c *call.Call, target route.Target, report route.Report) {
+	report.Incarnation = target.Incarnation
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,6 +211,13 @@
 	known.latency += time.Duration(latencyWeight * float64(report.Latency-known.latency))
 }
 
+// Learn takes in the floor of one node for its service as it is now.
+func (s *Sender) Learn(service, node string, floor uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.door.Learn(s.Clock.Now(), service, node, floor, 0)
+}
+
 func (s *Sender) learn(levels []*relaypb.Level) {
 	now := s.Clock.Now()
 	s.mu.Lock()
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/budget"
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/local"
 	"github.com/dandelionfield/dandelionfield/internal/once"
@@ -159,28 +160,34 @@
 	}
 	s.tried[target.Name] = true
 	s.asked = target.Incarnation
-	lent := s.call.Tokens.Lend()
-	request := s.sender.request(s.call, target, lent)
+	loan := s.call.Tokens.Lend()
+	request := s.sender.request(s.call, target, loan.Tokens)
 	s.sender.Metrics.Attempts.WithLabelValues(s.call.Kind.Service).Inc()
 	began := s.sender.Clock.Now()
 	response, err := s.sender.carry(ctx, target, request)
+	var lost route.Outcome
 	if err != nil {
-		response, code = s.settle(ctx, target, request, err)
+		response, code, lost = s.settle(ctx, target, request, err)
 	}
 	took := s.sender.Clock.Now().Sub(began)
 	s.sender.Metrics.RelaySeconds.WithLabelValues(s.call.Kind.Service).Observe(took.Seconds())
 	if response == nil {
-		s.sender.ended(s.call, target, route.Report{Outcome: silence(code), Latency: took})
+		s.sender.ended(s.call, target, route.Report{Outcome: lost, Latency: took})
 		return call.Refuse(code, "")
 	}
-	return s.take(target, request, response, took, lent)
+	return s.take(target, request, response, took, loan)
 }
 
 // take checks an answer and learns from it.
-func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, lent int) *call.Answer {
+func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
 	code := result.Code(response.Code)
+	header := local.Unpack(response.Headers)
 	report := route.Report{Outcome: outcome(code), Latency: took}
+	if header.Get(local.BelowHeader) != "" {
+		header.Del(local.BelowHeader)
+		report.Outcome = route.Blameless
+	}
 	if load := response.Load; load != nil {
 		report.Known = true
 		report.InFlight = int(load.InFlight)
@@ -194,12 +201,12 @@
 		// is forfeited with it.
 		return call.Refuse(result.AnswerTruncated, "the answer's digest or attempt does not match")
 	}
-	s.call.Tokens.Return(min(int(response.TokensLeft), lent))
+	s.call.Tokens.Return(loan, int(response.TokensLeft))
 	return &call.Answer{
 		Code:   code,
 		Detail: response.Detail,
 		Status: int(response.Status),
-		Header: local.Unpack(response.Headers),
+		Header: header,
 		Body:   response.Body,
 	}
 }
@@ -216,14 +223,18 @@
 }
 
 // settle finds out what became of an attempt that brought no answer. It
-// returns the answer when the other node still has it.
-func (s *sending) settle(ctx context.Context, target route.Target, request *relaypb.CarryRequest, err error) (*relaypb.CarryResponse, result.Code) {
+// returns the answer when the other node still has it, and otherwise the code
+// and what the loss shows of the target.
+func (s *sending) settle(ctx context.Context, target route.Target, request *relaypb.CarryRequest, err error) (*relaypb.CarryResponse, result.Code, route.Outcome) {
 	if relay.NeverSent(err) {
-		return nil, result.Unreachable
+		return nil, result.Unreachable, route.Unreachable
 	}
 	if connect.CodeOf(err) == connect.CodeResourceExhausted {
-		return nil, result.AnswerTooLarge
+		return nil, result.AnswerTooLarge, route.Blameless
 	}
+	// A node whose connection stood until the deadline answers pings, so it is
+	// not silent; its target was too slow.
+	outcome := route.Failed
 	for question := 0; question < fateQuestions; {
 		if ctx.Err() != nil {
 			break
@@ -231,20 +242,26 @@
 		fate, err := s.ask(ctx, target, request)
 		if err != nil {
 			question++
+			outcome = route.Silent
 			s.pause(ctx)
 			continue
 		}
 		s.sender.Metrics.FateAsked.WithLabelValues(fate.State.String()).Inc()
 		switch fate.State {
 		case relaypb.FateState_FATE_STATE_NEVER_SEEN:
-			return nil, result.Unreachable
+			return nil, result.Unreachable, route.Blameless
 		case relaypb.FateState_FATE_STATE_DONE:
-			return fate.Answer, result.OK
+			return fate.Answer, result.OK, route.Complete
 		case relaypb.FateState_FATE_STATE_OTHER_INCARNATION:
-			return nil, result.Lost
+			return nil, result.Lost, route.Blameless
 		}
+		outcome = route.Failed
+	}
+	code := s.lost(ctx)
+	if code == result.CancelledLate {
+		outcome = route.Blameless
 	}
-	return nil, s.lost(ctx)
+	return nil, code, outcome
 }
 
 // lost is the code for an attempt that may have run and whose answer is not to be had.
@@ -279,7 +296,14 @@
 	}
 }
 
+// outcome tells the route what an answer says about the target.
 func outcome(code result.Code) route.Outcome {
+	switch code {
+	case result.Unreachable:
+		return route.Unreachable
+	case result.PartlyRun, result.Cancelled, result.CancelledLate:
+		return route.Blameless
+	}
 	switch code.Family() {
 	case result.Complete:
 		return route.Complete
@@ -288,10 +312,3 @@
 	}
 	return route.Failed
 }
-
-func silence(code result.Code) route.Outcome {
-	if code == result.Unreachable {
-		return route.Unreachable
-	}
-	return route.Silent
-}
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -230,8 +230,15 @@
 	facts.ShedStatus = s.settings.ShedStatus()
 	facts.ChildrenRan = a.serving.ChildrenRan()
 	code := fate.Classify(facts)
+	below := blameless(code) && a.serving.ChildrenFailed()
+	ended := outcome(code)
+	if below {
+		// The time of the call was not the target's own, and neither was its
+		// end: a limit cut for it would only add to what went wrong below.
+		ended = admit.Abandoned
+	}
 	s.mu.Lock()
-	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, outcome(code)))
+	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, ended))
 	s.mu.Unlock()
 	answer := &relaypb.CarryResponse{
 		Code:       uint32(code),
@@ -244,9 +251,22 @@
 		answer.Body = reply.Body
 		answer.Digest = xxhash.Sum64(reply.Body)
 	}
+	if below {
+		answer.Headers = append(answer.Headers, &relaypb.Header{Name: BelowHeader, Value: "true"})
+	}
 	return answer
 }
 
+// blameless says whether an answer may be due to the calls that the target made
+// rather than to the target.
+func blameless(code result.Code) bool {
+	switch code {
+	case result.TargetShed, result.PartlyRun, result.TargetFailed, result.TimedOut:
+		return true
+	}
+	return false
+}
+
 // end records the answer and wakes everyone who waits for it.
 func (a *attempt) end(answer *relaypb.CarryResponse) {
 	s := a.server
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -40,8 +40,11 @@
 	Limits func() schema.Limits
 	// ShedStatus returns the status by which the target says that it shed a call.
 	ShedStatus func() int
-	// Levels returns what this node knows of the floors of other services.
-	Levels func(now time.Time) []*relaypb.Level
+	// Levels returns what this node knows of the floors of the services that a
+	// call of the kind may lead to.
+	Levels func(now time.Time, kind string) []*relaypb.Level
+	// Learn takes in the floor of this node's own gate.
+	Learn func(floor uint32)
 	// Revision returns the configuration revision in force here.
 	Revision func() int64
 }
@@ -239,15 +242,21 @@
 }
 
 func (s *Server) tick() {
+	load, floor := s.adapt()
+	s.settings.Learn(floor)
+	s.settings.Metrics.InFlight.Set(float64(load.InFlight))
+	s.settings.Metrics.Limit.Set(float64(load.Limit))
+	s.settings.Metrics.Queued.Set(float64(load.Queued))
+	s.settings.Metrics.Floor.Set(float64(floor))
+}
+
+// adapt lets the gate follow the time, and returns its load and its floor.
+func (s *Server) adapt() (admit.Load, uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.settings.Clock.Now()
 	s.release(s.settings.Gate.Tick(now))
-	load := s.settings.Gate.Load(now)
-	s.settings.Metrics.InFlight.Set(float64(load.InFlight))
-	s.settings.Metrics.Limit.Set(float64(load.Limit))
-	s.settings.Metrics.Queued.Set(float64(load.Queued))
-	s.settings.Metrics.Floor.Set(float64(s.settings.Gate.Floor(now)))
+	return s.settings.Gate.Load(now), s.settings.Gate.Floor(now)
 }
 
 func (s *Server) forget() {
@@ -316,7 +325,7 @@
 // dress adds to an answer what every answer tells of the node.
 func (s *Server) dress(request *relaypb.CarryRequest, answer *relaypb.CarryResponse) *relaypb.CarryResponse {
 	now := s.settings.Clock.Now()
-	levels := s.settings.Levels(now)
+	levels := s.settings.Levels(now, request.Kind)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := s.settings.Gate.Load(now)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -110,8 +110,11 @@
 		Kind:        n.kind,
 		Limits:      n.limits,
 		ShedStatus:  n.shedStatus,
-		Levels:      n.sender.Levels,
-		Revision:    n.config.Number,
+		Levels:      n.levels,
+		Learn: func(floor uint32) {
+			n.sender.Learn(n.settings.Service, n.incarnation, floor)
+		},
+		Revision: n.config.Number,
 	})
 }
 
@@ -128,6 +131,15 @@
 	}
 }
 
+// levels returns the known floors along the chain of a kind.
+func (n *Node) levels(now time.Time, kind string) []*relaypb.Level {
+	rules := n.rules.Load()
+	if rules == nil {
+		return nil
+	}
+	return n.sender.Levels(now, rules.Chain(kind), n.incarnation)
+}
+
 // end is what the filter chain leads to.
 func (n *Node) end(ctx context.Context, exchange *filter.Exchange) *call.Answer {
 	return n.sender.Send(ctx, exchange.Call)
