Serve calls of the own target without a socket

Cause: an entry node beside the chosen target spoke to itself over HTTP/2; the nearest target of a service is often its own. The attempt now goes to the same function without the relay, so book, gate and ledger see it as before.

An entry elsewhere gains nothing.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,8 +34,12 @@
 	Metrics    *metric.Set
 	Log        hclog.Logger
 	Client     *relay.Client
-	Route      route.Settings
-	Backoff    budget.Backoff
+	// Self is the incarnation of this node, and Beside runs an attempt at the
+	// target beside it. It returns nil when the context ends first.
+	Self    string
+	Beside  func(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse
+	Route   route.Settings
+	Backoff budget.Backoff
 	// Owner returns the incarnation that runs a key of a service, or the code
 	// that says why there is none. Fresh keys were never sent before.
 	Owner func(service string, key once.Key, fresh bool) (string, result.Code)
@@ -267,7 +271,16 @@
 	}
 }
 
+// carry hands an attempt to the node beside its target. When that is this node
+// itself, the attempt takes the same way without a socket.
 func (s *Sender) carry(ctx context.Context, target route.Target, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
+	if target.Incarnation == s.Self {
+		response := s.Beside(ctx, request)
+		if response == nil {
+			return nil, ctx.Err()
+		}
+		return response, nil
+	}
 	response, err := s.Client.To(target.Address).Carry(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -77,6 +77,10 @@
 		Metrics:    n.metrics,
 		Log:        n.log.Named("entry"),
 		Client:     n.client,
+		Self:       n.incarnation,
+		Beside: func(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
+			return n.local.Carry(ctx, request)
+		},
 		Route: route.Settings{
 			DataCentre: n.settings.DataCentre,
 			Region:     n.settings.Region,
