Tick every 50 ms while a target has no calls

Cause: the gate was ticked every 10 ms also when nothing was in flight. The floor is set anew every 50 ms in any case, so it relaxes as fast as before.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -68,8 +68,12 @@
 }
 
 const (
-	// tickPeriod is how often the gate drops expired calls and adapts.
+	// tickPeriod is how often the gate drops expired calls and adapts while
+	// there are calls.
 	tickPeriod = 10 * time.Millisecond
+	// idlePeriod takes its place while there are none. It is the interval in
+	// which the gate sets its floor anew, so that a floor relaxes as fast.
+	idlePeriod = 50 * time.Millisecond
 	// forgetPeriod is how often old records are dropped.
 	forgetPeriod = time.Second
 	// abandonAfter is how long a safe call goes on with nobody waiting for
@@ -90,15 +94,15 @@
 
 // Run keeps the gate and the records up to date until the context ends.
 func (s *Server) Run(ctx context.Context) {
-	forget := time.Duration(0)
+	forget, period := time.Duration(0), idlePeriod
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.settings.Clock.After(tickPeriod):
+		case <-s.settings.Clock.After(period):
 		}
-		s.tick()
-		forget += tickPeriod
+		forget += period
+		period = s.tick()
 		if forget >= forgetPeriod {
 			forget = 0
 			s.forget()
@@ -241,13 +245,18 @@
 	use(s.settings.Ledger)
 }
 
-func (s *Server) tick() {
+// tick adapts the gate, and returns the time until it is to do so again.
+func (s *Server) tick() time.Duration {
 	load, floor := s.adapt()
 	s.settings.Learn(floor)
 	s.settings.Metrics.InFlight.Set(float64(load.InFlight))
 	s.settings.Metrics.Limit.Set(float64(load.Limit))
 	s.settings.Metrics.Queued.Set(float64(load.Queued))
 	s.settings.Metrics.Floor.Set(float64(floor))
+	if load.InFlight+load.Queued > 0 {
+		return tickPeriod
+	}
+	return idlePeriod
 }
 
 // adapt lets the gate follow the time, and returns its load and its floor.
