--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -143,7 +143,8 @@
 		}
 		if errors.Is(err, io.EOF) {
 			reply.Facts.BodyWhole = true
-			reply.Body = buffer.Bytes()
+			// The answer is kept for a while, without the buffer's spare room.
+			reply.Body = bytes.Clone(buffer.Bytes())
 			return
 		}
 		if err != nil {
