--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,8 +34,12 @@
 	Metrics    *metric.Set
 	Log        hclog.Logger
 	Client     *relay.Client
-	Route      route.Settings
-	Backoff    budget.Backoff
+	// Self is the incarnation of this node, and Beside runs an attempt at the
+	// target beside it. It returns nil when the context ends first.
+	Self    string
+	Beside  func(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse
+	Route   route.Settings
+	Backoff budget.Backoff
 	// Owner returns the incarnation that runs a key of a service, or the code
 	// that says why there is none. Fresh keys were never sent before.
 	Owner func(service string, key once.Key, fresh bool) (string, result.Code)
@@ -95,13 +99,17 @@
 	return s.door.Allows(s.Clock.Now(), services, order)
 }
 
-// Levels returns what is known of the floors of services, to be passed on.
-func (s *Sender) Levels(now time.Time) []*relaypb.Level {
+// Levels returns what is known of the floors of services, to be passed on. The
+// floors of one node are left out: it adds its own, which is newer.
+func (s *Sender) Levels(now time.Time, services []string, without string) []*relaypb.Level {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	floors := s.door.Floors(now)
-	levels := make([]*relaypb.Level, 0, len(floors))
+	floors := s.door.FloorsOf(now, services)
+	levels := make([]*relaypb.Level, 0, len(floors)+1)
 	for _, floor := range floors {
+		if floor.Node == without {
+			continue
+		}
 		levels = append(levels, &relaypb.Level{
 			Service: floor.Service,
 			Node:    floor.Node,
@@ -183,6 +191,7 @@
 
 // ended tells the route and the allowance what an attempt showed.
 func (s *Sender) ended(c *call.Call, target route.Target, report route.Report) {
+	report.Incarnation = target.Incarnation
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -195,6 +204,13 @@
 	known.latency += time.Duration(latencyWeight * float64(report.Latency-known.latency))
 }
 
+// Learn takes in the floor of one node for its service as it is now.
+func (s *Sender) Learn(service, node string, floor uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.door.Learn(s.Clock.Now(), service, node, floor, 0)
+}
+
 func (s *Sender) learn(levels []*relaypb.Level) {
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -244,7 +260,16 @@
 	}
 }
 
+// carry hands an attempt to the node beside its target. When that is this node
+// itself, the attempt takes the same way without a socket.
 func (s *Sender) carry(ctx context.Context, target route.Target, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
+	if target.Incarnation == s.Self {
+		response := s.Beside(ctx, request)
+		if response == nil {
+			return nil, ctx.Err()
+		}
+		return response, nil
+	}
 	response, err := s.Client.To(target.Address).Carry(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -118,6 +118,7 @@
 	defer response.Body.Close()
 	reply.Status = response.StatusCode
 	reply.Facts.Status = response.StatusCode
+	response.Header.Del(BelowHeader)
 	reply.Headers = pack(response.Header)
 	t.read(ctx, reply, response.Body, limits.MaxAnswerBytes)
 	return reply
@@ -142,7 +143,8 @@
 		}
 		if errors.Is(err, io.EOF) {
 			reply.Facts.BodyWhole = true
-			reply.Body = buffer.Bytes()
+			// The answer is kept for a while, without the buffer's spare room.
+			reply.Body = bytes.Clone(buffer.Bytes())
 			return
 		}
 		if err != nil {
