Keep the limit when a target passes on the refusal of its own call

The cause: a renewal whose charge is refused is shed by its target, and the gate took that for a lack of slots and cut the limit to the calls in flight. A shed after a quarter of the kind's usual time leaves the limit alone now; a target without a free slot sheds at once.

Ruled out: too narrow a door at collections (its floor left its own queue filled), and ejection (no target was ejected).

Without the mechanism TestPassedOnShedLeavesTheLimit fails: limit 4, not 10.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -20,6 +20,9 @@
 	reopenDoubling   = 250 * time.Millisecond
 	probeShare       = 0.1
 	minRatePerSecond = 2.0
+	// lateShedShare is the share of a kind's usual time after which a shed
+	// does not speak of the target's own slots any more.
+	lateShedShare = 0.25
 )
 
 type (
@@ -112,7 +115,9 @@
 	delete(g.running, id)
 	g.startSum -= run.started.Sub(g.epoch)
 	g.limiter.advance(now)
-	g.limiter.ended(o, len(g.running))
+	if o != Shed || !g.shedLate(run, now) {
+		g.limiter.ended(o, len(g.running))
+	}
 	if o != Shed {
 		cut := o == Abandoned || o == TimedOut
 		g.times.observe(run.kind, now.Sub(run.started), cut, g.limiter.current(now))
@@ -120,6 +125,18 @@
 	return g.fill(now)
 }
 
+// shedLate reports whether a call was shed so late that the target had begun
+// with it. A target without a free slot sheds at once. One that makes calls of
+// its own passes on their refusal as a shed, which says nothing of its slots.
+//
+// A renewal that usually takes 1.6 s looks up rounds and allowances for 1.2 s
+// and then learns that its charge is refused. Taking that for a shed would cut
+// the limit to the few renewals in flight beside it.
+func (g *Gate) shedLate(run runner, now time.Time) bool {
+	usual := g.times.leastExpected(run.kind)
+	return usual > 0 && now.Sub(run.started).Seconds() > lateShedShare*usual.Seconds()
+}
+
 // Tick re-evaluates the limit and the floor and returns the fate of queued
 // calls. It is meant to be called every 10 ms or so.
 func (g *Gate) Tick(now time.Time) []Release {
--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -230,3 +230,31 @@
 	is.True(low > 40 && low < 60) // neither refused nor let through for ever
 	is.True(Order(schema.High, 0) > Order(schema.Normal, 65535))
 }
+
+// TestPassedOnShedLeavesTheLimit lets the target shed when its own calls are
+// refused, which it learns after most of the usual time.
+func TestPassedOnShedLeavesTheLimit(t *testing.T) {
+	for _, test := range []struct {
+		after time.Duration
+		limit int
+	}{
+		{5 * time.Millisecond, 4},     // beside four others: the target has no more slots
+		{1200 * time.Millisecond, 10}, // the refusal of a call that the target made
+	} {
+		is := is.New(t)
+		gate := NewGate(Settings{Slots: 10})
+		now := testStart
+		offer := func(id string) {
+			is.Equal(gate.Offer(now, Call{ID: id, Deadline: now.Add(time.Minute)}).Verdict, Admitted)
+		}
+		offer("usual")
+		now = now.Add(1600 * time.Millisecond)
+		gate.Done(now, "usual", Completed)
+		for i := range 5 {
+			offer(fmt.Sprint(i))
+		}
+		now = now.Add(test.after)
+		gate.Done(now, "0", Shed)
+		is.Equal(gate.Load(now).Limit, test.limit)
+	}
+}
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -148,3 +148,27 @@
 	defer answer.Body.Close()
 	is.Equal(answer.StatusCode, http.StatusServiceUnavailable) // the fault was switched
 }
+
+func TestCallerHeedsRetryAfter(t *testing.T) {
+	for _, heeds := range []bool{true, false} {
+		is := is.New(t)
+		entry := newEntry(t, func(w http.ResponseWriter, attempt string) {
+			if strings.HasSuffix(attempt, ".1") {
+				w.Header().Set("Retry-After", "3")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			answerWith("order")(w, attempt)
+		})
+		load := testLoad(t, &instantClock{}, entry)
+		load.Config.Callers.Backoff = 200 * time.Millisecond
+		load.Config.Callers.HeedRetryAfter = heeds
+		outcome := load.request(testContext(t), Arrival{ID: "1-1", Kind: "order"})
+		is.True(outcome.Good)
+		if heeds {
+			is.Equal(outcome.Took, 3*time.Second)
+		} else {
+			is.Equal(outcome.Took, 200*time.Millisecond)
+		}
+	}
+}
