--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -1,11 +1,13 @@
 package member_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -23,12 +25,14 @@
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 type (
 	relayServer struct {
 		relaypbconnect.UnimplementedRelayHandler
 		member *member.Controller
+		config *config.Controller
 	}
 
 	// countingListener counts the bytes of its connections, both ways.
@@ -49,6 +53,10 @@
 	return connect.NewResponse(s.member.Answer(req.Msg)), nil
 }
 
+func (s relayServer) Fetch(_ context.Context, req *connect.Request[relaypb.FetchRequest]) (*connect.Response[relaypb.FetchResponse], error) {
+	return connect.NewResponse(s.config.Answer(req.Msg)), nil
+}
+
 func (l countingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	return countingConn{conn, l.bytes}, err
@@ -87,6 +95,29 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// declarations returns a document with a number of services, and of kinds that
+// call two others each.
+func declarations(services, kinds int) []byte {
+	var b bytes.Buffer
+	b.WriteString("resource: data_centre\nname: port_louis\nregion: mauritius\n")
+	for i := range services {
+		fmt.Fprintf(&b, "---\nresource: service\nname: service%d\nslots: 120\nconnections: 800\nqueue: 60\n"+
+			"queue_wait: 300ms\ncold_start: 3s\nretry_share: 0.1\nshed_status: 503\nhealth_path: /-/healthz\n", i)
+	}
+	for i := range kinds {
+		fmt.Fprintf(&b, "---\nresource: request_kind\nname: kind%d\nservice: service%d\nmethod: GET\npath: /kind%d/{farm}\n"+
+			"importance: normal\nrepeat: safe\ndeadline: 3s\nretries: 3\n", i, i%services, i)
+		if i+2 < kinds {
+			fmt.Fprintf(&b, "calls: [kind%d, kind%d]\n", i+1, i+2)
+		}
+	}
+	return b.Bytes()
+}
+
+func parseDeclarations(document []byte) (*schema.Set, error) {
+	return schema.Parse("configuration", document)
+}
+
 func sampleRow(i int) member.Member {
 	host := fmt.Sprintf("10.20.%d.%d", i/250, i%250+1)
 	return member.Member{
@@ -280,3 +311,84 @@
 		})
 	}
 }
+
+// BenchmarkFetch measures how a node takes a new revision from a peer: the
+// bytes of the fetch, and the processor time of both ends with the reading of
+// the document.
+func BenchmarkFetch(b *testing.B) {
+	for _, size := range []struct{ services, kinds int }{{4, 6}, {14, 75}, {27, 150}, {54, 300}} {
+		b.Run(fmt.Sprintf("services=%d/kinds=%d", size.services, size.kinds), func(b *testing.B) {
+			document := declarations(size.services, size.kinds)
+			source := config.New(plat.NewMemory().Store(), parseDeclarations, clock.System{}, hclog.NewNullLogger())
+			if !source.Offer(config.Revision{Number: 1, Digest: config.Digest(document), Document: document}) {
+				b.Fatal("the document was refused")
+			}
+			server, wire := serve(b, nil)
+			mux := http.NewServeMux()
+			mux.Handle(relaypbconnect.NewRelayHandler(relayServer{config: source}))
+			server.Config.Handler = mux
+			protocols := new(http.Protocols)
+			protocols.SetUnencryptedHTTP2(true)
+			client := relaypbconnect.NewRelayClient(&http.Client{Transport: &http.Transport{Protocols: protocols}}, server.URL)
+			before, used := wire.Load(), processorTime()
+			for b.Loop() {
+				taker := config.New(plat.NewMemory().Store(), parseDeclarations, clock.System{}, hclog.NewNullLogger())
+				taker.Go = func(work func()) { work() }
+				taker.Fetch = func(ctx context.Context, _ string, plans []string) (*relaypb.FetchResponse, error) {
+					resp, err := client.Fetch(ctx, connect.NewRequest(&relaypb.FetchRequest{Plans: plans}))
+					if err != nil {
+						return nil, err
+					}
+					return resp.Msg, nil
+				}
+				taker.Heard(context.Background(), server.URL, 1)
+				if taker.Number() != 1 {
+					b.Fatal("the revision was not taken")
+				}
+			}
+			used = processorTime() - used
+			b.ReportMetric(float64(len(document)), "bytes/document")
+			b.ReportMetric(float64(wire.Load()-before)/float64(b.N), "bytes/fetch")
+			b.ReportMetric(float64(used)/float64(b.N), "cpu-ns/fetch")
+		})
+	}
+}
+
+// BenchmarkParse measures the reading of a document alone.
+func BenchmarkParse(b *testing.B) {
+	for _, size := range []struct{ services, kinds int }{{4, 6}, {14, 75}, {27, 150}, {54, 300}} {
+		b.Run(fmt.Sprintf("services=%d/kinds=%d", size.services, size.kinds), func(b *testing.B) {
+			document := declarations(size.services, size.kinds)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := parseDeclarations(document); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkView measures the memory of a view and the texts of its rows.
+func BenchmarkView(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			rows := make([]member.Member, n)
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				view := member.NewView(sampleRow(0))
+				for i := range rows {
+					rows[i] = sampleRow(i)
+				}
+				view.Merge(time.UnixMilli(1_700_000_100_000), rows)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(view)
+				clear(rows)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/member")
+		})
+	}
+}
