Begin requests at nodes that answer

Cause: a caller kept nothing of one request for the next, so that with one of three nodes frozen a third of the requests waited half their deadline there.

Ruled out: probing nodes, which costs traffic and says less than a request.

Nodes that gave no answer come last for 5 s.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,7 +35,8 @@
 	Caller struct {
 		// Nodes are the addresses of nodes as IP:port, one or more of any
 		// services. A request begins at one of them at random and goes to the
-		// next one with each repeat.
+		// next one with each repeat. Nodes that gave no answer come last for
+		// 5 s.
 		Nodes []string
 		// HTTP carries the requests. Its transport must not repeat requests by
 		// itself; the one of net/http does not repeat those of a Caller.
@@ -59,6 +61,9 @@
 
 		// withTimeout bounds one sending. Tests end it by hand.
 		withTimeout func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
+		mu    sync.Mutex
+		order order
 	}
 
 	// Backoff is the wait before a repeat. It doubles with each one and is
@@ -207,6 +212,7 @@
 		sending := course.next(c.Clock.Now())
 		newest, outcome := c.send(ctx, request, sending)
 		answer = later(answer, newest)
+		c.heard(sending.node, outcome)
 		delay, again := course.ended(c.Clock.Now(), outcome)
 		if !again || !c.pause(ctx, delay) {
 			return answer, failure(answer)
@@ -250,8 +256,7 @@
 		deadline = own
 	}
 	course := &course{
-		nodes:    c.Nodes,
-		position: int(c.Random() * float64(len(c.Nodes))),
+		nodes:    c.ordered(),
 		repeat:   request.Repeat,
 		retries:  c.Retries,
 		backoff:  c.Backoff,
@@ -268,6 +273,25 @@
 	return course
 }
 
+// ordered returns the nodes in the order in which a new request tries them.
+func (c *Caller) ordered() []string {
+	position := int(c.Random() * float64(len(c.Nodes)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.order.nodes(c.Clock.Now(), c.Nodes, position)
+}
+
+// heard notes whether a node gave an answer. That the caller itself went away
+// says nothing of the node.
+func (c *Caller) heard(node string, o outcome) {
+	if o.code == result.Cancelled || o.code == result.CancelledLate {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order.ended(c.Clock.Now(), node, o.answered)
+}
+
 // pause waits out a delay and says whether the request goes on.
 func (c *Caller) pause(ctx context.Context, delay time.Duration) bool {
 	if delay <= 0 {
--- a/pkg/caller/course.go
+++ b/pkg/caller/course.go
@@ -58,6 +58,8 @@
 		code result.Code
 		// sent is set when bytes of the request may have left the caller.
 		sent bool
+		// answered is set when the node began an answer.
+		answered bool
 		// retryAfter is how long the node asks to wait; 0 when it doesn't.
 		retryAfter time.Duration
 	}
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -51,7 +51,7 @@
 		answer.Body = body
 	}
 	wait := retryAfter(response.Header.Get("Retry-After"), c.Clock.Now())
-	return answer, outcome{code: code, sent: true, retryAfter: wait}
+	return answer, outcome{code: code, sent: true, answered: true, retryAfter: wait}
 }
 
 // form makes the HTTP request of one sending.
