--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -102,7 +102,7 @@
 		// The service is overloaded: only another target may take the call,
 		// and only while the service as a whole does not refuse its order.
 		return s.elsewhere()
-	case result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned:
+	case result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned, result.NoConfiguration:
 		s.sender.Moved()
 		return true
 	case result.NoOwner, result.OwnerGone:
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -114,7 +114,7 @@
 // answer. An attempt that came before is joined, never run again.
 func (s *Server) Carry(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
 	if request.Incarnation != s.settings.Incarnation {
-		return s.refuse(request, result.OtherIncarnation)
+		return s.Refuse(request, result.OtherIncarnation)
 	}
 	now := s.settings.Clock.Now()
 	s.mu.Lock()
@@ -122,16 +122,16 @@
 	switch verdict {
 	case fate.Tombstoned, fate.Invalid, fate.Expired, fate.NeverSeen:
 		s.mu.Unlock()
-		return s.refuse(request, result.Tombstoned)
+		return s.Refuse(request, result.Tombstoned)
 	case fate.Full:
 		s.mu.Unlock()
-		return s.refuse(request, result.MemoryBound)
+		return s.Refuse(request, result.MemoryBound)
 	case fate.Done:
 		s.mu.Unlock()
 		return recorded
 	case fate.Dropped:
 		s.mu.Unlock()
-		return s.refuse(request, result.Lost)
+		return s.Refuse(request, result.Lost)
 	case fate.Running:
 		running := s.attempts[request.AttemptId]
 		s.mu.Unlock()
@@ -326,7 +326,8 @@
 	}
 }
 
-func (s *Server) refuse(request *relaypb.CarryRequest, code result.Code) *relaypb.CarryResponse {
+// Refuse answers an attempt that is not taken at all.
+func (s *Server) Refuse(request *relaypb.CarryRequest, code result.Code) *relaypb.CarryResponse {
 	s.settings.Metrics.Refusals.WithLabelValues(s.settings.Service, code.String()).Inc()
 	return s.dress(request, &relaypb.CarryResponse{Code: uint32(code), TokensLeft: request.Tokens})
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
 )
 
 // relayService answers the other nodes.
@@ -25,6 +26,10 @@
 
 // Carry runs an attempt, or joins it when it came before.
 func (r *relayService) Carry(ctx context.Context, request *connect.Request[relaypb.CarryRequest]) (*connect.Response[relaypb.CarryResponse], error) {
+	if !r.node.members.Ready() {
+		// After a freeze the node may be out of its lease and behind its peers.
+		return connect.NewResponse(r.node.local.Refuse(request.Msg, result.NoConfiguration)), nil
+	}
 	answer := r.node.local.Carry(ctx, request.Msg)
 	if answer == nil {
 		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
