--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -161,7 +161,7 @@
 		Kind:        func(string) *schema.Kind { return kind },
 		Limits:      func() schema.Limits { return limits },
 		ShedStatus:  func() int { return http.StatusServiceUnavailable },
-		Levels:      func(time.Time) []*relaypb.Level { return nil },
+		Levels:      func(time.Time, string) []*relaypb.Level { return nil },
 		Revision:    func() int64 { return 1 },
 	})
 }
