--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -65,18 +65,18 @@
 // goals in the head. Where a label has several reports, a figure is followed by
 // the lowest and the highest of them.
 func PrintMarkdown(w io.Writer, reports []Report) {
-	columns := columns()
-	head := []string{"run", "runs"}
-	for _, column := range columns {
+	shown := columns()
+	head := make([]string, 0, len(shown))
+	for _, column := range shown {
 		head = append(head, column.head)
 	}
-	_, _ = fmt.Fprintf(w, "| %s |\n|---|%s\n", strings.Join(head, " | "), strings.Repeat("--:|", len(head)-1))
+	_, _ = fmt.Fprintf(w, "| run | runs | %s |\n|---|--:|%s\n", strings.Join(head, " | "), strings.Repeat("--:|", len(head)))
 	for _, group := range grouped(reports) {
-		row := []string{strings.Join(group[0].Label, " "), fmt.Sprint(len(group))}
-		for _, column := range columns {
+		row := make([]string, 0, len(shown))
+		for _, column := range shown {
 			row = append(row, column.cell(group))
 		}
-		_, _ = fmt.Fprintf(w, "| %s |\n", strings.Join(row, " | "))
+		_, _ = fmt.Fprintf(w, "| %s | %d | %s |\n", strings.Join(group[0].Label, " "), len(group), strings.Join(row, " | "))
 	}
 	for _, report := range reports {
 		name := strings.Join(report.Label, " ")
