--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -52,16 +52,17 @@
 )
 
 // declare FIRM OLD NEW copies the firm's directory, with one text of the
-// declarations replaced.
+// declarations replaced. In both texts, \n stands for a new line.
 func declare(ts *testscript.TestScript, neg bool, args []string) {
 	firm := ts.MkAbs(args[0])
 	ts.Check(os.CopyFS(firm, os.DirFS(ts.Getenv("FIRM"))))
 	path := filepath.Join(firm, "mesh", "mesh.yaml")
 	text := ts.ReadFile(path)
-	if strings.Count(text, args[1]) != 1 {
-		ts.Fatalf("%q does not stand once in the declarations", args[1])
+	former, latter := strings.ReplaceAll(args[1], `\n`, "\n"), strings.ReplaceAll(args[2], `\n`, "\n")
+	if strings.Count(text, former) != 1 {
+		ts.Fatalf("%q does not stand once in the declarations", former)
 	}
-	ts.Check(os.WriteFile(path, []byte(strings.Replace(text, args[1], args[2], 1)), 0o644))
+	ts.Check(os.WriteFile(path, []byte(strings.Replace(text, former, latter, 1)), 0o644))
 }
 
 // contend REVISION FIRM NODE FIRM NODE lets two operators apply at the same
