Give each trial a free network and run four meshes at a time

Cause: 9 of 13 trials failed in one run on a busy host (load 112): processes ended at once, exit code 3 of the first apply, connections refused, and 203 double runs of one trace. That fits another checkout's trials on the same fixed addresses, which was not seen directly. Up to ten meshes of 13 processes ran at once there, under the race detector. No statement was changed: a trial now takes addresses that are free, and at most four meshes run together.

--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -43,8 +46,15 @@
 	startTimeout = 20 * time.Second
 	// stopTimeout bounds a planned stop, past which the process is killed.
 	stopTimeout = 20 * time.Second
+	// maxMeshes is how many meshes run at the same time.
+	maxMeshes = 4
+	// networkTries is how many networks are tried before a trial gives up.
+	networkTries = 50
 )
 
+// running holds a token for each mesh that runs.
+var running = make(chan struct{}, maxMeshes)
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"dandelionfield": func() {
@@ -65,7 +75,6 @@
 			m := &mesh{dir: filepath.Join(env.WorkDir, "run"), processes: map[string]*process{}}
 			env.Values[meshKey{}] = m
 			env.Setenv("FIRM", firm)
-			env.Defer(m.end)
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -93,17 +102,24 @@
 	})
 }
 
-// startMesh [-naive] NETWORK starts the platform, the targets and the nodes, and
-// applies the declarations. With -naive, naive relays take the place of nodes.
+// startMesh [-naive] starts the platform, the targets and the nodes, and applies
+// the declarations. With -naive, naive relays take the place of nodes. NETWORK
+// becomes the first three parts of the addresses.
 func startMesh(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
-	network := args[len(args)-1]
+	running <- struct{}{}
+	ts.Defer(func() {
+		m.end()
+		<-running
+	})
+	network := takeNetwork(ts)
+	ts.Setenv("NETWORK", network)
 	ts.Check(ts.Exec("fieldlab", "layout", "--firm", ts.Getenv("FIRM"), "--out", m.dir, "--network", network))
 	platform := network + ".200:7104"
 	m.start(ts, "platform", "fieldlab", "platform", "--listen", platform)
 	waitPort(ts, platform)
 	m.startAll(ts, "fieldlab", "target", "listen")
-	if args[0] == "-naive" {
+	if len(args) > 0 && args[0] == "-naive" {
 		m.startAll(ts, "fieldlab", "naive", "listen")
 		return
 	}
@@ -117,6 +133,22 @@
 	}
 }
 
+// takeNetwork finds three parts of addresses that no other trial uses. The
+// listener stands for them until the trial ends, so that trials of several
+// checkouts on one host do not meet.
+func takeNetwork(ts *testscript.TestScript) string {
+	for range networkTries {
+		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+		listener, err := net.Listen("tcp", network+".254:7199")
+		if err == nil {
+			ts.Defer(func() { _ = listener.Close() })
+			return network
+		}
+	}
+	ts.Fatalf("no free network")
+	return ""
+}
+
 // signalProcess SIGNAL NAME... sends a signal by name.
 func signalProcess(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -271,8 +271,9 @@
 
 func adminAddresses(ts *testscript.TestScript) []string {
 	m := ts.Value(meshKey{}).(*mesh)
-	var addresses []string
-	for _, file := range mustGlob(ts, filepath.Join(m.dir, "node-*.yaml")) {
+	files := mustGlob(ts, filepath.Join(m.dir, "node-*.yaml"))
+	addresses := make([]string, 0, len(files))
+	for _, file := range files {
 		addresses = append(addresses, setting(ts, file, "admin_listen"))
 	}
 	return addresses
