Let failures below a target count against its limit again

A limit of the upper services keeps work back that fails below. The route still takes such failures as blameless.

--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -231,14 +231,8 @@
 	facts.ChildrenRan = a.serving.ChildrenRan()
 	code := fate.Classify(facts)
 	below := blameless(code) && a.serving.ChildrenFailed()
-	ended := outcome(code)
-	if below {
-		// The time of the call was not the target's own, and neither was its
-		// end: a limit cut for it would only add to what went wrong below.
-		ended = admit.Abandoned
-	}
 	s.mu.Lock()
-	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, ended))
+	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, outcome(code)))
 	s.mu.Unlock()
 	answer := &relaypb.CarryResponse{
 		Code:       uint32(code),
