Promise no cut before the plan's row was read, and judge a target by its own work

Cause: levelling the slots makes a holder promise to take no more keys of a slot before the new plan is written; with the platform down the write fails, and the promise holds for the whole outage. Ruled out: leases (1 h) and views (unchanged). The row is now read first; without an answer nothing is promised.

A request that repeats its key keeps its place in the order of refusal; before, each repeat drew another and could be refused while its first sending ran. A key whose run was refused by the target itself, after only look-ups had run, may be tried again. A call that fails for what the target called no longer lowers the target's limit.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -69,6 +69,8 @@
 	mu      sync.Mutex
 	pending int
 	ran     bool
+	// ranOnce is set when a call of a kind that never repeats ran or may have.
+	ranOnce bool
 	failed  bool
 }
 
@@ -113,13 +115,15 @@
 	s.pending++
 }
 
-// ChildEnded notes what became of a call that the target made.
-func (s *Serving) ChildEnded(code result.Code) {
+// ChildEnded notes what became of a call that the target made, of a kind with
+// that rule for repeating.
+func (s *Serving) ChildEnded(code result.Code, repeat schema.Repeat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending--
 	if code.Family() != result.NotRun {
 		s.ran = true
+		s.ranOnce = s.ranOnce || repeat == schema.Never
 	}
 	if code.Family() != result.Complete {
 		s.failed = true
@@ -142,6 +146,14 @@
 	return s.ran || s.pending > 0
 }
 
+// OnlySafeRan says whether every call of the target that ran or may have run is
+// of a kind that may run again.
+func (s *Serving) OnlySafeRan() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.ranOnce && s.pending == 0
+}
+
 // Refuse returns an answer that carries a code and the reason in words.
 func Refuse(code result.Code, detail string) *Answer {
 	return &Answer{Code: code, Detail: detail}
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -136,7 +136,7 @@
 	parent, ok := f.Serving(handle)
 	if handle == "" || !ok || exchange.Remote != f.TargetHost {
 		c.RequestID = uuid.NewString()
-		c.Position = admit.Position(c.RequestID, f.Clock.Now())
+		c.Position = admit.Position(f.positionSeed(exchange), f.Clock.Now())
 		c.Tokens = call.NewTokens(c.Kind.Retries)
 		return next(ctx, exchange)
 	}
@@ -150,10 +150,20 @@
 	}
 	parent.ChildSent()
 	answer := next(ctx, exchange)
-	parent.ChildEnded(answer.Code)
+	parent.ChildEnded(answer.Code, c.Kind.Repeat)
 	return answer
 }
 
+// positionSeed is what a new request's place in the order of refusal follows
+// from: its idempotency key, so that a repeat neither draws a better place nor
+// is refused while its first sending runs, or else the request's own id.
+func (f *Inward) positionSeed(exchange *Exchange) string {
+	if key := exchange.Request.Header.Get(KeyHeader); key != "" {
+		return key
+	}
+	return exchange.Call.RequestID
+}
+
 // key checks the idempotency key of a kind that never repeats.
 func (f *Inward) key(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	text := exchange.Request.Header.Get(KeyHeader)
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -232,7 +232,7 @@
 	code := fate.Classify(facts)
 	below := blameless(code) && a.serving.ChildrenFailed()
 	s.mu.Lock()
-	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, outcome(code)))
+	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, outcome(code, below)))
 	s.mu.Unlock()
 	answer := &relaypb.CarryResponse{
 		Code:       uint32(code),
@@ -289,6 +289,10 @@
 	switch {
 	case code.Family() == result.NotRun:
 		ledger.Abandon(now, a.key)
+	case code == result.PartlyRun && a.serving.OnlySafeRan():
+		// The target refused the call itself, and what ran for it may run
+		// again: the same key may be tried once more.
+		ledger.Abandon(now, a.key)
 	case code == result.OK:
 		ledger.Finish(now, a.key, answer, size)
 	default:
@@ -314,8 +318,12 @@
 	return digest.Sum64()
 }
 
-// outcome tells the gate what an answer says about the target's load.
-func outcome(code result.Code) admit.Outcome {
+// outcome tells the gate what an answer says about the target's load: nothing,
+// when it is due to a call that the target made.
+func outcome(code result.Code, below bool) admit.Outcome {
+	if below {
+		return admit.Abandoned
+	}
 	switch code {
 	case result.OK, result.AnswerTooLarge:
 		return admit.Completed
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -63,7 +63,7 @@
 			target.serving = func(handle string) {
 				serving, _ := server.Serving(handle)
 				serving.ChildSent()
-				serving.ChildEnded(result.Code(code))
+				serving.ChildEnded(result.Code(code), schema.Safe)
 			}
 		}
 		if d.HasArg("unreachable") {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -109,6 +109,9 @@
 	if !changed {
 		return true
 	}
+	if !n.planIsNewest(ctx, version) {
+		return false
+	}
 	promised := false
 	n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) { promised = ledger.Promise(now, next) })
 	if !promised {
@@ -122,6 +125,17 @@
 	return true
 }
 
+// planIsNewest reads the plan's row before anything is promised. A promise whose
+// write fails holds until a newer plan is known, and in an outage of the platform
+// that would leave the keys that it takes away without an owner to the end of it.
+func (n *Node) planIsNewest(ctx context.Context, version int64) bool {
+	if err := n.config.PollPlan(ctx); err != nil {
+		return false
+	}
+	_, newest := n.config.Plan(n.settings.Service)
+	return newest == version
+}
+
 // needsPlan says whether the node's service runs kinds that never repeat.
 func (n *Node) needsPlan() bool {
 	current := n.config.Current()
