--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -41,6 +41,9 @@
 
 type meshKey struct{}
 
+// timedVariable turns on the statements that depend on the speed of the host.
+const timedVariable = "TRIALS_TIMED"
+
 const (
 	// startTimeout bounds the start of a process on a busy host.
 	startTimeout = 20 * time.Second
@@ -77,6 +80,14 @@
 			env.Setenv("FIRM", firm)
 			return nil
 		},
+		// Statements about how much got through depend on how busy the host is.
+		// They are judged by `make prove` on a quiet one, and never in CI.
+		Condition: func(condition string) (bool, error) {
+			if condition != "timed" {
+				return false, fmt.Errorf("unknown condition %s", condition)
+			}
+			return os.Getenv(timedVariable) != "", nil
+		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"mesh":    startMesh,
 			"signal":  signalProcess,
