Put declared distances, record bytes and health paths to use

Cause: three declared fields were checked and kept but read by nobody: the distances between data centres (the choice of targets knew only 'same or other'), record_bytes (the ledger took a quarter of memory_bytes), and health_path. Distances now reach the choice of targets, record_bytes bounds the ledger, and health_path shows as a metric that decides nothing. The gauge of held bytes is set, too; it always showed 0.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,6 +93,21 @@
 	}
 }
 
+// SetDistances puts the declared distances from this node's data centre in
+// force. What was learned of targets is forgotten when they change.
+func (s *Sender) SetDistances(distances map[string]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if maps.Equal(s.Route.Distances, distances) {
+		return
+	}
+	s.Route.Distances = distances
+	for _, known := range s.services {
+		known.table = route.New(s.Route)
+		known.table.Update(s.Clock.Now(), slices.Collect(maps.Values(known.targets)))
+	}
+}
+
 // Allows says whether all of these services take requests of an order now; if
 // not, it names the one that does not.
 func (s *Sender) Allows(services []string, order uint32) (string, bool) {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -32,7 +32,7 @@
 	Gate        *admit.Gate
 	Book        *fate.Book[*relaypb.CarryResponse]
 	Ledger      *once.Ledger[*relaypb.CarryResponse]
-	// LedgerBytes bounds the ledger that the first declaration brings.
+	// LedgerBytes bounds the ledger whatever is declared.
 	LedgerBytes int64
 	// Kind returns the declared kind of that name, or nil.
 	Kind func(name string) *schema.Kind
@@ -225,9 +225,9 @@
 }
 
 // Regulate puts the declared bounds on idempotency keys in force. The clock
-// margin is taken from the first declaration only: promises that were made
+// margin and the bytes for records are taken from the first declaration only: promises that were made
 // with one margin do not hold under another.
-func (s *Server) Regulate(self once.Node, rules once.Rules) {
+func (s *Server) Regulate(self once.Node, rules once.Rules, recordBytes int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.regulated {
@@ -235,7 +235,7 @@
 		return
 	}
 	s.regulated = true
-	s.settings.Ledger = once.NewLedger[*relaypb.CarryResponse](self, rules, s.settings.LedgerBytes)
+	s.settings.Ledger = once.NewLedger[*relaypb.CarryResponse](self, rules, min(recordBytes, s.settings.LedgerBytes))
 }
 
 // Ledger runs a function on the idempotency records under the server's lock.
@@ -276,6 +276,7 @@
 	s.settings.Ledger.Forget(now)
 	bytes := s.settings.Book.Stats().Bytes + s.settings.Ledger.Stats().Bytes
 	s.settings.Metrics.RecordBytes.Set(float64(bytes))
+	s.settings.Metrics.HeldBytes.Set(float64(s.settings.Target.HeldBytes()))
 }
 
 // start begins an attempt of which the book has just been told. The lock is held.
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// HeldBytes returns the memory of answers that are not whole yet.
+func (t *Target) HeldBytes() int64 {
+	return t.held.Bytes()
+}
+
 // NewHeld returns a bound that is read anew at each use.
 func NewHeld(limit func() int64) *Held {
 	return &Held{limit: limit}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -25,6 +25,7 @@
 	Revision      prometheus.Gauge
 	Members       prometheus.Gauge
 	HeldBytes     prometheus.Gauge
+	TargetHealth  prometheus.Gauge
 	RecordBytes   prometheus.Gauge
 }
 
@@ -54,6 +55,7 @@
 	s.Revision = gauge("revision", "Configuration revision in force.")
 	s.Members = gauge("members", "Nodes in the view.")
 	s.HeldBytes = gauge("held_bytes", "Bytes of answers held until whole.")
+	s.TargetHealth = gauge("target_health", "1 when the target's health endpoint says so; decides nothing.")
 	s.RecordBytes = gauge("record_bytes", "Bytes of idempotency and attempt records.")
 	s.register()
 	return s
@@ -65,7 +67,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Attempts, s.FateAsked,
 		s.Replayed, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
-		s.Revision, s.Members, s.HeldBytes, s.RecordBytes,
+		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
 	)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,7 @@
 	}
 	go n.config.Run(ctx)
 	go n.becomeActive(ctx)
+	go n.watchHealth(ctx)
 	go n.keepPlan(ctx)
 }
 
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -44,7 +44,12 @@
 		Match:    matcher.Match,
 		Chain:    func(kind string) []string { return chains[kind] },
 	})
-	n.local.Regulate(n.owner(), ownerRules(set.Limits))
+	for _, centre := range set.DataCentres {
+		if centre.Name == n.settings.DataCentre {
+			n.sender.SetDistances(centre.Distances)
+		}
+	}
+	n.local.Regulate(n.owner(), ownerRules(set.Limits), set.Limits.RecordBytes)
 	if document, version := n.config.Plan(n.settings.Service); version > 0 {
 		n.learnPlan(n.settings.Service, document, version)
 	}
