--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,8 +63,10 @@
 type service struct {
 	table     *route.Table
 	allowance *budget.Allowance
-	targets   map[string]route.Target
-	latency   time.Duration
+	// share is the declared share that the allowance was made with.
+	share   float64
+	targets map[string]route.Target
+	latency time.Duration
 }
 
 const (
@@ -155,15 +157,24 @@
 	known, ok := s.services[name]
 	if !ok {
 		known = &service{
-			table:     route.New(s.Route),
-			allowance: budget.NewAllowance(s.RetryShare(name), retryBurst),
-			targets:   map[string]route.Target{},
+			table:   route.New(s.Route),
+			targets: map[string]route.Target{},
 		}
+		known.declare(s.RetryShare(name))
 		s.services[name] = known
 	}
 	return known
 }
 
+// declare makes a new allowance when another share of repeats is declared.
+func (s *service) declare(share float64) {
+	if s.allowance != nil && s.share == share {
+		return
+	}
+	s.share = share
+	s.allowance = budget.NewAllowance(share, retryBurst)
+}
+
 // choose picks the target of the next attempt. A keyed call of a kind that may
 // run only once goes to the owner of its key and nowhere else.
 func (s *Sender) choose(c *call.Call, tried map[string]bool) (route.Target, result.Code) {
@@ -245,6 +256,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.service(c.Kind.Service)
+	known.declare(s.RetryShare(c.Kind.Service))
 	if !budget.Worthwhile(now, c.Deadline, delay, known.latency) {
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
 		return false
