Give a slot up and over to its next owner in one write

Cause: a slot given up to level the owners stayed free until the next owner claimed it in a second write. The holder now appends the next holding in the same write; nothing about what a ledger accepts changes, and the model of random traces with lost writes, freezes and crashes passes as before. The scripts balance, clock_set_back and lost_write show the same plans one write earlier; no statement was dropped.

--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -184,40 +184,51 @@
 }
 
 // giveUpSurplus ends holdings early while another living node holds at least
-// two slots less. It waits until the slots given up before are claimed.
+// two slots less, and gives each to that node in the same change: were it left
+// free until the other claims it, an outage of the platform in between would
+// leave its keys without an owner. It waits until no slot is free.
 func (d *draft) giveUpSurplus() {
 	if slices.ContainsFunc(d.plan.Slots, d.isFree) {
 		return
 	}
-	surplus := d.surplus()
 	for i := range d.plan.Slots {
-		if surplus == 0 {
+		next, ok := d.needier()
+		if !ok {
 			return
 		}
-		last := &d.plan.Slots[i].Holdings[len(d.plan.Slots[i].Holdings)-1]
+		slot := &d.plan.Slots[i]
+		last := &slot.Holdings[len(slot.Holdings)-1]
 		tenureMS := d.nowMS - last.FromMS
-		if d.isOwn(*last) && tenureMS >= minTenure.Milliseconds() && last.UntilMS > d.cutMS() {
-			last.UntilMS = d.cutMS()
-			d.changed = true
-			surplus--
+		if !d.isOwn(*last) || tenureMS < minTenure.Milliseconds() || last.UntilMS <= d.cutMS() {
+			continue
 		}
+		last.UntilMS = d.cutMS()
+		slot.Holdings = append(slot.Holdings, d.holding(next, d.cutMS()))
+		d.changed = true
 	}
 }
 
-// surplus returns how many slots the node gives up to level the shares, as if
-// it were the only one that gives.
-func (d *draft) surplus() int {
+// needier returns the living node with the least slots, if it holds at least two
+// less than this one.
+func (d *draft) needier() (Node, bool) {
 	shares := d.shares()
 	mine := slices.IndexFunc(shares, func(s share) bool { return s.node.Incarnation == d.self.Incarnation })
-	surplus := 0
-	for {
-		least := leastShare(shares)
-		if shares[mine].slots-shares[least].slots < 2 {
-			return surplus
-		}
-		shares[mine].slots--
-		shares[least].slots++
-		surplus++
+	least := leastShare(shares)
+	if shares[mine].slots-shares[least].slots < 2 {
+		return Node{}, false
+	}
+	return shares[least].node, true
+}
+
+// holding returns a holding of a node from a mint time on.
+func (d *draft) holding(node Node, fromMS int64) Holding {
+	return Holding{
+		Name:        node.Name,
+		Incarnation: node.Incarnation,
+		Address:     node.Address,
+		StartedMS:   node.StartedMS,
+		FromMS:      fromMS,
+		UntilMS:     max(fromMS, d.nowMS) + d.leaseMS(),
 	}
 }
 
@@ -249,14 +260,7 @@
 		}
 		fromMS = last.UntilMS
 	}
-	slot.Holdings = append(slot.Holdings, Holding{
-		Name:        d.self.Name,
-		Incarnation: d.self.Incarnation,
-		Address:     d.self.Address,
-		StartedMS:   d.self.StartedMS,
-		FromMS:      fromMS,
-		UntilMS:     max(fromMS, d.nowMS) + d.leaseMS(),
-	})
+	slot.Holdings = append(slot.Holdings, d.holding(d.self, fromMS))
 	d.changed = true
 }
 
