--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -225,8 +225,8 @@
 }
 
 // Regulate puts the declared bounds on idempotency keys in force. The clock
-// margin and the bytes for records are taken from the first declaration only: promises that were made
-// with one margin do not hold under another.
+// margin and the bytes for records are taken from the first declaration only:
+// promises that were made with one margin do not hold under another.
 func (s *Server) Regulate(self once.Node, rules once.Rules, recordBytes int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
