Notice a target that hangs, and have others run its keys

Cause: a node whose target hangs stays the owner of its idempotency keys. Callers can choose another entry, but not another owner, so that every request whose key falls to that node waited in its queue until it expired, three times over.

Ruled out: closing the node's holdings (needs the platform, takes about 3 s, and keys minted before stay with the node), telling the others through the membership (the key names its owner, they can do nothing), the health endpoint (it says that all is well in this trace), cancelling the safe calls that hang (a service that is merely slow would lose work).

Change: the gate looks for signs of life. Without an answer or a call made by the target for 500 ms, and with two calls in its own hands past three times the usual time, the target has stopped: the queue is turned away at once as target_stopped (222) and one call at a time looks whether it goes on. The owner of a key has another target run it, here and after a refusal for load, keeps the record, and passes the answer on. Attempts after the first cost tokens as before.

Still lost: what the target held when it stopped.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -68,6 +68,9 @@
 		Importance schema.Importance
 		Position   uint16
 		Deadline   time.Time
+		// Waits reports whether the target waits for calls that it made for
+		// this one. Nil stands for a kind that makes none.
+		Waits func() bool
 	}
 
 	// Settings is what a gate needs to know of its target.
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -33,6 +33,7 @@
 		demand   demand
 		times    times
 		queue    queue
+		pulse    pulse
 		running  map[string]runner
 		// startSum sums the starts of the running calls as time since epoch,
 		// which gives their mean age without a walk. Both are set anew
@@ -53,6 +54,7 @@
 	runner struct {
 		kind    string
 		started time.Time
+		waits   func() bool
 	}
 )
 
@@ -75,12 +77,15 @@
 	if _, ok := g.running[c.ID]; ok {
 		return Decision{Code: result.RunningStill}
 	}
+	if g.barred() {
+		return Decision{Code: result.TargetStopped}
+	}
 	g.offered++
 	if !g.worthwhile(now, c) {
 		g.hopeless++
 		return Decision{Code: result.DeadlinePassed}
 	}
-	if g.queue.len() == 0 && len(g.running) < g.limiter.current(now) {
+	if g.queue.len() == 0 && len(g.running) < g.limit(now) {
 		g.start(now, c)
 		return Decision{Verdict: Admitted}
 	}
@@ -114,6 +119,9 @@
 	}
 	delete(g.running, id)
 	g.startSum -= run.started.Sub(g.epoch)
+	if o == Completed || o == Shed || o == Failed {
+		g.Sign(now)
+	}
 	g.limiter.advance(now)
 	if o != Shed || !g.shedLate(run, now) {
 		g.limiter.ended(o, len(g.running))
@@ -141,7 +149,9 @@
 // calls. It is meant to be called every 10 ms or so.
 func (g *Gate) Tick(now time.Time) []Release {
 	g.limiter.advance(now)
-	released := append(g.dropExpired(now), g.fill(now)...)
+	released := g.checkPulse(now)
+	released = append(released, g.dropExpired(now)...)
+	released = append(released, g.fill(now)...)
 	released = append(released, g.evict()...)
 	if now.Sub(g.floorAt) >= floorInterval {
 		g.updateFloor(now)
@@ -165,12 +175,20 @@
 func (g *Gate) Load(now time.Time) Load {
 	return Load{
 		InFlight: len(g.running),
-		Limit:    g.limiter.current(now),
+		Limit:    g.limit(now),
 		Queued:   g.queue.len(),
 		Cold:     g.limiter.cold(now),
 	}
 }
 
+// limit returns how many calls may be in flight.
+func (g *Gate) limit(now time.Time) int {
+	if g.pulse.stopped {
+		return 1
+	}
+	return g.limiter.current(now)
+}
+
 // Resize takes on a new declaration. Calls in flight stay, and queued ones
 // beyond a smaller bound leave with the next Tick.
 func (g *Gate) Resize(now time.Time, s Settings) {
@@ -193,7 +211,7 @@
 		g.epoch = now
 		g.startSum = 0
 	}
-	g.running[c.ID] = runner{kind: c.Kind, started: now}
+	g.running[c.ID] = runner{kind: c.Kind, started: now, waits: c.Waits}
 	g.startSum += now.Sub(g.epoch)
 }
 
@@ -201,7 +219,7 @@
 // those among them that come too late.
 func (g *Gate) fill(now time.Time) []Release {
 	var released []Release
-	limit := g.limiter.current(now)
+	limit := g.limit(now)
 	for g.queue.len() > 0 && len(g.running) < limit {
 		next := g.queue.takeHighest()
 		if code := g.expired(now, next); code != 0 {
--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -74,7 +74,11 @@
 				d.ScanArgs(t, "importance", &word)
 				d.ScanArgs(t, "position", &position)
 				importance := schema.Importance(slices.Index(importanceSet, word))
-				decision := gate.Offer(now, Call{ID: id, Importance: importance, Position: uint16(position), Deadline: now.Add(durationArg(t, d, "left"))})
+				call := Call{ID: id, Importance: importance, Position: uint16(position), Deadline: now.Add(durationArg(t, d, "left"))}
+				if d.HasArg("waits") {
+					call.Waits = func() bool { return true }
+				}
+				decision := gate.Offer(now, call)
 				return releasesText(append([]Release{{ID: id, Verdict: decision.Verdict, Code: decision.Code}}, decision.Released...))
 			case "done":
 				d.ScanArgs(t, "outcome", &word)
@@ -83,6 +87,11 @@
 				return releasesText(gate.Cancel(now, id))
 			case "tick":
 				return releasesText(gate.Tick(now))
+			case "sign":
+				gate.Sign(now)
+				return ""
+			case "stopped":
+				return fmt.Sprintln(gate.Stopped())
 			case "load":
 				load := gate.Load(now)
 				return fmt.Sprintf("in_flight=%d limit=%d queued=%d cold=%v\n", load.InFlight, load.Limit, load.Queued, load.Cold)
--- /dev/null
+++ b/internal/admit/pulse.go
@@ -0,0 +1,86 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+const (
+	// minSilence is the least time without a sign of a target's life after
+	// which it may count as stopped.
+	minSilence = 500 * time.Millisecond
+	// overdueFactor times the usual time of its kind makes a call overdue.
+	overdueFactor = 3
+	// minOverdue calls must be overdue at once: a single one may just be long.
+	minOverdue = 2
+)
+
+// pulse is what a gate knows of its target's life.
+//
+// A target that hangs keeps its slots full, and its node cannot tell that from
+// slow work before the deadlines. But a target at work shows signs all the
+// time: it answers, or makes calls of its own. One that shows none while calls
+// in its own hands are overdue has stopped. It gets no more calls then, except
+// one at a time to see whether it goes on, and any sign ends the stop.
+//
+// Of 12 calls of a kind that usually takes 300 ms, one is answered each 25 ms.
+// Once a second has passed without any, and two of them are older than 900 ms,
+// the target has stopped. Those that wait for calls of their own do not count:
+// what has stopped is further down.
+type pulse struct {
+	signAt  time.Time
+	stopped bool
+}
+
+// Sign notes that the target has shown that it works.
+func (g *Gate) Sign(now time.Time) {
+	g.pulse.signAt = now
+	g.pulse.stopped = false
+}
+
+// Stopped reports whether the target has stopped working.
+func (g *Gate) Stopped() bool {
+	return g.pulse.stopped
+}
+
+// checkPulse looks whether the target has stopped, and then turns the queued
+// calls away while there is time to take them elsewhere.
+func (g *Gate) checkPulse(now time.Time) []Release {
+	if g.pulse.stopped || now.Sub(g.pulse.signAt) < minSilence || g.overdue(now) < minOverdue {
+		return nil
+	}
+	g.pulse.stopped = true
+	var released []Release
+	g.queue.remove(func(w waiter) bool {
+		released = append(released, Release{ID: w.call.ID, Code: result.TargetStopped})
+		return true
+	})
+	return released
+}
+
+// overdue counts the calls that have been in the target's own hands for too
+// long, from their start or the last sign on.
+func (g *Gate) overdue(now time.Time) int {
+	count := 0
+	for _, run := range g.running {
+		usual := g.times.usual(run.kind)
+		since := run.started
+		if g.pulse.signAt.After(since) {
+			since = g.pulse.signAt
+		}
+		if usual == 0 || now.Sub(since) < max(overdueFactor*usual, minSilence) {
+			continue
+		}
+		if run.waits == nil || !run.waits() {
+			count++
+		}
+	}
+	return count
+}
+
+// barred reports whether a call is turned away because the target has stopped:
+// while no other is in flight, one is let through to see whether it goes on.
+func (g *Gate) barred() bool {
+	return g.pulse.stopped && len(g.running) > 0
+}
--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -56,6 +56,11 @@
 	return t.all
 }
 
+// usual returns the mean time of a kind, 0 while unknown.
+func (t *times) usual(kind string) time.Duration {
+	return time.Duration(t.byKind[kind].mean * float64(time.Second))
+}
+
 // leastExpected returns a time that most calls of the kind take at least. A
 // call is given up only against this lower estimate: a kind whose times
 // spread widely may still end soon.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -65,6 +65,9 @@
 	Position   uint16
 	Deadline   time.Time
 	Tokens     *Tokens
+	// Moved is called when the target begins or ends a call of its own; it may
+	// be nil.
+	Moved func()
 
 	mu      sync.Mutex
 	pending int
@@ -111,13 +114,15 @@
 // ChildSent notes that the target makes a call of its own.
 func (s *Serving) ChildSent() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.pending++
+	s.mu.Unlock()
+	s.moved()
 }
 
 // ChildEnded notes what became of a call that the target made, of a kind with
 // that rule for repeating.
 func (s *Serving) ChildEnded(code result.Code, repeat schema.Repeat) {
+	defer s.moved()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending--
@@ -130,6 +135,19 @@
 	}
 }
 
+// Waits says whether the target waits for a call that it made.
+func (s *Serving) Waits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pending > 0
+}
+
+func (s *Serving) moved() {
+	if s.Moved != nil {
+		s.Moved()
+	}
+}
+
 // ChildrenFailed says whether any call of the target was refused or failed. A
 // call that has not ended counts, because the target waits for it.
 func (s *Serving) ChildrenFailed() bool {
--- /dev/null
+++ b/internal/entry/onward_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+// A call goes onward to another target than the one beside this node. Where that
+// target had taken it, the next attempt is a repeat and costs a token.
+func TestOnwardTakesAnotherTargetAndPaysForRepeats(t *testing.T) {
+	for _, test := range []struct {
+		refused result.Code
+		tokens  int
+		code    result.Code
+		runs    int32
+		left    int
+	}{
+		{result.TargetStopped, 0, result.OK, 1, 0},
+		{result.Overloaded, 0, result.Overloaded, 0, 0},
+		{result.Overloaded, 2, result.OK, 1, 1},
+	} {
+		t.Run(test.refused.String(), func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t)
+			close(b.release)
+			other := route.Target{Name: "node", Incarnation: "inc-1", Address: b.wire.listener.Addr().String()}
+			beside := route.Target{Name: "beside", Incarnation: "inc-0", Address: "127.0.0.1:1"}
+			b.sender.Self = beside.Incarnation
+			b.sender.Update(order().Kind.Service, []route.Target{beside, other})
+			c := order()
+			c.Tokens = call.NewTokens(test.tokens)
+			answer := b.sender.Onward(t.Context(), c, test.refused)
+			is.Equal(answer.Code, test.code)
+			is.Equal(b.runs.Load(), test.runs)
+			is.Equal(c.Tokens.Left(), test.left)
+		})
+	}
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -98,7 +98,7 @@
 // repeatable says whether a call that ended with a code may be sent again.
 func (s *sending) repeatable(ctx context.Context, code result.Code) bool {
 	switch code {
-	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetShed, result.MemoryBound:
+	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetShed, result.TargetStopped, result.MemoryBound:
 		// The service is overloaded: only another target may take the call,
 		// and only while the service as a whole does not refuse its order.
 		return s.elsewhere()
@@ -303,6 +303,8 @@
 		return route.Unreachable
 	case result.PartlyRun, result.Cancelled, result.CancelledLate:
 		return route.Blameless
+	case result.TargetStopped:
+		return route.Failed
 	}
 	switch code.Family() {
 	case result.Complete:
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -88,9 +88,9 @@
 		}
 	}
 	if code := a.admission(ctx); code != result.OK {
-		return a.refusal(code)
+		return a.onward(ctx, a.refusal(code))
 	}
-	return a.serve(ctx)
+	return a.onward(ctx, a.serve(ctx))
 }
 
 // claim asks the ledger whether the key may run here. It returns nil when the
@@ -171,6 +171,7 @@
 		Importance: a.serving.Importance,
 		Position:   a.serving.Position,
 		Deadline:   a.serving.Deadline,
+		Waits:      a.serving.Waits,
 	})
 	if decision.Verdict == admit.Queued {
 		s.waiting[id] = a
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -45,6 +45,9 @@
 	Levels func(now time.Time, kind string) []*relaypb.Level
 	// Learn takes in the floor of this node's own gate.
 	Learn func(floor uint32)
+	// Onward carries a call to another target after the one beside this node
+	// refused it with the code. It may be nil.
+	Onward func(ctx context.Context, c *call.Call, refused result.Code) *call.Answer
 	// Revision returns the configuration revision in force here.
 	Revision func() int64
 }
@@ -64,7 +67,9 @@
 	leaving  bool
 	// regulated is set once the ledger has the declared rules.
 	regulated bool
-	running   sync.WaitGroup
+	// stopped is whether the target was last seen to have stopped.
+	stopped bool
+	running sync.WaitGroup
 }
 
 const (
@@ -265,9 +270,33 @@
 	defer s.mu.Unlock()
 	now := s.settings.Clock.Now()
 	s.release(s.settings.Gate.Tick(now))
+	s.noteStop()
 	return s.settings.Gate.Load(now), s.settings.Gate.Floor(now)
 }
 
+// noteStop logs and counts that the target has stopped, or goes on. The lock
+// is held.
+func (s *Server) noteStop() {
+	stopped := s.settings.Gate.Stopped()
+	if stopped == s.stopped {
+		return
+	}
+	s.stopped = stopped
+	if stopped {
+		s.settings.Log.Warn("target_stopped", "service", s.settings.Service)
+		s.settings.Metrics.TargetStops.Inc()
+		return
+	}
+	s.settings.Log.Info("target_goes_on", "service", s.settings.Service)
+}
+
+// sign notes that the target has shown that it works.
+func (s *Server) sign() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings.Gate.Sign(s.settings.Clock.Now())
+}
+
 func (s *Server) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -294,6 +323,7 @@
 			Position:   uint16(request.Position),
 			Deadline:   now.Add(time.Duration(request.TimeLeftMs) * time.Millisecond),
 			Tokens:     call.NewTokens(int(request.Tokens)),
+			Moved:      s.sign,
 		},
 	}
 	s.attempts[request.AttemptId] = a
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
@@ -134,6 +135,64 @@
 	is.Equal(target.requests.Load(), int32(0))
 }
 
+// When the target hangs, its node stays the owner of the keys that fall to it: it
+// has another target run them, and answers their repetition from its record.
+func TestKeysOfAStoppedTargetGoOnward(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhere"
+	kind := &schema.Kind{Name: "k", Service: "s", Repeat: schema.Never}
+	server := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
+	server.settings.Ledger = owningLedger(t)
+	server.settings.Learn = func(uint32) {}
+	var onward []*call.Call
+	server.settings.Onward = func(_ context.Context, c *call.Call, refused result.Code) *call.Answer {
+		is.Equal(refused, result.TargetStopped)
+		onward = append(onward, c)
+		return &call.Answer{Code: result.OK, Status: http.StatusOK, Body: []byte("there")}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go server.Run(ctx)
+	is.Equal(string(server.Carry(ctx, newKeyed(kind)).Body), "here")
+	target.hang = make(chan struct{})
+	for range 2 {
+		go server.Carry(ctx, newKeyed(kind))
+	}
+	time.Sleep(time.Second) // twice the least silence
+	keyed := newKeyed(kind)
+	is.Equal(string(server.Carry(ctx, keyed).Body), "there")
+	is.Equal(len(onward), 1)
+	is.Equal(onward[0].Key, "") // the target that runs it owns no key
+	keyed.AttemptId = uuid.Must(uuid.NewV7()).String()
+	again := server.Carry(ctx, keyed)
+	is.Equal(result.Code(again.Code), result.Replayed)
+	is.Equal(string(again.Body), "there")
+	is.Equal(len(onward), 1)
+	close(target.hang)
+}
+
+// owningLedger returns the ledger of a node that owns every key minted from now on.
+func owningLedger(t *testing.T) *once.Ledger[*relaypb.CarryResponse] {
+	t.Helper()
+	rules := once.Rules{Slots: 1, Lease: time.Hour, Margin: time.Millisecond, KeyAge: time.Minute}
+	self := once.Node{Name: "node", Incarnation: incarnation, Address: "127.0.0.1:1"}
+	now := time.Now().Add(-time.Second)
+	plan, changed := once.Next(now, once.Plan{Service: "s"}, self, nil, rules)
+	ledger := once.NewLedger[*relaypb.CarryResponse](self, rules, 1<<20)
+	if !changed || !ledger.Promise(now, plan) {
+		t.Fatal("no plan")
+	}
+	ledger.Learn(plan)
+	return ledger
+}
+
+func newKeyed(kind *schema.Kind) *relaypb.CarryRequest {
+	request := newAttempt(kind)
+	request.Key = uuid.Must(uuid.NewV7()).String()
+	return request
+}
+
 func newAttempt(kind *schema.Kind) *relaypb.CarryRequest {
 	return &relaypb.CarryRequest{
 		AttemptId:   uuid.Must(uuid.NewV7()).String(),
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 	Attempts      *prometheus.CounterVec
 	FateAsked     *prometheus.CounterVec
 	Replayed      prometheus.Counter
+	TargetStops   prometheus.Counter
 	RelaySeconds  *prometheus.HistogramVec
 	InFlight      prometheus.Gauge
 	Limit         prometheus.Gauge
@@ -42,6 +43,7 @@
 	s.Attempts = counters("attempts_total", "Attempts sent to nodes, by service.", "service")
 	s.FateAsked = counters("fate_asked_total", "Attempts whose connection was lost, by what the other node said.", "answer")
 	s.Replayed = prometheus.NewCounter(options("replayed_total", "Answers taken from the record of an idempotency key."))
+	s.TargetStops = prometheus.NewCounter(options("target_stops_total", "Times the target stopped answering while it held calls."))
 	s.RelaySeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace,
 		Name:      "attempt_seconds",
@@ -66,7 +68,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Attempts, s.FateAsked,
-		s.Replayed, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
+		s.Replayed, s.TargetStops, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
 		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
 	)
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -118,6 +118,7 @@
 		Learn: func(floor uint32) {
 			n.sender.Learn(n.settings.Service, n.incarnation, floor)
 		},
+		Onward:   n.sender.Onward,
 		Revision: n.config.Number,
 	})
 }
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -60,6 +60,7 @@
 	Tombstoned       Code = 219
 	BadRequest       Code = 220
 	BudgetSpent      Code = 221
+	TargetStopped    Code = 222
 
 	Lost            Code = 300
 	TimedOut        Code = 301
@@ -100,6 +101,7 @@
 	{Tombstoned, "tombstoned", "The attempt arrived after its sender had been told that it was never seen.", "Nothing; the sender has moved on.", 409},
 	{BadRequest, "bad_request", "The request could not be read.", "Correct the request.", 400},
 	{BudgetSpent, "budget_spent", "Every attempt was refused before it ran, and no retry was left.", "Try again after the time in Retry-After.", 503},
+	{TargetStopped, "target_stopped", "The target has stopped answering, so the call was not sent to it.", "Try again; look at the target if it lasts.", 503},
 
 	{Lost, "lost", "The attempt's fate could not be learned.", "Ask for the state of the order, or repeat with the same key.", 502},
 	{TimedOut, "timed_out", "The deadline passed while the target was at work.", "Ask for the state, or repeat with the same key.", 504},
