Go on asking a node that stands still about a call that may run once

Cause: when a host stands still together with its node, a sender asked three times for the fate of its attempt and answered lost after 5 s, and again for each repeat of the key, until the caller had no repeats left.

Ruled out: another owner (the key names its owner), a longer question (the connection is dropped after 600 ms without a sign of life).

Change: for kinds that never repeat, a question without an answer counts only when no connection could be opened. The deadline ends the wait.

Without the patience TestCallOutlastsAStandstillOfItsNode gets lost after 4.8 s.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -241,7 +241,9 @@
 		}
 		fate, err := s.ask(ctx, target, request)
 		if err != nil {
-			question++
+			if !s.patient(err) {
+				question++
+			}
 			outcome = route.Silent
 			s.pause(ctx)
 			continue
@@ -264,6 +266,13 @@
 	return nil, code, outcome
 }
 
+// patient says whether to go on asking a node that does not answer. One that can
+// be connected to stands still, and may go on: then it knows what became of the
+// call. A call that may run only once has nowhere else to go meanwhile.
+func (s *sending) patient(err error) bool {
+	return s.call.Kind.Repeat == schema.Never && !relay.NeverSent(err)
+}
+
 // lost is the code for an attempt that may have run and whose answer is not to be had.
 func (s *sending) lost(ctx context.Context) result.Code {
 	switch {
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -40,6 +40,9 @@
 	to       string
 	mu       sync.Mutex
 	open     []*mute
+	// still holds everything back while it is locked, as a node does that
+	// stands still: connections open, and nothing is answered.
+	still sync.RWMutex
 }
 
 // mute holds back what flows in a direction once it is set.
@@ -101,6 +104,25 @@
 	is.Equal(b.runs.Load(), int32(1))
 }
 
+// A node that stands still may go on within the deadline, and then it knows what
+// became of the call. One that may run only once waits for that.
+func TestCallOutlastsAStandstillOfItsNode(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newBed(t)
+	answers := make(chan *call.Answer, 1)
+	go func() { answers <- b.send(order()) }()
+	<-b.began
+	b.wire.still.Lock()
+	close(b.release)
+	time.Sleep(fateQuestions*(fateTimeout+fatePause) + time.Second)
+	b.wire.still.Unlock()
+	answer := <-answers
+	is.Equal(answer.Code, result.OK)
+	is.Equal(string(answer.Body), "whole")
+	is.Equal(b.runs.Load(), int32(1))
+}
+
 // send sends a call within its deadline, as the filter chain does.
 func (b *bed) send(c *call.Call) *call.Answer {
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
@@ -217,8 +239,8 @@
 		w.mu.Lock()
 		w.open = append(w.open, s)
 		w.mu.Unlock()
-		go forward(far, near, &s.toward)
-		go forward(near, far, &s.back)
+		go w.forward(far, near, &s.toward)
+		go w.forward(near, far, &s.back)
 	}
 }
 
@@ -231,7 +253,7 @@
 }
 
 // forward copies until the end; what comes while it is silent is lost.
-func forward(to io.Writer, from io.Reader, silent *atomic.Bool) {
+func (w *wire) forward(to io.Writer, from io.Reader, silent *atomic.Bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -241,7 +263,10 @@
 		if silent.Load() {
 			continue
 		}
-		if _, err := to.Write(buffer[:n]); err != nil {
+		w.still.RLock()
+		_, err = to.Write(buffer[:n])
+		w.still.RUnlock()
+		if err != nil {
 			return
 		}
 	}
