Let the successor finish a handover that an outage has kept from the plan

Cause: a node that leaves closes its holdings in one write, and the others claimed them in the next; with the platform down neither is written, nor who keeps the records.

Ruled out: a successor that accepts the keys at once and tells the others by the membership. A new process at the former address ends the former holdings at its own start, so that keys minted between that start and its write would belong to two ledgers.

Change: a leaving node gives each slot to a living one in the write that closes it, as levelling does; a handover gives the successor what is still held; a successor remembers whom it took over and, from 5 s on, writes the handover until the plan has it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	held        *local.Held
 	rules       atomic.Pointer[filter.Rules]
 	plans       plans
+	takeovers   takeovers
 	status      tracker
 	platform    health
 
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -32,6 +32,9 @@
 	planTimeout = 3 * time.Second
 	// handoverTimeout bounds the handover of records to one successor.
 	handoverTimeout = 3 * time.Second
+	// takeoverPatience is how long a successor leaves it to the node that goes to
+	// write into the plan who keeps its records.
+	takeoverPatience = 5 * time.Second
 	// handoverBatch is how many records travel in one message.
 	handoverBatch = 500
 )
@@ -76,6 +79,7 @@
 	for ctx.Err() == nil {
 		if n.needsPlan() {
 			n.changePlan(ctx, n.nextPlan)
+			n.finishTakeovers(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -261,18 +265,6 @@
 	}
 }
 
-// takeOver imports the records of a leaving node.
-func (n *Node) takeOver(request *relaypb.HandoverRequest) bool {
-	if request.ToIncarnation != n.incarnation || n.leaving.Load() {
-		return false
-	}
-	accepted := false
-	n.local.Ledger(func(ledger *once.Ledger[*relaypb.CarryResponse]) {
-		accepted = ledger.Import(request.FromIncarnation, unpackRecords(request.Records))
-	})
-	return accepted
-}
-
 func packRecords(service string, records []once.Record[*relaypb.CarryResponse]) []*relaypb.OwnerRecord {
 	packed := make([]*relaypb.OwnerRecord, 0, len(records))
 	for _, record := range records {
--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -58,7 +58,7 @@
 		d.plan.Slots = make([]Slot, rules.Slots)
 	}
 	if self.Leaving {
-		d.closeOwn()
+		d.closeOwn(d.living)
 	} else {
 		d.closePredecessors()
 		d.renew()
@@ -78,11 +78,11 @@
 
 // HandOver returns the plan after from has closed its ledger by Export and to
 // has imported every record: to keeps the records of all that from kept, and
-// the slots that from still holds become free. Either of the two may write it,
+// takes the slots that from still holds. Either of the two may write it,
 // so that to can do it when the platform is back and from is gone.
 func HandOver(now time.Time, p Plan, from, to Node, rules Rules) (Plan, bool) {
 	d := &draft{plan: p.clone(), nowMS: now.UnixMilli(), self: from, rules: rules}
-	d.closeOwn()
+	d.closeOwn([]Node{to})
 	for i := range d.plan.Slots {
 		for j := range d.plan.Slots[i].Holdings {
 			h := &d.plan.Slots[i].Holdings[j]
@@ -137,29 +137,62 @@
 	})
 }
 
-// closeOwn ends the node's own holdings, as it is leaving.
-func (d *draft) closeOwn() {
-	d.closeLast(d.cutMS(), d.isOwn)
+// closeOwn ends the node's own holdings, as it is leaving, and gives each slot to
+// the one of the heirs that holds the least. Were the slots left free until the
+// others claim them, an outage of the platform in between would leave their keys
+// without an owner.
+func (d *draft) closeOwn(heirs []Node) {
+	closed := d.closeLast(d.cutMS(), d.isOwn)
+	shares := d.sharesOf(heirs)
+	if len(shares) == 0 {
+		return
+	}
+	for _, i := range closed {
+		least := leastShare(shares)
+		shares[least].slots++
+		d.give(i, shares[least].node)
+	}
 }
 
-// closeLast ends the last holdings that match at closeMS, and removes those
-// that would begin only then.
-func (d *draft) closeLast(closeMS int64, match func(Holding) bool) {
+// give appends a holding of the node that begins where the slot's last one ends.
+// The mint times in between belonged to nobody, so that no key waits for an owner
+// for ever.
+func (d *draft) give(i int, node Node) {
+	slot := &d.plan.Slots[i]
+	fromMS := d.nowMS
+	if last, ok := slot.last(); ok {
+		fromMS = last.UntilMS
+	}
+	slot.Holdings = append(slot.Holdings, d.holding(node, fromMS))
+	d.changed = true
+}
+
+// closeLast ends the last holdings that match at closeMS, removes those that
+// would begin only then, and returns the slots in which it did so.
+func (d *draft) closeLast(closeMS int64, match func(Holding) bool) (closed []int) {
 	for i := range d.plan.Slots {
-		slot := &d.plan.Slots[i]
-		for {
-			last, ok := slot.last()
-			if !ok || last.UntilMS <= closeMS || !match(last) {
-				break
-			}
-			d.changed = true
-			if last.FromMS < closeMS {
-				slot.Holdings[len(slot.Holdings)-1].UntilMS = closeMS
-				break
-			}
-			slot.Holdings = slot.Holdings[:len(slot.Holdings)-1]
+		if d.closeSlot(&d.plan.Slots[i], closeMS, match) {
+			closed = append(closed, i)
 		}
 	}
+	d.changed = d.changed || len(closed) > 0
+	return closed
+}
+
+func (d *draft) closeSlot(slot *Slot, closeMS int64, match func(Holding) bool) bool {
+	closed := false
+	for {
+		last, ok := slot.last()
+		if !ok || last.UntilMS <= closeMS || !match(last) {
+			return closed
+		}
+		closed = true
+		if last.FromMS < closeMS {
+			slot.Holdings[len(slot.Holdings)-1].UntilMS = closeMS
+			return closed
+		}
+		slot.Holdings = slot.Holdings[:len(slot.Holdings)-1]
+	}
 }
 
 // renew extends all of the node's holdings once one of them is due.
@@ -203,8 +236,7 @@
 			continue
 		}
 		last.UntilMS = d.cutMS()
-		slot.Holdings = append(slot.Holdings, d.holding(next, d.cutMS()))
-		d.changed = true
+		d.give(i, next)
 	}
 }
 
@@ -248,20 +280,13 @@
 	}
 }
 
-// take appends a holding that begins where the last one ends. The mint times in
-// between belonged to nobody, so that no key waits for an owner for ever.
+// take makes a free slot this node's.
 func (d *draft) take(i int) {
-	slot := &d.plan.Slots[i]
-	fromMS := d.nowMS
-	if last, ok := slot.last(); ok {
-		if d.isOwn(last) {
-			d.extend(i)
-			return
-		}
-		fromMS = last.UntilMS
+	if last, ok := d.plan.Slots[i].last(); ok && d.isOwn(last) {
+		d.extend(i)
+		return
 	}
-	slot.Holdings = append(slot.Holdings, d.holding(d.self, fromMS))
-	d.changed = true
+	d.give(i, d.self)
 }
 
 func (d *draft) extend(i int) {
@@ -303,14 +328,18 @@
 
 // shares counts the slots of each living node that are not free.
 func (d *draft) shares() []share {
+	return d.sharesOf(d.living)
+}
+
+func (d *draft) sharesOf(nodes []Node) []share {
 	held := make(map[string]int)
 	for _, slot := range d.plan.Slots {
 		if last, ok := slot.last(); ok && !d.isFree(slot) && last.Records == "" {
 			held[last.Incarnation]++
 		}
 	}
-	shares := make([]share, 0, len(d.living))
-	for _, node := range d.living {
+	shares := make([]share, 0, len(nodes))
+	for _, node := range nodes {
 		shares = append(shares, share{node, held[node.Incarnation]})
 	}
 	return shares
