Split the ledger and the view by what they decide

Functions are moved unchanged: record.go and handover.go from ledger.go, presence.go and spread.go from member.go.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,12 +6,8 @@
 package member
 
 import (
-	"math/bits"
 	"slices"
-	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -177,172 +173,6 @@
 	return members
 }
 
-// Deltas returns the rows that one message should carry: those that changed
-// lately, each for a number of messages of about twice the logarithm of the
-// number of members, after which nearly all have it. The rest is found by the
-// hash.
-func (v *View) Deltas(_ time.Time) []Member {
-	var due []*entry
-	for _, e := range v.entries {
-		if e.sends > 0 {
-			due = append(due, e)
-		}
-	}
-	slices.SortFunc(due, func(a, b *entry) int {
-		if a.sends != b.sends {
-			return b.sends - a.sends
-		}
-		return strings.Compare(a.row.Name, b.row.Name)
-	})
-	due = due[:min(len(due), deltaRows)]
-	rows := make([]Member, len(due))
-	for i, e := range due {
-		e.sends--
-		rows[i] = e.row
-	}
-	return rows
-}
-
-// Full returns every row that another node may lack.
-func (v *View) Full(now time.Time) []Member {
-	rows := make([]Member, 0, len(v.entries))
-	for _, e := range v.entries {
-		if e.row.State != Gone || now.Sub(e.gone) < goneSent {
-			rows = append(rows, e.row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	return rows
-}
-
-// Hash returns a hash over the rows that are not gone. It does not depend on
-// their order: it is the sum of the rows' own hashes.
-func (v *View) Hash() uint64 {
-	return v.hash
-}
-
-// HashRows returns the hash of a view that holds just these rows.
-func HashRows(rows []Member) uint64 {
-	var sum uint64
-	for i := range rows {
-		sum += hashRow(rows[i])
-	}
-	return sum
-}
-
-// Heard notes a sign of life from the member at a relay address, where the
-// revision is in force, and returns whether that ended a lapse. Of several
-// names at the address, as when a host was replaced, the last started is meant.
-func (v *View) Heard(now time.Time, relayAddress string, revision int64) bool {
-	var heard *entry
-	for name, e := range v.entries {
-		if e.row.RelayAddress != relayAddress || e.row.State == Gone || name == v.name {
-			continue
-		}
-		if heard == nil || e.row.StartedMS > heard.row.StartedMS {
-			heard = e
-		}
-	}
-	if heard == nil {
-		return false
-	}
-	heard.row.Revision = max(heard.row.Revision, revision)
-	return v.renew(now, heard)
-}
-
-// Renewed notes that the member's lease row was written at a version of the
-// platform, and returns whether that ended a lapse.
-func (v *View) Renewed(now time.Time, row Member, version int64) bool {
-	e := v.entries[row.Name]
-	if e == nil || e.row.Incarnation != row.Incarnation || version <= e.table {
-		return false
-	}
-	e.table = version
-	return v.renew(now, e)
-}
-
-// Deleted notes that the member's lease row was deleted at a version of the
-// platform. A member that was leaving or had lapsed is gone by it; any other
-// writes its row again.
-func (v *View) Deleted(now time.Time, name string, version int64) (Member, bool) {
-	e := v.entries[name]
-	if e == nil || name == v.name || version <= e.table || e.row.State == Gone {
-		return Member{}, false
-	}
-	if e.row.State != Leaving && e.lapsed.IsZero() {
-		return Member{}, false
-	}
-	row := e.row
-	row.State = Gone
-	v.put(now, row)
-	return row, true
-}
-
-// PlatformUp notes that the platform's table was read. Leases are judged only
-// once it has been up for LeaseDuration, so that everyone had time to renew.
-func (v *View) PlatformUp(now time.Time) {
-	if v.leasesFrom.IsZero() {
-		v.leasesFrom = now.Add(LeaseDuration)
-	}
-}
-
-// PlatformDown notes that the platform's table could not be read. From then on
-// no lease runs out: nobody can renew, and a view that is kept whole serves
-// better than none. Calls show which targets are dead.
-func (v *View) PlatformDown() {
-	v.leasesFrom = time.Time{}
-}
-
-// Lapse returns the members whose leases have run out since the last time.
-func (v *View) Lapse(now time.Time) []Member {
-	var lapsed []Member
-	judged := !v.leasesFrom.IsZero() && !now.Before(v.leasesFrom)
-	for name, e := range v.entries {
-		switch {
-		case name == v.name:
-		case e.row.State == Gone:
-			if now.Sub(e.gone) >= goneKept {
-				delete(v.entries, name)
-			}
-		case judged && e.lapsed.IsZero() && now.Sub(e.heard) >= LeaseDuration:
-			e.lapsed = now
-			v.alter()
-			lapsed = append(lapsed, e.row)
-		}
-	}
-	return lapsed
-}
-
-// Lapsed returns the members whose leases have run out, by name. They are
-// asked now and then, since a node that starts again on the same address
-// while the platform is down knows nobody and must be found.
-func (v *View) Lapsed() []Member {
-	var rows []Member
-	for _, e := range v.entries {
-		if !e.lapsed.IsZero() && e.row.State != Gone {
-			rows = append(rows, e.row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	return rows
-}
-
-// Expired returns a lapsed member whose lease row should be deleted from the
-// table, and the version at which to delete it. Only the node with the first
-// name does so, which keeps 530 nodes from writing the same.
-func (v *View) Expired(now time.Time) (Member, int64, bool) {
-	if names := v.names(); len(names) == 0 || names[0] != v.name {
-		return Member{}, 0, false
-	}
-	for _, row := range v.Lapsed() {
-		e := v.entries[row.Name]
-		if e.table > 0 && now.Sub(e.lapsed) >= lapsedKept {
-			return row, e.table, true
-		}
-	}
-	return Member{}, 0, false
-}
-
 // Settle ends the start of the node. Until then, a later row of its own name
 // is taken for a former incarnation whose clock was ahead, and the node moves
 // its start behind it; from then on it is a later incarnation.
@@ -359,12 +189,6 @@
 	return *v.superseded, true
 }
 
-// Rounds returns the number of messages that carry a changed row among n
-// members.
-func Rounds(n int) int {
-	return 2 * max(2, bits.Len(uint(n)))
-}
-
 func (v *View) mergeOwn(now time.Time, row Member) {
 	self := v.Self()
 	if !newer(row, self) {
@@ -407,16 +231,6 @@
 	v.alter()
 }
 
-func (v *View) renew(now time.Time, e *entry) bool {
-	ended := !e.lapsed.IsZero()
-	e.heard = now
-	e.lapsed = time.Time{}
-	if ended {
-		v.alter()
-	}
-	return ended
-}
-
 func (v *View) alter() {
 	v.dirty = true
 	v.edition++
@@ -436,35 +250,3 @@
 	slices.Sort(v.present)
 	return v.present
 }
-
-// newer orders the rows of one name. The incarnation decides between equal
-// starts, and the state between equal versions, so that any two rows have the
-// same winner everywhere.
-func newer(a, b Member) bool {
-	switch {
-	case a.StartedMS != b.StartedMS:
-		return a.StartedMS > b.StartedMS
-	case a.Incarnation != b.Incarnation:
-		return a.Incarnation > b.Incarnation
-	case a.Version != b.Version:
-		return a.Version > b.Version
-	}
-	return a.State > b.State
-}
-
-// hashRow hashes what tells two rows of a name apart; a Gone row counts as
-// absent.
-func hashRow(row Member) uint64 {
-	if row.State == Gone {
-		return 0
-	}
-	var key [128]byte
-	text := append(key[:0], row.Name...)
-	text = append(text, 0)
-	text = append(text, row.Incarnation...)
-	text = append(text, 0, byte(row.State))
-	for shift := 0; shift < 64; shift += 8 {
-		text = append(text, byte(row.Version>>shift), byte(row.StartedMS>>shift))
-	}
-	return xxhash.Sum64(text)
-}
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -63,21 +63,6 @@
 		stats  Stats
 	}
 
-	minute[A any] struct {
-		records     map[uuid.UUID]*record[A]
-		answerBytes int64
-	}
-
-	record[A any] struct {
-		state       recordState
-		kind        string
-		requestHash uint64
-		answer      A
-		size        int64
-	}
-
-	recordState uint8
-
 	// promise is what the ledger has to remember of one slot.
 	promise struct {
 		// highestMS is the newest mint time that was accepted.
@@ -100,18 +85,6 @@
 	Refuse
 )
 
-const (
-	running recordState = iota
-	done
-	unknown
-)
-
-const (
-	// recordBytes is the memory of one record without its answer.
-	recordBytes = 192
-	minuteMS    = int64(time.Minute / time.Millisecond)
-)
-
 // NewLedger returns an empty ledger whose records take up to maxBytes.
 func NewLedger[A any](self Node, rules Rules, maxBytes int64) *Ledger[A] {
 	return &Ledger[A]{
@@ -212,104 +185,6 @@
 	return Run, none, 0
 }
 
-// Finish records the answer, of size bytes, of a key that ran to an end.
-func (l *Ledger[A]) Finish(now time.Time, k Key, answer A, size int) {
-	l.advance(now)
-	m, r := l.open(k)
-	if r == nil || r.state == done {
-		return
-	}
-	if !l.makeRoom(int64(size)) {
-		r.state = unknown
-		l.stats.Dropped++
-		return
-	}
-	r.state = done
-	r.answer = answer
-	r.size = int64(size)
-	m.answerBytes += r.size
-	l.answerBytes += r.size
-}
-
-// Lost records that the key ran or may have run, with an unknown outcome. It
-// never runs again.
-func (l *Ledger[A]) Lost(now time.Time, k Key) {
-	l.advance(now)
-	if _, r := l.open(k); r != nil && r.state == running {
-		r.state = unknown
-	}
-}
-
-// Abandon drops the record of a key that provably did not run. It may run again.
-func (l *Ledger[A]) Abandon(now time.Time, k Key) {
-	l.advance(now)
-	m, r := l.open(k)
-	if r == nil || r.state != running {
-		return
-	}
-	id, _ := uuid.Parse(k.Text)
-	delete(m.records, id)
-	l.records--
-}
-
-// Forget drops the records of keys that are too old to be accepted anywhere.
-// The margins cover a successor's clock that is behind this one.
-func (l *Ledger[A]) Forget(now time.Time) {
-	now = l.advance(now)
-	oldestMS := now.Add(-l.rules.KeyAge - 2*l.rules.Margin).UnixMilli()
-	for number, m := range l.minutes {
-		if (number+1)*minuteMS > oldestMS {
-			continue
-		}
-		l.records -= len(m.records)
-		l.answerBytes -= m.answerBytes
-		delete(l.minutes, number)
-	}
-}
-
-// Export closes the ledger and returns its records for a handover. Fresh keys
-// are refused from then on, while repeats are still answered. A key that is
-// still running is exported as unknown.
-func (l *Ledger[A]) Export() []Record[A] {
-	l.closed = true
-	records := make([]Record[A], 0, l.records)
-	for _, m := range l.minutes {
-		for id, r := range m.records {
-			records = append(records, Record[A]{
-				Key:         keyOf(id),
-				Kind:        r.kind,
-				RequestHash: r.requestHash,
-				Unknown:     r.state != done,
-				Answer:      r.answer,
-				Size:        int(r.size),
-			})
-		}
-	}
-	return records
-}
-
-// Import takes in records of the ledger of another incarnation. It returns
-// false when this ledger is itself closed, or is the one that the records come
-// from. The keys that from never saw may run here once a plan names this
-// incarnation as the keeper of its records.
-func (l *Ledger[A]) Import(from string, records []Record[A]) bool {
-	if l.closed || from == l.self.Incarnation {
-		return false
-	}
-	for _, imported := range records {
-		l.importOne(imported)
-	}
-	return true
-}
-
-// Stats returns the ledger's gauges and counters.
-func (l *Ledger[A]) Stats() Stats {
-	stats := l.stats
-	stats.Records = l.records
-	stats.Bytes = l.bytes()
-	return stats
-}
-
 // refusal returns why a key without a record doesn't run here, or 0.
 func (l *Ledger[A]) refusal(now time.Time, k Key) result.Code {
 	if k.Minted.After(now.Add(2 * l.rules.Margin)) {
@@ -364,25 +239,6 @@
 	return cut, true
 }
 
-func (l *Ledger[A]) importOne(imported Record[A]) {
-	id, err := uuid.Parse(imported.Key.Text)
-	if err != nil {
-		return
-	}
-	if r := l.find(id, imported.Key); r == nil {
-		// The record goes in above the bound too: without it the key could
-		// run again.
-		l.insert(id, imported.Key, &record[A]{
-			state:       unknown,
-			kind:        imported.Kind,
-			requestHash: imported.RequestHash,
-		})
-	}
-	if !imported.Unknown {
-		l.Finish(l.latest, imported.Key, imported.Answer, imported.Size)
-	}
-}
-
 func (l *Ledger[A]) advance(now time.Time) time.Time {
 	if now.After(l.latest) {
 		l.latest = now
@@ -396,89 +252,6 @@
 	}
 }
 
-func (l *Ledger[A]) find(id uuid.UUID, k Key) *record[A] {
-	m, ok := l.minutes[minuteOf(k)]
-	if !ok {
-		return nil
-	}
-	return m.records[id]
-}
-
-// open returns the key's record and its minute, or nil.
-func (l *Ledger[A]) open(k Key) (*minute[A], *record[A]) {
-	id, err := uuid.Parse(k.Text)
-	if err != nil {
-		return nil, nil
-	}
-	return l.minutes[minuteOf(k)], l.find(id, k)
-}
-
-func (l *Ledger[A]) insert(id uuid.UUID, k Key, r *record[A]) {
-	number := minuteOf(k)
-	m, ok := l.minutes[number]
-	if !ok {
-		m = &minute[A]{records: make(map[uuid.UUID]*record[A])}
-		l.minutes[number] = m
-	}
-	m.records[id] = r
-	l.records++
-}
-
-func (l *Ledger[A]) bytes() int64 {
-	return int64(l.records)*recordBytes + l.answerBytes
-}
-
-// makeRoom drops the answers of the oldest minutes until need more bytes fit,
-// and says whether they do. A repeat of a key whose answer was dropped gets an
-// unknown result; refusing new keys for as long as KeyAge would cost more.
-func (l *Ledger[A]) makeRoom(need int64) bool {
-	if int64(l.records)*recordBytes+need > l.maxBytes {
-		return false
-	}
-	for l.bytes()+need > l.maxBytes {
-		l.dropOldestAnswers()
-	}
-	return true
-}
-
-func (l *Ledger[A]) dropOldestAnswers() {
-	var oldest *minute[A]
-	oldestNumber := int64(0)
-	for number, m := range l.minutes {
-		if m.answerBytes > 0 && (oldest == nil || number < oldestNumber) {
-			oldest = m
-			oldestNumber = number
-		}
-	}
-	var none A
-	for _, r := range oldest.records {
-		if r.size > 0 {
-			r.state = unknown
-			r.answer = none
-			r.size = 0
-			l.stats.Dropped++
-		}
-	}
-	l.answerBytes -= oldest.answerBytes
-	oldest.answerBytes = 0
-}
-
-// decide answers a key that is on record.
-func (r *record[A]) decide(kind string, requestHash uint64) (Verdict, A, result.Code) {
-	var none A
-	if r.kind != kind || r.requestHash != requestHash {
-		return Refuse, none, result.KeyReused
-	}
-	switch r.state {
-	case running:
-		return Running, none, result.RunningStill
-	case done:
-		return Done, r.answer, result.Replayed
-	default:
-		return Refuse, none, result.Lost
-	}
-}
-
 // lowest returns the lower of two times of which 0 stands for none.
 func lowest(a, b int64) int64 {
 	if a == 0 || b == 0 {
@@ -486,7 +259,3 @@
 	}
 	return min(a, b)
 }
-
-func minuteOf(k Key) int64 {
-	return k.Minted.UnixMilli() / minuteMS
-}
