Let the platform's door delete and list objects

A delete of an absent object counts as done, so that one whose answer was lost may be sent again. A listing gives the first names with a prefix, so that its reader can bound it. Ruled out: a listing of everything, which grows with the backlog that it is there to end.

Seen: internal/plat and the client against the stand-in pass with -race.

--- a/internal/lab/platform.go
+++ b/internal/lab/platform.go
@@ -47,6 +47,12 @@
 		}
 		_, _ = w.Write(data) // the reader sees a short body
 	})
+	mux.HandleFunc("DELETE /objects/{name}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, struct{}{}, store.DeleteObject(r.Context(), r.PathValue("name")))
+	})
+	mux.HandleFunc("GET /objects", func(w http.ResponseWriter, r *http.Request) {
+		listObjects(w, r, store)
+	})
 	mux.HandleFunc("POST /-/faults", func(w http.ResponseWriter, r *http.Request) {
 		setFaults(w, r, m)
 	})
@@ -69,6 +75,18 @@
 	}{rows, version}, err)
 }
 
+func listObjects(w http.ResponseWriter, r *http.Request, store plat.Store) {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 0 {
+		http.Error(w, "limit must be a whole number from 0", http.StatusBadRequest)
+		return
+	}
+	names, err := store.ListObjects(r.Context(), r.URL.Query().Get("prefix"), limit)
+	writeJSON(w, struct {
+		Names []string `json:"names"`
+	}{names}, err)
+}
+
 func commitWrite(w http.ResponseWriter, r *http.Request, store plat.Store) {
 	var write plat.Write
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPlatformBody)).Decode(&write); err != nil {
--- a/internal/lab/platform_test.go
+++ b/internal/lab/platform_test.go
@@ -44,6 +44,17 @@
 	data, err := store.GetObject(ctx, "o")
 	is.NoErr(err)
 	is.Equal(string(data), "data")
+	is.NoErr(store.PutObject(ctx, "p/2", []byte("two")))
+	is.NoErr(store.PutObject(ctx, "p/1", []byte("one")))
+	for _, door := range []plat.Store{store, memory.Store()} {
+		names, err := door.ListObjects(ctx, "p/", 1)
+		is.NoErr(err)
+		is.Equal(names, []string{"p/1"}) // the first in order, no more than asked for
+		is.NoErr(door.DeleteObject(ctx, "o"))
+		is.NoErr(door.DeleteObject(ctx, "o")) // absent is deleted
+		_, err = door.GetObject(ctx, "o")
+		is.True(errorx.IsOfType(err, plat.NotFound))
+	}
 
 	resp, err := http.Post(server.URL+"/-/faults", "application/json", strings.NewReader(`{"lose_answers":1}`))
 	is.NoErr(err)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -45,6 +45,16 @@
 			note(err)
 			return data, err
 		},
+		DeleteObject: func(ctx context.Context, name string) error {
+			err := store.DeleteObject(ctx, name)
+			note(err)
+			return err
+		},
+		ListObjects: func(ctx context.Context, prefix string, limit int) ([]string, error) {
+			names, err := store.ListObjects(ctx, prefix, limit)
+			note(err)
+			return names, err
+		},
 	}
 }
 
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/time/rate"
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
@@ -94,11 +95,13 @@
 		writes:  rate.NewLimiter(rate.Limit(limits.WritesPerSecond), limits.WriteBurst),
 	}
 	return Store{
-		Get:       c.get,
-		List:      c.list,
-		Commit:    c.commit,
-		PutObject: c.putObject,
-		GetObject: c.getObject,
+		Get:          c.get,
+		List:         c.list,
+		Commit:       c.commit,
+		PutObject:    c.putObject,
+		GetObject:    c.getObject,
+		DeleteObject: c.deleteObject,
+		ListObjects:  c.listObjects,
 	}
 }
 
@@ -174,6 +177,24 @@
 	return c.do(ctx, request{method: http.MethodGet, path: "/objects/" + url.PathEscape(name)})
 }
 
+func (c *client) deleteObject(ctx context.Context, name string) error {
+	path := "/objects/" + url.PathEscape(name)
+	_, err := c.do(ctx, request{method: http.MethodDelete, path: path, write: true})
+	if errorx.IsOfType(err, NotFound) {
+		return nil
+	}
+	return err
+}
+
+func (c *client) listObjects(ctx context.Context, prefix string, limit int) ([]string, error) {
+	var listing struct {
+		Names []string `json:"names"`
+	}
+	query := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(limit)}}
+	err := c.doJSON(ctx, request{method: http.MethodGet, path: "/objects?" + query.Encode()}, &listing)
+	return listing.Names, err
+}
+
 func (c *client) doJSON(ctx context.Context, r request, answer any) error {
 	body, err := c.do(ctx, r)
 	if err != nil {
--- a/internal/plat/memory.go
+++ b/internal/plat/memory.go
@@ -30,10 +30,12 @@
 		Random func() float64
 	}
 
-	// Stats counts the operations that reached a Memory.
+	// Stats counts the operations that reached a Memory, and what it holds.
 	Stats struct {
-		Reads  int64 `json:"reads"`
-		Writes int64 `json:"writes"`
+		Reads       int64 `json:"reads"`
+		Writes      int64 `json:"writes"`
+		Objects     int64 `json:"objects"`
+		ObjectBytes int64 `json:"object_bytes"`
 	}
 
 	// Memory is a platform in memory: a table service and an object store
@@ -66,11 +68,13 @@
 // Store returns the door to the platform.
 func (m *Memory) Store() Store {
 	return Store{
-		Get:       m.get,
-		List:      m.list,
-		Commit:    m.commit,
-		PutObject: m.putObject,
-		GetObject: m.getObject,
+		Get:          m.get,
+		List:         m.list,
+		Commit:       m.commit,
+		PutObject:    m.putObject,
+		GetObject:    m.getObject,
+		DeleteObject: m.deleteObject,
+		ListObjects:  m.listObjects,
 	}
 }
 
@@ -84,11 +88,16 @@
 	m.faults = faults
 }
 
-// Stats returns how many reads and writes have arrived.
+// Stats returns how many reads and writes have arrived, and the objects held.
 func (m *Memory) Stats() Stats {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stats
+	stats := m.stats
+	stats.Objects = int64(len(m.objects))
+	for _, data := range m.objects {
+		stats.ObjectBytes += int64(len(data))
+	}
+	return stats
 }
 
 func (m *Memory) get(ctx context.Context, table, key string) (Row, error) {
@@ -160,6 +169,33 @@
 	return slices.Clone(data), nil
 }
 
+func (m *Memory) deleteObject(ctx context.Context, name string) error {
+	if err := m.enter(ctx, false); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	delete(m.objects, name)
+	if m.losesAnswer() {
+		return Unavailable.New("the answer of deleting object %s was lost", name)
+	}
+	return nil
+}
+
+func (m *Memory) listObjects(ctx context.Context, prefix string, limit int) ([]string, error) {
+	if err := m.enter(ctx, true); err != nil {
+		return nil, err
+	}
+	defer m.mu.Unlock()
+	names := []string{}
+	for name := range m.objects {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names[:min(len(names), limit)], nil
+}
+
 // enter counts and delays an operation, and returns with the lock held unless
 // it returns an error.
 func (m *Memory) enter(ctx context.Context, read bool) error {
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -48,6 +48,12 @@
 	Commit    func(ctx context.Context, write Write) (int64, error)
 	PutObject func(ctx context.Context, name string, data []byte) error
 	GetObject func(ctx context.Context, name string) ([]byte, error)
+	// DeleteObject makes an object absent. One that is absent already counts as
+	// deleted, so a delete whose answer was lost may be sent again.
+	DeleteObject func(ctx context.Context, name string) error
+	// ListObjects returns the first names with the prefix in the order of their
+	// bytes, limit at most.
+	ListObjects func(ctx context.Context, prefix string, limit int) ([]string, error)
 }
 
 var (
