Keep the latest revisions and remove older ones

Cause: the document of every accepted revision stayed in the platform, and nobody could go back to one: its digest was named in a row for 64 revisions, but no command read it.

Each revision now has an object of its own, named by its number and digest. Ruled out: names by digest alone, as before. A delete would then have to be agreed on with every commit, since the same document may come back while the delete is on its way; a late delete would take the object of a revision in force. A number below the head's is never accepted again, so an object below the mark (row config/cleaned, raised before the first delete) can go at any time, by any number of nodes, however late. A rollback copies the document under the new number; that costs its bytes once more.

--- /dev/null
+++ b/internal/config/clean_test.go
@@ -0,0 +1,350 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/internal/config"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+const (
+	// grace is the time for which a replaced revision has to stay.
+	grace = time.Hour
+	// turn is longer than a node lets pass between two turns of cleaning.
+	turn = time.Hour
+	// kept is how many revisions the documents of these tests keep.
+	kept = 2
+)
+
+// jumpClock moves to the end of every wait.
+type jumpClock struct{ now time.Time }
+
+func (c *jumpClock) Now() time.Time { return c.now }
+
+func (c *jumpClock) After(d time.Duration) <-chan time.Time {
+	c.now = c.now.Add(d)
+	fired := make(chan time.Time, 1)
+	fired <- c.now
+	return fired
+}
+
+// keeper is a node of the name under the clock, whose documents keep few.
+func keeper(name string, store plat.Store, clk *jumpClock) *config.Controller {
+	parseKept := func(document []byte) (*schema.Set, error) {
+		limits := schema.Limits{KeptRevisions: kept}
+		if string(document) == "keep all" {
+			limits.KeptRevisions = math.MaxInt
+		}
+		return &schema.Set{Limits: limits}, nil
+	}
+	c := config.New(store, parseKept, clk, hclog.NewNullLogger())
+	c.Name = name
+	c.Random = func() float64 { return 0 }
+	return c
+}
+
+// commitMany accepts documents d1, d2 and so on, one in each step of time.
+func commitMany(is *is.I, c *config.Controller, clk *jumpClock, count int, step time.Duration) {
+	is.Helper()
+	for range count {
+		number := c.Number()
+		_, err := c.Commit(context.Background(), fmt.Appendf(nil, "d%d", number+1), number)
+		is.NoErr(err)
+		clk.now = clk.now.Add(step)
+	}
+}
+
+func newClock() *jumpClock {
+	return &jumpClock{now: time.Unix(1_800_000_000, 0)}
+}
+
+// TestSlowNodeStillFetches lets a node read the head row and stop there, while
+// others go on and clean for all but the grace time.
+func TestSlowNodeStillFetches(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clk := newClock()
+	memory := plat.NewMemory()
+	other := keeper("other", memory.Store(), clk)
+	commitMany(is, other, clk, 1, 2*grace)
+
+	store := memory.Store()
+	get := store.GetObject
+	store.GetObject = func(ctx context.Context, name string) ([]byte, error) {
+		commitMany(is, other, clk, 2*kept, 0)
+		clk.now = clk.now.Add(grace - time.Minute)
+		is.NoErr(other.Clean(ctx))
+		return get(ctx, name)
+	}
+	slow := keeper("slow", store, clk)
+	is.NoErr(slow.Poll(ctx))
+	is.Equal(slow.Number(), int64(1))
+	clk.now = clk.now.Add(turn)
+	is.NoErr(other.Clean(ctx))
+	is.Equal(memory.Stats().Objects, int64(kept)) // and after the grace it goes
+}
+
+// TestSharedDocumentStays rolls back to the oldest kept revision, whose own
+// object then goes.
+func TestSharedDocumentStays(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clk := newClock()
+	memory := plat.NewMemory()
+	c := keeper("a", memory.Store(), clk)
+	commitMany(is, c, clk, 2, 2*grace)
+	restored, err := c.Rollback(ctx, 1, 2)
+	is.NoErr(err)
+	is.Equal(restored.Number, int64(3)) // a new number, never a lower one
+	clk.now = clk.now.Add(2 * grace)
+	is.NoErr(c.Clean(ctx))
+	_, err = c.Load(ctx, 1)
+	is.True(errorx.IsOfType(err, config.NotKept))
+	booted := keeper("b", memory.Store(), clk)
+	is.NoErr(booted.Poll(ctx))
+	is.Equal(string(booted.Current().Document), "d1")
+	entries, err := booted.History(ctx)
+	is.NoErr(err)
+	is.Equal(len(entries), kept)
+	is.Equal(entries[0].Restores, int64(1))
+	is.Equal(entries[0].Node, "a")
+}
+
+// TestRollbackRacesDeletion cleans at each operation of a rollback to a
+// revision that is due to go. Wherever the cleaning comes, the rollback either
+// is whole, for a node that boots from the platform as well, or changes nothing.
+func TestRollbackRacesDeletion(t *testing.T) {
+	outcomes := map[bool]int{}
+	for at := range 12 {
+		is := is.New(t)
+		ctx := context.Background()
+		clk := newClock()
+		memory := plat.NewMemory()
+		cleaner := keeper("cleaner", memory.Store(), clk)
+		commitMany(is, cleaner, clk, kept, 0)
+		commitMany(is, cleaner, clk, 1, 2*grace)
+		operations := 0
+		step := func() {
+			if operations == at {
+				is.NoErr(cleaner.Clean(ctx))
+			}
+			operations++
+		}
+		operator := keeper("operator", stepped(memory.Store(), step), clk)
+		restored, err := operator.Rollback(ctx, 1, kept+1)
+		late := errorx.IsOfType(err, config.NotKept)
+		is.True(err == nil || late)
+		outcomes[late]++
+		clk.now = clk.now.Add(2 * turn)
+		booted := keeper("booted", memory.Store(), clk)
+		is.NoErr(booted.Poll(ctx))
+		is.NoErr(booted.Clean(ctx))
+		is.NoErr(keeper("again", memory.Store(), clk).Poll(ctx)) // still there
+		if late {
+			is.Equal(booted.Number(), int64(kept+1))
+			continue
+		}
+		is.Equal(booted.Number(), restored.Number)
+		is.Equal(string(booted.Current().Document), "d1")
+	}
+	is.New(t).True(outcomes[true] > 0 && outcomes[false] > 0) // both were met
+}
+
+// stepped calls step before every operation.
+func stepped(store plat.Store, step func()) plat.Store {
+	get, commit, put, object := store.Get, store.Commit, store.PutObject, store.GetObject
+	store.Get = func(ctx context.Context, table, key string) (plat.Row, error) {
+		step()
+		return get(ctx, table, key)
+	}
+	store.Commit = func(ctx context.Context, write plat.Write) (int64, error) {
+		step()
+		return commit(ctx, write)
+	}
+	store.PutObject = func(ctx context.Context, name string, data []byte) error {
+		step()
+		return put(ctx, name, data)
+	}
+	store.GetObject = func(ctx context.Context, name string) ([]byte, error) {
+		step()
+		return object(ctx, name)
+	}
+	return store
+}
+
+// TestRepeatedRollbackIsAcceptedOnce repeats a rollback whose answer was lost
+// after the revision that it went back to has gone.
+func TestRepeatedRollbackIsAcceptedOnce(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clk := newClock()
+	memory := plat.NewMemory()
+	c := keeper("a", memory.Store(), clk)
+	commitMany(is, c, clk, kept, 2*grace)
+	first, err := c.Rollback(ctx, 1, kept)
+	is.NoErr(err)
+	clk.now = clk.now.Add(2 * grace)
+	is.NoErr(c.Clean(ctx))
+	again, err := c.Rollback(ctx, 1, kept)
+	is.NoErr(err)
+	is.Equal(again.Number, first.Number)
+	is.Equal(c.Number(), first.Number)
+	_, err = c.Rollback(ctx, kept, kept) // of another operator, who expected the same
+	is.True(errorx.IsOfType(err, config.Conflict))
+}
+
+// TestOneNodeCleansAtATime lets two nodes clean at once: one has the turn. A
+// turn that was cut off by a restart is finished by another node.
+func TestOneNodeCleansAtATime(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	memory := plat.NewMemory()
+	store := memory.Store()
+	ctx, restart := context.WithCancel(context.Background())
+	deletes := 0
+	deleteObject := store.DeleteObject
+	second := keeper("second", memory.Store(), clk)
+	store.DeleteObject = func(ctx context.Context, name string) error {
+		deletes++
+		is.NoErr(second.Clean(context.Background())) // not its turn
+		if deletes == 2 {
+			restart()
+		}
+		return deleteObject(ctx, name)
+	}
+	first := keeper("first", store, clk)
+	commitMany(is, first, clk, 8, 2*grace)
+	is.NoErr(second.Poll(context.Background()))
+	is.True(first.Clean(ctx) != nil)
+	is.Equal(memory.Stats().Objects, int64(8-1)) // the second delete was cut off
+	clk.now = clk.now.Add(turn)
+	is.NoErr(second.Clean(context.Background()))
+	is.Equal(memory.Stats().Objects, int64(kept))
+}
+
+// TestLaggingNodeDoesNotClean: it does not know yet that all are kept from now on.
+func TestLaggingNodeDoesNotClean(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clk := newClock()
+	memory := plat.NewMemory()
+	c := keeper("a", memory.Store(), clk)
+	commitMany(is, c, clk, 5, 2*grace)
+	lagging := keeper("lagging", memory.Store(), clk)
+	is.NoErr(lagging.Poll(ctx))
+	_, err := c.Commit(ctx, []byte("keep all"), 5)
+	is.NoErr(err)
+	is.NoErr(lagging.Clean(ctx))
+	is.NoErr(c.Clean(ctx))
+	is.Equal(memory.Stats().Objects, int64(6))
+}
+
+// TestHistoryHoldsWhatIsNeeded: 64 heads for writers whose answers were lost,
+// and more only while they are fresh.
+func TestHistoryHoldsWhatIsNeeded(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	c := keeper("a", plat.NewMemory().Store(), clk)
+	for _, phase := range []struct {
+		step time.Duration
+		want int
+	}{{time.Second, 90}, {2 * grace, 64}} {
+		commitMany(is, c, clk, 90, phase.step)
+		entries, err := c.History(context.Background())
+		is.NoErr(err)
+		is.Equal(len(entries), phase.want)
+	}
+}
+
+// TestHistoryNeedsThePlatform, but the revision in force does not.
+func TestHistoryNeedsThePlatform(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	memory := plat.NewMemory()
+	c := keeper("a", memory.Store(), newClock())
+	commitMany(is, c, newClock(), 2, 0)
+	memory.SetFaults(plat.Faults{Down: true})
+	_, err := c.History(ctx)
+	is.True(errorx.IsOfType(err, config.Unreachable))
+	_, err = c.Rollback(ctx, 1, 2)
+	is.True(errorx.IsOfType(err, config.Unreachable))
+	current, err := c.Load(ctx, 2)
+	is.NoErr(err)
+	is.Equal(string(current.Document), "d2")
+	memory.SetFaults(plat.Faults{})
+	_, err = c.Load(ctx, 3)
+	is.True(errorx.IsOfType(err, config.NotKept))
+}
+
+// TestKeptRevisionsStay runs operators and cleaners against a platform with
+// lost answers and outages. Every revision that has to stay can be loaded at
+// any time, and once all is well what is left is no more than that.
+func TestKeptRevisionsStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		clk := newClock()
+		memory := plat.NewMemory()
+		observer := keeper("observer", memory.Store(), clk)
+		nodes := []*config.Controller{keeper("a", memory.Store(), clk), keeper("b", memory.Store(), clk)}
+		replaced := []time.Time{} // when revision n+2 replaced revision n+1
+		documents := []string{}
+		random := rapid.Float64Range(0, 1)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			c := nodes[rapid.IntRange(0, 1).Draw(t, "node")]
+			memory.SetFaults(plat.Faults{
+				Down:        rapid.IntRange(0, 9).Draw(t, "down") == 0,
+				LoseAnswers: rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "loses"),
+				Random:      func() float64 { return random.Draw(t, "draw") },
+			})
+			switch rapid.SampledFrom([]string{"commit", "rollback", "clean", "wait"}).Draw(t, "what") {
+			case "commit":
+				_, _ = c.Commit(ctx, fmt.Appendf(nil, "document-%d", step), observer.Number())
+			case "rollback":
+				_, _ = c.Rollback(ctx, rapid.Int64Range(1, 9).Draw(t, "to"), observer.Number())
+			case "clean":
+				clk.now = clk.now.Add(turn)
+				_ = c.Poll(ctx)
+				_ = c.Clean(ctx)
+			case "wait":
+				clk.now = clk.now.Add(rapid.SampledFrom([]time.Duration{time.Minute, grace / 2}).Draw(t, "time"))
+			}
+			memory.SetFaults(plat.Faults{})
+			is.NoErr(observer.Poll(ctx))
+			if observer.Number() > int64(len(documents)) {
+				is.Equal(observer.Number(), int64(len(documents)+1))
+				documents = append(documents, string(observer.Current().Document))
+				replaced = append(replaced, clk.now)
+			}
+			for i, document := range documents {
+				fresh := i+1 < len(replaced) && clk.now.Sub(replaced[i+1]) < grace
+				if i < len(documents)-kept && !fresh {
+					continue
+				}
+				loaded, err := keeper("fresh", memory.Store(), clk).Load(ctx, int64(i+1))
+				is.NoErr(err)
+				is.Equal(string(loaded.Document), document)
+			}
+		}
+		clk.now = clk.now.Add(2 * grace)
+		is.NoErr(observer.Clean(ctx))
+		entries, err := observer.History(ctx)
+		is.NoErr(err)
+		is.Equal(len(entries), min(kept, len(documents)))
+		names, err := memory.Store().ListObjects(ctx, "", math.MaxInt)
+		is.NoErr(err)
+		for _, name := range names {
+			is.True(name >= fmt.Sprintf("revision-%019d", entries[len(entries)-1].Number))
+		}
+	})
+}
--- a/internal/config/commit.go
+++ b/internal/config/commit.go
@@ -10,28 +10,12 @@
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 )
 
-// rememberedHeads is how many former heads the history row names.
-const rememberedHeads = 64
-
-type (
-	// head is the value of the row config/current, and an entry of the row
-	// config/history. A head is known by its number and digest, from which the
-	// id of its write follows.
-	head struct {
-		Number int64  `json:"number"`
-		Digest string `json:"digest"`
-	}
-
-	// history is the value of the row config/history: former heads, the latest
-	// first. It is written in one transaction with the head. Whoever replaces
-	// a head has read it, so a head that was ever in force is found here, and
-	// a writer whose answer was lost learns what became of its write even
-	// after another has overwritten it. It is a row of its own because nodes
-	// poll the head.
-	history struct {
-		Past []head `json:"past"`
-	}
-)
+// head is the value of the row config/current. A head is known by its number
+// and digest, from which the id of its write follows.
+type head struct {
+	Number int64  `json:"number"`
+	Digest string `json:"digest"`
+}
 
 // Commit accepts a document as the revision after the expected one (0 for the
 // first) and brings it into force here. It returns a Revision only if that
@@ -41,6 +25,11 @@
 // operator who sends the same Commit again, because its answer was lost, gets
 // the revision that the first one made.
 func (c *Controller) Commit(ctx context.Context, document []byte, expected int64) (Revision, error) {
+	return c.accept(ctx, document, expected, 0)
+}
+
+// accept is Commit, and notes which revision it restores, if any.
+func (c *Controller) accept(ctx context.Context, document []byte, expected, restores int64) (Revision, error) {
 	accepted := Revision{Number: expected + 1, Digest: Digest(document), Document: document}
 	set, err := c.verify(accepted)
 	if err != nil {
@@ -53,7 +42,7 @@
 	}
 	done, err := c.outcome(ctx, current, accepted)
 	if err == nil && !done {
-		err = c.commitHead(ctx, row, current, accepted)
+		err = c.commitHead(ctx, row, accepted, restores)
 	}
 	if err != nil {
 		return Revision{}, err
@@ -63,11 +52,11 @@
 }
 
 // commitHead puts the object and replaces the head.
-func (c *Controller) commitHead(ctx context.Context, row plat.Row, current head, accepted Revision) error {
+func (c *Controller) commitHead(ctx context.Context, row plat.Row, accepted Revision, restores int64) error {
 	if err := c.putObject(ctx, accepted); err != nil {
 		return Unresolved.Wrap(err, "the document could not be stored; this attempt accepted nothing")
 	}
-	write, err := c.headWrite(ctx, row, current, accepted)
+	write, err := c.headWrite(ctx, row, accepted, restores)
 	if err != nil {
 		return err
 	}
@@ -87,15 +76,12 @@
 	return Unresolved.Wrap(err, "whether revision %d was accepted is not known", accepted.Number)
 }
 
-func (c *Controller) headWrite(ctx context.Context, row plat.Row, current head, accepted Revision) (plat.Write, error) {
+func (c *Controller) headWrite(ctx context.Context, row plat.Row, accepted Revision, restores int64) (plat.Write, error) {
 	past, err := c.readHistory(ctx)
 	if err != nil {
 		return plat.Write{}, Unresolved.Wrap(err, "the history could not be read; this attempt accepted nothing")
 	}
-	if current.Number > 0 {
-		past.Past = append([]head{current}, past.Past...)
-		past.Past = past.Past[:min(len(past.Past), rememberedHeads)]
-	}
+	past = past.with(c.entry(accepted, restores), keptRevisions(accepted.Set), c.clock.Now())
 	currentValue, err := json.Marshal(head{Number: accepted.Number, Digest: accepted.Digest})
 	if err != nil {
 		return plat.Write{}, err
@@ -107,7 +93,7 @@
 	// One transaction writes both rows always, so their versions are equal.
 	return plat.Write{
 		Table: configTable,
-		ID:    writeID("config", accepted.Digest, current.Number),
+		ID:    writeID("config", accepted.Digest, accepted.Number-1),
 		Changes: []plat.Change{
 			{Key: currentKey, Value: currentValue, Expected: row.Version},
 			{Key: historyKey, Value: pastValue, Expected: row.Version},
@@ -130,7 +116,7 @@
 	if err != nil {
 		return false, Unresolved.Wrap(err, "whether revision %d was accepted is not known", wanted.Number)
 	}
-	for _, entry := range append(past.Past, current) {
+	for _, entry := range past.Past {
 		if entry.Number != wanted.Number {
 			continue
 		}
@@ -144,29 +130,18 @@
 
 // putObject stores the document. A lost answer is settled by reading back.
 func (c *Controller) putObject(ctx context.Context, r Revision) error {
-	err := c.store.PutObject(ctx, objectName(r.Digest), r.Document)
+	name := objectName(r.Number, r.Digest)
+	err := c.store.PutObject(ctx, name, r.Document)
 	if err == nil {
 		return nil
 	}
-	stored, readErr := c.store.GetObject(ctx, objectName(r.Digest))
+	stored, readErr := c.store.GetObject(ctx, name)
 	if readErr == nil && Digest(stored) == r.Digest {
 		return nil
 	}
 	return err
 }
 
-func (c *Controller) readHistory(ctx context.Context) (history, error) {
-	var past history
-	row, err := c.store.Get(ctx, configTable, historyKey)
-	if err != nil || row.Version == 0 {
-		return past, err
-	}
-	if err := json.Unmarshal(row.Value, &past); err != nil {
-		return past, Invalid.Wrap(err, "the row %s/%s cannot be read", configTable, historyKey)
-	}
-	return past, nil
-}
-
 func (c *Controller) readHead(ctx context.Context) (plat.Row, head, error) {
 	var current head
 	row, err := c.store.Get(ctx, configTable, currentKey)
@@ -184,10 +159,6 @@
 	return table + "-" + strconv.FormatInt(expected, 10) + "-" + digest
 }
 
-func objectName(digest string) string {
-	return "config-" + digest
-}
-
 func isConflict(err error) bool {
 	return errorx.IsOfType(err, plat.Conflict)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,9 +2,10 @@
 //
 // There is one line of revisions. A revision is accepted by one
 // compare-and-set of the row config/current, after its document has been put
-// into the object store under its digest. Nodes learn of it by polling that
-// row and from each other, and take higher revisions only. Owner plans, one
-// line of versions for each service, travel the same way.
+// into the object store under its number and digest. Nodes learn of it by
+// polling that row and from each other, and take higher revisions only. Owner
+// plans, one line of versions for each service, travel the same way. Former
+// revisions stay for a rollback, and are removed once there are too many.
 package config
 
 import (
@@ -86,6 +87,8 @@
 		// Fetch asks the node at a relay address for its configuration and its
 		// owner plans of some services.
 		Fetch func(ctx context.Context, address string, plans []string) (*relaypb.FetchResponse, error)
+		// Name is the node's name, which the history tells; may be empty.
+		Name string
 		// Service is the node's own service, whose plan it polls; may be empty.
 		Service string
 		// OnRevision is called after a revision came into force; may be nil.
@@ -129,7 +132,7 @@
 	}
 }
 
-// Digest returns the digest of a document, which also names its object.
+// Digest returns the digest of a document.
 func Digest(document []byte) string {
 	sum := sha256.Sum256(document)
 	return hex.EncodeToString(sum[:])
@@ -270,7 +273,7 @@
 	if head.Number <= c.Number() {
 		return nil
 	}
-	document, err := c.store.GetObject(ctx, objectName(head.Digest))
+	document, err := c.store.GetObject(ctx, objectName(head.Number, head.Digest))
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,7 @@
 		n.log.Error("boot_failed", "error", err)
 	}
 	go n.config.Run(ctx)
+	go n.config.RunCleaner(ctx)
 	go n.becomeActive(ctx)
 	go n.watchHealth(ctx)
 	go n.keepPlan(ctx)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -35,6 +35,7 @@
 
 func (n *Node) newConfig() *config.Controller {
 	c := config.New(n.store, parseDocument, n.clock, n.log.Named("config"))
+	c.Name = n.settings.Name
 	c.Service = n.settings.Service
 	c.Fetch = n.fetch
 	c.OnRevision = n.enforce
--- a/pkg/schema/defaults.go
+++ b/pkg/schema/defaults.go
@@ -14,6 +14,8 @@
 	maxMessageBytes = 64 << 20
 	maxMemoryBytes  = 1 << 40
 	maxWait         = time.Hour
+	// maxKeptRevisions keeps the row that names them below some 200 KB.
+	maxKeptRevisions = 1000
 	// maxDeadline is below the time for which nodes keep the records of attempts.
 	maxDeadline = time.Minute
 	// MaxClockMargin is the largest clock margin that can be declared.
@@ -62,6 +64,7 @@
 		KeyAge:          15 * time.Minute,
 		OwnerLease:      time.Hour,
 		ClockMargin:     500 * time.Millisecond,
+		KeptRevisions:   100,
 	}
 }
 
--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -271,6 +271,7 @@
 		{"key_age", text(l.KeyAge.String())},
 		{"owner_lease", text(l.OwnerLease.String())},
 		{"clock_margin", text(l.ClockMargin.String())},
+		{"kept_revisions", integer(l.KeptRevisions)},
 	}}
 }
 
--- a/pkg/schema/parse.go
+++ b/pkg/schema/parse.go
@@ -259,6 +259,7 @@
 		{Key: "key_age", Read: place.Duration(&limits.KeyAge, minOwnerLease, maxKeyAge)},
 		{Key: "owner_lease", Read: place.Duration(&limits.OwnerLease, minOwnerLease, maxOwnerLease)},
 		{Key: "clock_margin", Read: place.Duration(&limits.ClockMargin, 0, MaxClockMargin)},
+		{Key: "kept_revisions", Read: place.Int(&limits.KeptRevisions, 1, maxKeptRevisions)},
 	})
 	if p.declare(reader, object, TypeLimits, LimitsName) {
 		p.set.Limits = limits
--- a/pkg/schema/schema.go
+++ b/pkg/schema/schema.go
@@ -84,6 +84,8 @@
 	OwnerLease time.Duration
 	// ClockMargin is how far the clocks of hosts and callers may differ.
 	ClockMargin time.Duration
+	// KeptRevisions is how many of the latest revisions stay in the platform.
+	KeptRevisions int
 }
 
 // Set is everything that one firm declares.
