List, show and restore former revisions

Cause: whoever wanted the former declarations back had to find them in version control, although the platform still had them.

The resource API has /v1/history, /v1/revisions/N and /v1/rollback behind the same token. A revision that is gone answers 410; a platform that is down 503, which says that nothing was changed when that is certain.

Ruled out: a rollback that only points the head at the former number. Nodes take higher numbers only, and a line that goes back could not be told from a stale one.

Seen to fail: without sending a lost rollback again, the script history.txtar ends with code 1 instead of 0.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/internal/place"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -41,6 +42,15 @@
 		// Current returns the revision in force at this node; the number is 0
 		// and the set may be nil when there is none yet.
 		Current func() (number int64, set *schema.Set, document []byte)
+		// History returns the revisions that are kept, the latest first. It and
+		// the next two return config.NotKept, config.Unreachable or
+		// config.Invalid when a former revision cannot be had.
+		History func(ctx context.Context) ([]config.Entry, error)
+		// Former returns a kept revision.
+		Former func(ctx context.Context, number int64) (config.Revision, error)
+		// Rollback is Apply with the document of a kept revision. Its result
+		// has the changes.
+		Rollback func(ctx context.Context, number, expected int64, dryRun bool) (Applied, error)
 		// Watch blocks until a revision above after is in force here.
 		Watch  func(ctx context.Context, after int64) (number int64, set *schema.Set, err error)
 		Status func(ctx context.Context) Status
@@ -92,9 +102,12 @@
 		Error string `json:"error"`
 		// Expected and Current are the two revisions of a conflict. Current is
 		// absent when this node has not learned yet which revision won.
-		Expected *int64         `json:"expected_revision,omitempty"`
-		Current  *int64         `json:"current_revision,omitempty"`
-		Problems place.Problems `json:"problems,omitempty"`
+		Expected *int64 `json:"expected_revision,omitempty"`
+		Current  *int64 `json:"current_revision,omitempty"`
+		// Unchanged is set when the platform gave no answer and it is certain
+		// that nothing was accepted.
+		Unchanged bool           `json:"unchanged,omitempty"`
+		Problems  place.Problems `json:"problems,omitempty"`
 	}
 )
 
@@ -141,6 +154,9 @@
 	v1.Get("/resources", s.list)
 	v1.Get("/resources/{type:string}/{name:string}", s.get)
 	v1.Delete("/resources/{type:string}/{name:string}", s.delete)
+	v1.Get("/history", s.history)
+	v1.Get("/revisions/{number:string}", s.revision)
+	v1.Post("/rollback", s.rollback)
 	v1.Get("/watch", s.watch)
 	v1.Get("/status", s.status)
 	v1.Post("/drain", s.drain)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -45,7 +45,16 @@
 			}
 			return l.number, l.set, l.set.Document()
 		},
-		Apply:  l.apply,
+		Apply: l.apply,
+		History: func(context.Context) ([]config.Entry, error) {
+			return []config.Entry{{Number: 2, Digest: "d2", Node: "orders-1", Restores: 1}, {Number: 1, Digest: "d1"}}, l.fail
+		},
+		Former: func(_ context.Context, number int64) (config.Revision, error) {
+			return config.Revision{Number: number, Set: l.set, Document: []byte("former")}, l.fail
+		},
+		Rollback: func(ctx context.Context, _, expected int64, dryRun bool) (Applied, error) {
+			return l.apply(ctx, l.set.Document(), expected, dryRun)
+		},
 		Ready:  func() bool { return l.ready },
 		Drain:  func(context.Context) error { return nil },
 		Status: func(context.Context) Status { return Status{Node: "orders-1", Revision: l.number} },
@@ -89,6 +98,15 @@
 			if d.HasArg("unresolved") {
 				l.fail = config.Unresolved.New("whether revision 2 was accepted is not known")
 			}
+			if d.HasArg("gone") {
+				l.fail = config.NotKept.New("revision 1 is not kept any more")
+			}
+			if d.HasArg("unreachable") {
+				l.fail = config.Unreachable.New("the platform gave no answer")
+			}
+			if d.HasArg("invalid") {
+				l.fail = config.Invalid.New("the document cannot be read")
+			}
 			if d.HasArg("conflict") {
 				l.fail = config.Conflict.New("expected revision 1, but revision 2 is in force")
 			}
--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -17,6 +17,15 @@
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
+// change is a request for another revision.
+type change struct {
+	// name is apply or rollback.
+	name     string
+	expected int64
+	dryRun   bool
+	make     func(ctx context.Context) (Applied, error)
+}
+
 // documentName stands for the file in the problems of a request body.
 const documentName = "document"
 
@@ -60,25 +69,37 @@
 		return
 	}
 	document := set.Document()
-	applied, err := s.Apply(ctx.Request().Context(), document, expected, dryRun)
+	s.finish(ctx, change{name: "apply", expected: expected, dryRun: dryRun, make: func(ctx context.Context) (Applied, error) {
+		applied, err := s.Apply(ctx, document, expected, dryRun)
+		if err != nil {
+			return applied, err
+		}
+		if applied.Changes == nil {
+			applied.Changes = old.Diff(set)
+		}
+		if applied.Digest == "" {
+			applied.Digest = config.Digest(document)
+		}
+		return applied, nil
+	}})
+}
+
+// finish makes a change and answers with what came of it.
+func (s *Server) finish(ctx iris.Context, c change) {
+	remote := ctx.Request().RemoteAddr
+	applied, err := c.make(ctx.Request().Context())
 	if err != nil {
-		s.Log.Warn("apply_refused", "remote", ctx.Request().RemoteAddr, "expected", expected, "error", err)
-		s.failCommit(ctx, err, expected)
+		s.Log.Warn(c.name+"_refused", "remote", remote, "expected", c.expected, "error", err)
+		s.failCommit(ctx, err, c)
 		return
 	}
-	applied.DryRun = dryRun
-	if latest, _, _ := s.current(); latest > applied.Revision && !dryRun {
+	applied.DryRun = c.dryRun
+	if latest, _, _ := s.current(); latest > applied.Revision && !c.dryRun {
 		applied.Superseded = latest
 		applied.Changes = []schema.Change{}
 	}
-	if applied.Changes == nil {
-		applied.Changes = old.Diff(set)
-	}
-	if applied.Digest == "" {
-		applied.Digest = config.Digest(document)
-	}
-	if !dryRun {
-		s.Log.Info("apply_accepted", "remote", ctx.Request().RemoteAddr, "revision", applied.Revision, "changes", len(applied.Changes))
+	if !c.dryRun {
+		s.Log.Info(c.name+"_accepted", "remote", remote, "revision", applied.Revision, "changes", len(applied.Changes))
 	}
 	_ = ctx.JSON(applied)
 }
@@ -220,7 +241,8 @@
 }
 
 // failCommit answers a change that the node did not accept.
-func (s *Server) failCommit(ctx iris.Context, err error, expected int64) {
+func (s *Server) failCommit(ctx iris.Context, err error, c change) {
+	expected := c.expected
 	switch {
 	case errorx.IsOfType(err, Conflict):
 		value, _ := errorx.ExtractProperty(err, propertyCurrent)
@@ -232,11 +254,11 @@
 	case errorx.IsOfType(err, config.Unresolved):
 		fail(ctx, http.StatusServiceUnavailable, Failure{
 			Error: "the platform gave no clear answer: " + errorx.Cast(err).Message() +
-				"; the same apply with expected revision " + strconv.FormatInt(expected, 10) +
+				"; the same " + c.name + " with expected revision " + strconv.FormatInt(expected, 10) +
 				" may be sent again and is never accepted twice",
 		})
 	default:
-		fail(ctx, http.StatusInternalServerError, Failure{Error: err.Error()})
+		failLoad(ctx, err)
 	}
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -123,7 +123,7 @@
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(outputNames, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
 		a.nodeCommand(), a.checkCommand(), a.diffCommand(), a.applyCommand(), a.getCommand(),
-		a.watchCommand(), a.statusCommand(), a.drainCommand(), a.explainCommand(), a.versionCommand(),
+		a.historyCommand(), a.rollbackCommand(), a.watchCommand(), a.statusCommand(), a.drainCommand(), a.explainCommand(), a.versionCommand(),
 	)
 	return root
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -34,6 +34,7 @@
 		lagging int           // status answers until the other member follows
 		breaks  bool          // every watch ends after one revision
 		offline bool          // the platform gives no answer
+		gone    int64         // revisions up to this one are not kept
 		loses   bool          // the answer to the next change is lost
 		late    bool          // the next change is replaced before its answer
 		rival   bool          // another operator's change comes first
@@ -88,6 +89,9 @@
 		Registry:  prometheus.NewRegistry(),
 		Apply:     m.apply,
 		Current:   m.current,
+		History:   m.entries,
+		Former:    m.former,
+		Rollback:  m.rollback,
 		Watch:     m.watch,
 		Status:    m.status,
 		Ready:     func() bool { return true },
@@ -133,6 +137,45 @@
 	return admin.Applied{Revision: number + 1}, nil
 }
 
+func (m *fakeMesh) entries(context.Context) ([]config.Entry, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.offline {
+		return nil, config.Unreachable.New("the platform gave no answer")
+	}
+	var entries []config.Entry
+	for number := int64(len(m.history)); number > m.gone; number-- {
+		entries = append(entries, config.Entry{Number: number, Digest: "00112233445566", Node: "orders-1", Changes: &config.Counts{Changed: 1}})
+	}
+	return entries, nil
+}
+
+func (m *fakeMesh) former(ctx context.Context, number int64) (config.Revision, error) {
+	entries, err := m.entries(ctx)
+	if err != nil {
+		return config.Revision{}, err
+	}
+	if number <= m.gone || number > int64(len(entries))+m.gone {
+		return config.Revision{}, config.NotKept.New("revision %d is not kept any more", number)
+	}
+	set := m.history[number-1]
+	return config.Revision{Number: number, Set: set, Document: set.Document()}, nil
+}
+
+func (m *fakeMesh) rollback(ctx context.Context, number, expected int64, dryRun bool) (admin.Applied, error) {
+	former, err := m.former(ctx, number)
+	if err != nil {
+		return admin.Applied{}, err
+	}
+	_, before, _ := m.current()
+	if current := int64(len(m.history)); current == expected+1 && len(before.Diff(former.Set)) == 0 {
+		return admin.Applied{Revision: current, Changes: []schema.Change{}}, nil
+	}
+	applied, err := m.apply(ctx, former.Document, expected, dryRun)
+	applied.Changes = before.Diff(former.Set)
+	return applied, err
+}
+
 func (m *fakeMesh) current() (int64, *schema.Set, []byte) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -221,6 +264,8 @@
 		mesh.loses = true
 	case "fair":
 		mesh.rival = false
+	case "forget":
+		mesh.gone = 1
 	case "late":
 		mesh.late = true
 	case "rival":
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -66,6 +66,18 @@
 	return applied, err
 }
 
+// rollback asks for the document of a former revision as the next one.
+func (c *client) rollback(ctx context.Context, number, expected int64, dryRun bool) (admin.Applied, error) {
+	query := url.Values{
+		"revision": {strconv.FormatInt(number, 10)},
+		"expected": {strconv.FormatInt(expected, 10)},
+		"dry_run":  {strconv.FormatBool(dryRun)},
+	}
+	var applied admin.Applied
+	err := c.call(ctx, http.MethodPost, "/v1/rollback?"+query.Encode(), nil, &applied)
+	return applied, err
+}
+
 func (c *client) call(ctx context.Context, method, path string, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
@@ -135,12 +147,15 @@
 			return failure.Problems
 		}
 	case http.StatusConflict:
-		return Conflict.New("%s; look at it with `dandelionfield diff`, then apply again", failure.Error)
+		return Conflict.New("%s; look at it with `dandelionfield diff` or `dandelionfield history`, then try again", failure.Error)
 	case http.StatusUnauthorized:
 		return Refused.New("%s; give it with --token or %s", failure.Error, tokenVariable)
 	case http.StatusServiceUnavailable:
+		if failure.Unchanged {
+			return Refused.New("%s", failure.Error)
+		}
 		return Unanswered.New("%s", failure.Error)
-	case http.StatusNotFound, http.StatusBadRequest:
+	case http.StatusNotFound, http.StatusBadRequest, http.StatusGone:
 		return BadInput.New("%s", failure.Error)
 	}
 	return Failed.New("%s", failure.Error)
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -18,14 +18,21 @@
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
-// applyOptions holds the flags of apply.
-type applyOptions struct {
-	files    []string
-	expected int64
-	dryRun   bool
-	wait     bool
-	timeout  time.Duration
-}
+type (
+	// applyOptions holds the flags of apply.
+	applyOptions struct {
+		files []string
+		changeOptions
+	}
+
+	// changeOptions holds the flags of every change of the configuration.
+	changeOptions struct {
+		expected int64
+		dryRun   bool
+		wait     bool
+		timeout  time.Duration
+	}
+)
 
 const (
 	// unknownRevision is the expected revision when no flag gives one.
@@ -37,6 +44,8 @@
 	resolvePolls = 15
 	// pollInterval is the time between two looks at the status.
 	pollInterval = 200 * time.Millisecond
+
+	fileHelp = "directory or file with declarations; may be repeated"
 )
 
 func (a *app) checkCommand() *cobra.Command {
@@ -111,48 +120,81 @@
 
 func (a *app) diffCommand() *cobra.Command {
 	var files []string
+	var revision int64
 	command := &cobra.Command{
-		Use:     "diff -f DIR --node IP:PORT",
-		Short:   "Show what applying would change",
-		Example: "  dandelionfield diff -f declarations/ --node 10.0.0.7:7102",
-		Args:    cobra.NoArgs,
+		Use:   "diff [-f DIR] [--revision N] --node IP:PORT",
+		Short: "Show what applying or a rollback would change",
+		Long: `Show what applying the declarations would change in the revision in force. With
+--revision too, compare them with that revision. With --revision alone, show
+what a rollback to it would change.`,
+		Example: `  dandelionfield diff -f declarations/ --node 10.0.0.7:7102
+  dandelionfield diff --revision 40 --node 10.0.0.7:7102`,
+		Args: cobra.NoArgs,
 		RunE: work(func(command *cobra.Command, _ []string) error {
-			declared, err := schema.ParseFiles(files...)
-			if err != nil {
-				return badFile(err)
+			if len(files) == 0 && revision == 0 {
+				return BadInput.New("name declarations with -f, or a former revision with --revision")
 			}
-			listing, inForce, err := a.inForce(command.Context())
-			if err != nil {
-				return err
-			}
-			changes := inForce.Diff(declared)
-			return a.print(struct {
-				Revision int64           `json:"revision"`
-				Changes  []schema.Change `json:"changes"`
-			}{listing.Revision, changes}, func(w io.Writer) {
-				printChanges(w, changes)
-			})
+			return a.diff(command.Context(), files, revision)
 		}),
 	}
-	addFileFlag(command, &files)
+	command.Flags().StringSliceVarP(&files, "file", "f", nil, fileHelp)
+	addRevisionFlag(command, &revision)
 	a.client.addFlags(command)
 	return command
 }
 
+func (a *app) diff(ctx context.Context, files []string, revision int64) error {
+	var after *schema.Set
+	var err error
+	from := revision
+	if len(files) > 0 {
+		after, err = schema.ParseFiles(files...)
+		if err != nil {
+			return badFile(err)
+		}
+	} else {
+		_, after, err = a.revision(ctx, revision)
+		from = 0
+	}
+	if err != nil {
+		return err
+	}
+	listing, before, err := a.revision(ctx, from)
+	if err != nil {
+		return err
+	}
+	changes := before.Diff(after)
+	return a.print(struct {
+		Revision int64           `json:"revision"`
+		Changes  []schema.Change `json:"changes"`
+	}{listing.Revision, changes}, func(w io.Writer) {
+		printChanges(w, changes)
+	})
+}
+
 // inForce fetches the revision in force at the node.
-func (a *app) inForce(ctx context.Context) (listing listing, set *schema.Set, err error) {
-	if err := a.client.get(ctx, "/v1/resources", &listing); err != nil {
-		return listing, nil, err
+func (a *app) inForce(ctx context.Context) (listing, *schema.Set, error) {
+	return a.revision(ctx, 0)
+}
+
+// revision fetches a former revision, or the one in force for 0.
+func (a *app) revision(ctx context.Context, number int64) (found listing, set *schema.Set, err error) {
+	path := "/v1/resources"
+	if number != 0 {
+		path = fmt.Sprintf("/v1/revisions/%d", number)
 	}
-	set, err = schema.Parse("revision in force", []byte(listing.Document))
+	if err := a.client.get(ctx, path, &found); err != nil {
+		return found, nil, err
+	}
+	set, err = schema.Parse("revision", []byte(found.Document))
 	if err != nil {
-		return listing, nil, Failed.New("the node's configuration cannot be read; is its version newer than this program's? (%v)", err)
+		return found, nil, Failed.New("the node's configuration cannot be read; is its version newer than this program's? (%v)", err)
 	}
-	return listing, set, nil
+	return found, set, nil
 }
 
 func (a *app) applyCommand() *cobra.Command {
-	options := applyOptions{expected: unknownRevision}
+	var options applyOptions
 	command := &cobra.Command{
 		Use:   "apply -f DIR --node IP:PORT",
 		Short: "Make the declarations the next revision",
@@ -169,14 +211,18 @@
 	}
 	addFileFlag(command, &options.files)
 	a.client.addFlags(command)
-	flags := command.Flags()
-	flags.Int64Var(&options.expected, "expected", unknownRevision, "revision that must be in force; -1 for the one the node has now")
-	flags.BoolVar(&options.dryRun, "dry-run", false, "check everything and change nothing")
-	flags.BoolVar(&options.wait, "wait", false, "end when the revision is in force everywhere")
-	flags.DurationVar(&options.timeout, "timeout", waitTimeout, "how long --wait waits")
+	options.addFlags(command)
 	return command
 }
 
+func (o *changeOptions) addFlags(command *cobra.Command) {
+	flags := command.Flags()
+	flags.Int64Var(&o.expected, "expected", unknownRevision, "revision that must be in force; -1 for the one the node has now")
+	flags.BoolVar(&o.dryRun, "dry-run", false, "check everything and change nothing")
+	flags.BoolVar(&o.wait, "wait", false, "end when the revision is in force everywhere")
+	flags.DurationVar(&o.timeout, "timeout", waitTimeout, "how long --wait waits")
+}
+
 func (a *app) apply(ctx context.Context, options applyOptions) error {
 	set, err := schema.ParseFiles(options.files...)
 	if err != nil {
@@ -200,6 +246,11 @@
 	if err != nil {
 		return err
 	}
+	return a.finish(ctx, applied, options.changeOptions)
+}
+
+// finish prints what was accepted, and waits for it if asked to.
+func (a *app) finish(ctx context.Context, applied admin.Applied, options changeOptions) error {
 	if applied.Superseded > 0 {
 		return Conflict.New("revision %d was accepted, but revision %d has replaced it; look at it with `dandelionfield diff`, then apply again",
 			applied.Revision, applied.Superseded)
@@ -266,7 +317,7 @@
 }
 
 func addFileFlag(command *cobra.Command, files *[]string) {
-	command.Flags().StringSliceVarP(files, "file", "f", nil, "directory or file with declarations; may be repeated")
+	command.Flags().StringSliceVarP(files, "file", "f", nil, fileHelp)
 	_ = command.MarkFlagRequired("file")
 }
 
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -33,28 +33,31 @@
 )
 
 func (a *app) getCommand() *cobra.Command {
+	var revision int64
 	command := &cobra.Command{
 		Use:   "get [TYPE [NAME]]",
-		Short: "Print the resources in force at a node",
+		Short: "Print the resources in force at a node, or of a former revision",
 		Example: `  dandelionfield get --node 10.0.0.7:7102
+  dandelionfield get --revision 40 -o yaml --node 10.0.0.7:7102
   dandelionfield get service allowances -o yaml --node 10.0.0.7:7102`,
 		Args:      cobra.MaximumNArgs(2),
 		ValidArgs: schema.Types(),
 		RunE: work(func(command *cobra.Command, args []string) error {
-			return a.get(command.Context(), args)
+			return a.get(command.Context(), args, revision)
 		}),
 	}
+	addRevisionFlag(command, &revision)
 	a.client.addFlags(command)
 	return command
 }
 
-func (a *app) get(ctx context.Context, args []string) error {
+func (a *app) get(ctx context.Context, args []string, revision int64) error {
 	if len(args) > 0 {
 		if err := knownType(args[0]); err != nil {
 			return err
 		}
 	}
-	_, set, err := a.inForce(ctx)
+	_, set, err := a.revision(ctx, revision)
 	if err != nil {
 		return err
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -32,6 +32,9 @@
 		Registry: n.metrics.Registry,
 		Apply:    n.apply,
 		Current:  n.current,
+		History:  n.config.History,
+		Former:   n.config.Load,
+		Rollback: n.rollback,
 		Watch:    n.watch,
 		Status:   n.describe,
 		Drain: func(context.Context) error {
@@ -71,6 +74,30 @@
 	return admin.Applied{Revision: revision.Number, Digest: revision.Digest}, nil
 }
 
+// rollback accepts the document of a former revision anew. A dry run loads it.
+func (n *Node) rollback(ctx context.Context, number, expected int64, dryRun bool) (admin.Applied, error) {
+	inForce, before, _ := n.current()
+	if before == nil {
+		before = &schema.Set{Limits: schema.DefaultLimits()}
+	}
+	if dryRun {
+		if expected != inForce {
+			return admin.Applied{}, admin.NewConflict(expected, inForce)
+		}
+		former, err := n.config.Load(ctx, number)
+		if err != nil {
+			return admin.Applied{}, err
+		}
+		return admin.Applied{Revision: inForce, Digest: former.Digest, Changes: before.Diff(former.Set)}, nil
+	}
+	revision, err := n.config.Rollback(ctx, number, expected)
+	if err != nil {
+		return admin.Applied{}, err
+	}
+	n.members.Kick()
+	return admin.Applied{Revision: revision.Number, Digest: revision.Digest, Changes: before.Diff(revision.Set)}, nil
+}
+
 // describe is the node's status.
 func (n *Node) describe(ctx context.Context) admin.Status {
 	self := n.members.Self()
