Name the line of a YAML syntax error

Cause: the parser of the YAML library counts lines from 0 and its scanner from 1, and neither names the first line. An error of the parser was shown a line too high up, and one in the first line without a line. What breaks off at the end of a file was placed behind its last line.

The messages of the two are told apart by their words. Ruled out: another decoder for the line alone; the library's error has no fields. A message with neither kind of words, such as an unknown anchor, keeps no line.

Seen to fail (TestSyntaxErrorsNameTheirLine): without the added line, 1 in place of 2; without the first line of scanner errors; without the bound by the file.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -81,8 +81,17 @@
 	maxSuggestionDistance = 3
 )
 
-// yamlLine finds the line in the messages of the YAML library.
-var yamlLine = regexp.MustCompile(`^yaml: line (\d+): `)
+var (
+	// yamlMessage splits a message of the YAML library. It names no line where
+	// that is the first.
+	yamlMessage = regexp.MustCompile(`^yaml: (?:line (\d+): )?(.*)$`)
+	// fromParser matches the messages of the library's parser, which counts
+	// lines from 0. Those of its scanner count from 1.
+	fromParser = regexp.MustCompile(`^(did not find expected (<.*>|node content|key|'-' indicator|',' or '[\]}]')` +
+		`|found (undefined tag handle|incompatible YAML document|duplicate %\w+ directive))$`)
+	// fromScanner matches how the messages of the scanner begin.
+	fromScanner = regexp.MustCompile(`^(did not find|could not find|found|mapping values|block sequence entries) `)
+)
 
 // Error returns the problem in one line, such as
 //
@@ -143,7 +152,7 @@
 			return documents
 		}
 		if err != nil {
-			r.syntax(err)
+			r.syntax(err, data)
 			return documents
 		}
 		if len(node.Content) != 1 || node.Content[0].Tag == "!!null" {
@@ -241,16 +250,31 @@
 	r.Report(key, expected)
 }
 
-func (r *Reader) syntax(err error) {
+func (r *Reader) syntax(err error, data []byte) {
 	problem := Problem{File: r.File, Expected: "valid YAML near here", Found: err.Error()}
-	if match := yamlLine.FindStringSubmatch(err.Error()); match != nil {
-		problem.Line, _ = strconv.Atoi(match[1])
-		problem.Column = 1
-		problem.Found = strings.TrimPrefix(err.Error(), match[0])
+	if match := yamlMessage.FindStringSubmatch(err.Error()); match != nil {
+		problem.Found = match[2]
+		// What breaks off at the end of the file is said to do so a line later.
+		last := bytes.Count(bytes.TrimRight(data, "\n"), []byte("\n")) + 1
+		problem.Line = min(syntaxLine(match[1], match[2]), last)
+		problem.Column = min(problem.Line, 1)
 	}
 	r.Problems = append(r.Problems, problem)
 }
 
+// syntaxLine returns the line that a message of the YAML library means,
+// counted from 1, or 0 if it means none.
+func syntaxLine(named, message string) int {
+	line, _ := strconv.Atoi(named)
+	switch {
+	case fromParser.MatchString(message):
+		return line + 1
+	case line == 0 && fromScanner.MatchString(message):
+		return 1
+	}
+	return line
+}
+
 // describe names what stands at a node: scalars are quoted as written.
 func describe(node *yaml.Node) string {
 	switch node.Kind {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -38,3 +39,31 @@
 	is.Equal(Closest("zone", names), "") // half of the letters must agree
 	is.Equal(Closest("", names), "")
 }
+
+// TestSyntaxErrorsNameTheirLine breaks a file after more and more whole lines.
+// The library names the line where the broken part begins or where it breaks
+// off; here both are in the same line.
+func TestSyntaxErrorsNameTheirLine(t *testing.T) {
+	is := is.New(t)
+	for _, broken := range []string{
+		"- [1, 2\n", "- {x: 1", "- ]\n", "- !x!y z\n", "}\n", // found by the parser
+		"- @x\n", "- \"\\q\"\n", "- a: : 2\n", "- \"x", // by the scanner
+	} {
+		for lines := range 4 {
+			r := Reader{File: "f"}
+			r.Documents([]byte(strings.Repeat("- x\n---\n", lines) + broken))
+			is.Equal(len(r.Problems), 1)
+			if r.Problems[0].Line != 2*lines+1 {
+				t.Errorf("%q after %d lines: %v", broken, 2*lines, r.Problems[0])
+			}
+		}
+	}
+	r := Reader{File: "f"}
+	r.Documents([]byte("- a\nb: 1\n"))
+	is.Equal(r.Problems[0].Line, 2)
+	is.Equal(r.Problems[0].Column, 1)
+	r = Reader{File: "f"}
+	r.Documents([]byte("- *none\n"))
+	is.Equal(r.Problems[0].Line, 0) // the library does not say where
+	is.Equal(r.Problems[0].Column, 0)
+}
