Prove what a rollback says when the platform goes away

Cause: lost answers and an outage in the midst of a rollback were covered only by the property test, which does not look at what the operator is told.

Seen to fail, each switched off alone: the answer unresolved (told that nothing was changed, with revision 3 in force), the expected revision (2, not 3), the digest in the history (a conflict with its own revision).

--- a/internal/config/clean_test.go
+++ b/internal/config/clean_test.go
@@ -203,6 +203,41 @@
 	is.True(errorx.IsOfType(err, config.Conflict))
 }
 
+// TestOutageWithinRollback takes the platform away after each operation of a
+// rollback, whose answers are lost. What the operator is told is true, and the same rollback, sent again
+// when the platform is back, is accepted once.
+func TestOutageWithinRollback(t *testing.T) {
+	for at := range 12 {
+		is := is.New(t)
+		ctx := context.Background()
+		clk := newClock()
+		memory := plat.NewMemory()
+		commitMany(is, keeper("a", memory.Store(), clk), clk, kept, 0)
+		operations := 0
+		operator := keeper("operator", stepped(memory.Store(), func() {
+			memory.SetFaults(plat.Faults{LoseAnswers: 1, Down: operations > at})
+			operations++
+		}), clk)
+		_, err := operator.Rollback(ctx, 1, kept)
+		operations = math.MinInt // the platform stays up from here
+		memory.SetFaults(plat.Faults{})
+		watcher := keeper("watcher", memory.Store(), clk)
+		is.NoErr(watcher.Poll(ctx))
+		switch {
+		case err == nil:
+			is.Equal(watcher.Number(), int64(kept+1))
+		case errorx.IsOfType(err, config.Unreachable):
+			is.Equal(watcher.Number(), int64(kept)) // told that nothing was changed
+		default:
+			is.True(errorx.IsOfType(err, config.Unresolved))
+		}
+		_, err = operator.Rollback(ctx, 1, kept)
+		is.NoErr(err)
+		is.NoErr(watcher.Poll(ctx))
+		is.Equal(watcher.Number(), int64(kept+1))
+	}
+}
+
 // TestOneNodeCleansAtATime lets two nodes clean at once: one has the turn. A
 // turn that was cut off by a restart is finished by another node.
 func TestOneNodeCleansAtATime(t *testing.T) {
