Suspect a silent target early, and ask once where another may serve

Cause 2: a sender whose connection to a safe call's node went silent asked three times, 2.7 s in all, before it asked another target.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -183,10 +183,14 @@
 
 // limit returns how many calls may be in flight.
 func (g *Gate) limit(now time.Time) int {
-	if g.pulse.stopped {
+	limit := g.limiter.current(now)
+	switch {
+	case g.pulse.stopped:
 		return 1
+	case g.pulse.suspect:
+		return max(1, min(limit, len(g.running)))
 	}
-	return g.limiter.current(now)
+	return limit
 }
 
 // Resize takes on a new declaration. Calls in flight stay, and queued ones
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -38,6 +38,10 @@
 	fateWait = time.Second
 	// fateTimeout bounds one question when the other node does not answer.
 	fateTimeout = 1500 * time.Millisecond
+	// fateProbe bounds the first question about a call that may be repeated: the
+	// node answers it at once if it is alive, and else another target is asked
+	// rather sooner than later.
+	fateProbe = 200 * time.Millisecond
 	// fateQuestions is how often a lost attempt is asked for when the other
 	// node cannot be reached.
 	fateQuestions = 3
@@ -235,11 +239,16 @@
 	// A node whose connection stood until the deadline answers pings, so it is
 	// not silent; its target was too slow.
 	outcome := route.Failed
+	if s.call.Kind.Repeat == schema.Safe {
+		if _, err := s.ask(ctx, target, request, 0, fateProbe); err != nil {
+			return nil, s.lost(ctx), s.blame(ctx, route.Silent)
+		}
+	}
 	for question := 0; question < fateQuestions; {
 		if ctx.Err() != nil {
 			break
 		}
-		fate, err := s.ask(ctx, target, request)
+		fate, err := s.ask(ctx, target, request, fateWait, fateTimeout)
 		if err != nil {
 			if !s.patient(err) {
 				question++
@@ -259,11 +268,15 @@
 		}
 		outcome = route.Failed
 	}
-	code := s.lost(ctx)
-	if code == result.CancelledLate {
-		outcome = route.Blameless
+	return nil, s.lost(ctx), s.blame(ctx, outcome)
+}
+
+// blame is what a loss shows of the target: nothing when the caller went away.
+func (s *sending) blame(ctx context.Context, outcome route.Outcome) route.Outcome {
+	if s.lost(ctx) == result.CancelledLate {
+		return route.Blameless
 	}
-	return nil, code, outcome
+	return outcome
 }
 
 // patient says whether to go on asking a node that does not answer. One that can
@@ -284,13 +297,13 @@
 	return result.Lost
 }
 
-func (s *sending) ask(ctx context.Context, target route.Target, request *relaypb.CarryRequest) (*relaypb.FateResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, fateTimeout)
+func (s *sending) ask(ctx context.Context, target route.Target, request *relaypb.CarryRequest, wait, timeout time.Duration) (*relaypb.FateResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := s.sender.Client.To(target.Address).Fate(ctx, connect.NewRequest(&relaypb.FateRequest{
 		AttemptId:   request.AttemptId,
 		Incarnation: request.Incarnation,
-		WaitMs:      uint32(fateWait.Milliseconds()),
+		WaitMs:      uint32(wait.Milliseconds()),
 	}))
 	if err != nil {
 		return nil, err
