Tell an unclear owner and a refused repeat by their own codes

Cause: 305 owner_gone stood for a key whose owner is gone and for a node that cannot tell or reach the owner now, where a caller should act differently. And a 2xx for a key that was sent before spoke of that sending only; a plain HTTP caller takes it for the whole request, of which an earlier sending may have run.

Now 311 owner_unclear is said where the plan does not cover the key, the owner is being replaced, is no target here, or the node that was asked is not the owner as far as it knows; it does not count against that target. pkg/caller repeats on 311 and ends on 305. Every 2xx of a request with a key that is not declared fresh becomes 312 repeat_refused, with its name in Dandelion-Refusal; pkg/caller says the same of a key that came with the request. Refusals for want of an owner or target are counted at the entry.

Also: a target's answer could carry a Dandelion-Request of its own when the request ended before it had an id; it is dropped, as is a forged Dandelion-Refusal.

Ruled out: a header with the scope beside the 2xx (misread by the code alone); 2xx where the owner's ledger has no record (a former sending may be on its way); exceptions for 206 or 212 (the kind may have been declared otherwise).

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -43,6 +43,9 @@
 type Answer struct {
 	Code   result.Code
 	Detail string
+	// Refusal is why a sending was refused that the code calls a refused repeat,
+	// else 0.
+	Refusal result.Code
 	// Status, Header and Body are the target's, whole, or zero when the code
 	// says that there is no such answer.
 	Status int
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,8 @@
 	// Settling says whether the owner of a key is being replaced right now, so
 	// that the key will have another one soon.
 	Settling func(service string, key once.Key) bool
+	// Covered says whether the plan known here names an owner for the key.
+	Covered func(service string, key once.Key) bool
 	// RetryShare returns the declared share of repeats at a service.
 	RetryShare func(service string) float64
 	// Moved is called when an attempt shows that the view of members or plans
@@ -205,16 +207,23 @@
 	case c.KeyFresh:
 		return route.Target{}, result.NoOwner
 	}
-	return route.Target{}, result.OwnerGone
+	return route.Target{}, result.OwnerUnclear
 }
 
-// keeper returns the incarnation that runs the call's key.
+// keeper returns the incarnation that runs the call's key. That the owner is
+// gone is said only of an owner that the plan names and that nobody is about to
+// replace: otherwise the record may stand at a node that is not known here yet.
 func (s *Sender) keeper(c *call.Call) (string, result.Code) {
 	key, err := once.ParseKey(c.Key)
 	if err != nil {
 		return "", result.KeyInvalid
 	}
-	return s.Owner(c.Kind.Service, key, c.KeyFresh)
+	service := c.Kind.Service
+	keeper, code := s.Owner(service, key, c.KeyFresh)
+	if code == result.OwnerGone && (!s.Covered(service, key) || s.Settling(service, key)) {
+		code = result.OwnerUnclear
+	}
+	return keeper, code
 }
 
 // ended tells the route and the allowance what an attempt showed.
--- /dev/null
+++ b/internal/entry/near_test.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/budget"
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// hasty is a clock whose waits end at once.
+type hasty struct{}
+
+func (hasty) Now() time.Time {
+	return time.Now()
+}
+
+func (hasty) After(time.Duration) <-chan time.Time {
+	fired := make(chan time.Time, 1)
+	fired <- time.Now()
+	return fired
+}
+
+// newNear returns a sender whose one target is beside it. Nobody listens at the
+// target's address.
+func newNear(beside func(request *relaypb.CarryRequest) *relaypb.CarryResponse) *Sender {
+	s := &Sender{
+		Clock:   hasty{},
+		Metrics: metric.New(),
+		Log:     hclog.NewNullLogger(),
+		Client:  relay.NewClient(),
+		Self:    "inc-1",
+		Beside: func(_ context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
+			return beside(request)
+		},
+		Route:      route.Settings{Random: func() float64 { return 0 }},
+		Backoff:    budget.Backoff{Base: time.Millisecond, Max: time.Millisecond, Random: func() float64 { return 0 }},
+		RetryShare: func(string) float64 { return 0.1 },
+		Moved:      func() {},
+	}
+	s.Init(admit.NewDoor())
+	s.Update(order().Kind.Service, []route.Target{{Name: "node", Incarnation: s.Self, Address: "127.0.0.1:1"}})
+	return s
+}
+
+// An entry node whose own target is chosen calls it without a socket.
+func TestTargetOfTheOwnHostIsCalledDirectly(t *testing.T) {
+	is := is.New(t)
+	s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		return &relaypb.CarryResponse{AttemptId: request.AttemptId, Code: uint32(result.OK)}
+	})
+	is.Equal(s.Send(context.Background(), order()).Code, result.OK)
+}
+
+// Nothing is known of an attempt that the node itself gave up waiting for.
+func TestOwnTargetThatIsGivenUpIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newNear(func(*relaypb.CarryRequest) *relaypb.CarryResponse {
+		cancel()
+		return nil
+	})
+	is.Equal(s.Send(ctx, order()).Code, result.CancelledLate)
+}
+
+// tokenTrip is one attempt of a request with five tokens, three of which go along.
+type tokenTrip struct {
+	name string
+	// answer makes the node's answer to the attempt.
+	answer func(request *relaypb.CarryRequest) *relaypb.CarryResponse
+	left   int
+}
+
+// What an attempt did not spend comes back with its own answer, and only with
+// that; never more than went along.
+func TestTokensTravelWithAnAttempt(t *testing.T) {
+	for _, trip := range []tokenTrip{
+		{"all come back", answerOf(3, ""), 5},
+		{"one was spent", answerOf(2, ""), 4},
+		{"too many", answerOf(9, ""), 5},
+		{"the answer is foreign", answerOf(3, "foreign"), 2},
+	} {
+		t.Run(trip.name, func(t *testing.T) {
+			is := is.New(t)
+			lent := 0
+			s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+				lent = int(request.Tokens)
+				return trip.answer(request)
+			})
+			c := order()
+			c.Tokens = call.NewTokens(5)
+			s.Send(context.Background(), c)
+			is.Equal(lent, 3)
+			is.Equal(c.Tokens.Left(), trip.left)
+		})
+	}
+}
+
+// A call that is repeated pays for it, and lends from what is left.
+func TestRepeatsEndWithTheTokens(t *testing.T) {
+	is := is.New(t)
+	var lent []uint32
+	s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		lent = append(lent, request.Tokens)
+		return &relaypb.CarryResponse{AttemptId: request.AttemptId, Code: uint32(result.Lost), TokensLeft: request.Tokens}
+	})
+	c := order()
+	c.Kind = &schema.Kind{Name: "look_up", Service: c.Kind.Service, Repeat: schema.Safe}
+	c.Tokens = call.NewTokens(2)
+	s.Update(c.Kind.Service, []route.Target{
+		{Name: "one", Incarnation: s.Self}, {Name: "two", Incarnation: s.Self},
+		{Name: "three", Incarnation: s.Self}, {Name: "four", Incarnation: s.Self},
+	})
+	is.Equal(s.Send(context.Background(), c).Code, result.Lost)
+	is.Equal(lent, []uint32{1, 1, 0})
+	is.Equal(c.Tokens.Left(), 0)
+}
+
+func answerOf(tokens uint32, attempt string) func(*relaypb.CarryRequest) *relaypb.CarryResponse {
+	return func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		response := &relaypb.CarryResponse{AttemptId: request.AttemptId, Code: uint32(result.OK), TokensLeft: tokens}
+		if attempt != "" {
+			response.AttemptId = attempt
+		}
+		return response
+	}
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -105,7 +105,7 @@
 	case result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned, result.NoConfiguration:
 		s.sender.Moved()
 		return true
-	case result.NoOwner, result.OwnerGone:
+	case result.NoOwner, result.OwnerGone, result.OwnerUnclear:
 		return s.reowned(ctx)
 	case result.Lost, result.AnswerTruncated, result.TargetFailed, result.PartlyRun:
 		return s.call.Kind.Repeat == schema.Safe
@@ -156,6 +156,7 @@
 func (s *sending) attempt(ctx context.Context) *call.Answer {
 	target, code := s.sender.choose(s.call, s.tried)
 	if code != result.OK {
+		s.sender.Metrics.Refusals.WithLabelValues(s.call.Kind.Service, code.String()).Inc()
 		return call.Refuse(code, "")
 	}
 	s.tried[target.Name] = true
@@ -181,7 +182,7 @@
 // take checks an answer and learns from it.
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
-	code := result.Code(response.Code)
+	code := told(result.Code(response.Code))
 	header := local.Unpack(response.Headers)
 	report := route.Report{Outcome: outcome(code), Latency: took}
 	if header.Get(local.BelowHeader) != "" {
@@ -211,6 +212,15 @@
 	}
 }
 
+// told is what the code of a node says here. A node that is not the owner of a
+// key as far as it knows cannot tell that the owner is gone.
+func told(code result.Code) result.Code {
+	if code == result.OwnerGone {
+		return result.OwnerUnclear
+	}
+	return code
+}
+
 // whole says whether an answer belongs to the attempt and is undamaged.
 func (s *sending) whole(request *relaypb.CarryRequest, response *relaypb.CarryResponse) bool {
 	if response.AttemptId != request.AttemptId {
@@ -301,7 +311,7 @@
 	switch code {
 	case result.Unreachable:
 		return route.Unreachable
-	case result.PartlyRun, result.Cancelled, result.CancelledLate:
+	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.OwnerUnclear:
 		return route.Blameless
 	}
 	switch code.Family() {
--- a/internal/filter/filter_test.go
+++ b/internal/filter/filter_test.go
@@ -87,7 +87,11 @@
 			return &call.Answer{Code: result.OK}
 		})
 		answer := chain(context.Background(), exchange)
-		return fmt.Sprintf("%s\n%schildren_ran=%t\n", answer.Code, left, parent.ChildrenRan())
+		code := answer.Code.String()
+		if answer.Refusal != 0 {
+			code += " refusal=" + answer.Refusal.String()
+		}
+		return fmt.Sprintf("%s\n%schildren_ran=%t\n", code, left, parent.ChildrenRan())
 	})
 }
 
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -53,12 +53,16 @@
 	CodeHeader     = "Dandelion-Code"
 	ResultHeader   = "Dandelion-Result"
 	RequestHeader  = "Dandelion-Request"
+	// RefusalHeader names why a sending was refused, where the code is that of a
+	// refused repeat.
+	RefusalHeader = "Dandelion-Refusal"
 )
 
 // Filters returns the filters in the order in which they run.
 func (f *Inward) Filters() []Filter {
 	return []Filter{
 		{Name: "record", Run: f.record},
+		{Name: "repeated", Run: repeated},
 		{Name: "classify", Run: f.classify},
 		{Name: "inherit", Run: f.inherit},
 		{Name: "key", Run: f.key},
@@ -80,6 +84,7 @@
 		"request", exchange.Call.RequestID,
 		"kind", kind,
 		"result", answer.Code.String(),
+		"refusal", answer.Refusal,
 		"status", answer.Status,
 		"took_ms", f.Clock.Now().Sub(began).Milliseconds(),
 		"detail", answer.Detail,
@@ -87,6 +92,20 @@
 	return answer
 }
 
+// repeated keeps "not run" from requests that may have run. A refusal speaks of
+// the sending that it answers; where the key may have been sent before, an
+// earlier sending may have run, or be under way still.
+func repeated(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	answer := next(ctx, exchange)
+	header := exchange.Request.Header
+	if header.Get(KeyHeader) == "" || header.Get(FreshHeader) == "true" || answer.Code.Family() != result.NotRun {
+		return answer
+	}
+	answer.Refusal = answer.Code
+	answer.Code = result.RepeatRefused
+	return answer
+}
+
 // classify finds the declared kind and fixes the deadline.
 func (f *Inward) classify(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	rules := f.Rules()
--- /dev/null
+++ b/internal/filter/repeated_test.go
@@ -0,0 +1,107 @@
+package filter
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/internal/metric"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// meshPlay draws what becomes of the sendings of one request.
+type meshPlay struct {
+	t    *rapid.T
+	runs int
+	// late counts sendings that will run after all answers have come.
+	late int
+}
+
+var refusals = []result.Code{
+	result.Overloaded, result.NoTarget, result.Leaving, result.Unreachable,
+	result.TargetShed, result.KeyTooOld, result.NoOwner, result.BudgetSpent,
+}
+
+// end plays the mesh behind the filters.
+func (m *meshPlay) end(context.Context, *Exchange) *call.Answer {
+	switch rapid.SampledFrom([]string{"run", "late", "refuse"}).Draw(m.t, "end") {
+	case "run":
+		m.runs++
+		return &call.Answer{Code: result.OK}
+	case "late":
+		m.late++
+		return call.Refuse(result.Lost, "")
+	}
+	return call.Refuse(rapid.SampledFrom(refusals).Draw(m.t, "refusal"), "")
+}
+
+// A caller with a plain HTTP client looks at the code alone, and loses answers.
+// "Not run" is told only of a request of which no sending ran or will run.
+func TestNotRunIsNeverToldOfARequestThatMayHaveRun(t *testing.T) {
+	set, err := schema.Parse("declarations", []byte(declarations))
+	if err != nil {
+		t.Fatal(err)
+	}
+	matcher := schema.NewMatcher(set)
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		play := &meshPlay{t: t}
+		var rules *Rules
+		inward := &Inward{
+			Clock:   fixed{time.Unix(1_800_000_000, 0)},
+			Metrics: metric.New(),
+			Log:     hclog.NewNullLogger(),
+			Rules:   func() *Rules { return rules },
+			Serving: func(string) (*call.Serving, bool) { return nil, false },
+			Allows:  func([]string, uint32) (string, bool) { return "orders", rapid.Bool().Draw(t, "open") },
+		}
+		handler := Handler(Chain(inward.Filters(), play.end))
+		method, path := http.MethodPost, "/orders"
+		if rapid.Bool().Draw(t, "safe") {
+			method, path = http.MethodGet, "/stock/rope"
+		}
+		toldNotRun := false
+		for i := range rapid.IntRange(1, 4).Draw(t, "sendings") {
+			rules = nil
+			if rapid.IntRange(0, 9).Draw(t, "configured") > 0 {
+				rules = &Rules{Limits: set.Limits, Match: matcher.Match, Chain: set.Chain}
+			}
+			request := httptest.NewRequest(method, path, nil)
+			request.Header.Set(KeyHeader, "019a0000-0000-7000-8000-000000000001")
+			if i == 0 {
+				request.Header.Set(FreshHeader, "true")
+			}
+			answer := httptest.NewRecorder()
+			handler.ServeHTTP(answer, request)
+			code, _ := result.Parse(answer.Header().Get(CodeHeader))
+			toldNotRun = code.Family() == result.NotRun
+			is.Equal(answer.Header().Get(RefusalHeader) != "", code == result.RepeatRefused)
+		}
+		if toldNotRun { // by the last answer
+			is.Equal(play.runs+play.late, 0)
+		}
+	})
+}
+
+// The headers that say what became of a request are the node's alone.
+func TestTargetCannotWriteTheHeadersOfResults(t *testing.T) {
+	is := is.New(t)
+	forged := http.Header{}
+	for _, name := range []string{CodeHeader, ResultHeader, RequestHeader, RefusalHeader} {
+		forged.Set(name, "forged")
+	}
+	answer := httptest.NewRecorder()
+	Write(answer, "", &call.Answer{Code: result.TargetFailed, Status: http.StatusInternalServerError, Header: forged})
+	is.Equal(answer.Header().Get(CodeHeader), "302")
+	is.Equal(answer.Header().Get(ResultHeader), "target_failed")
+	is.Equal(answer.Header().Get(RequestHeader), "")
+	is.Equal(answer.Header().Get(RefusalHeader), "")
+}
--- a/internal/filter/serve.go
+++ b/internal/filter/serve.go
@@ -34,6 +34,11 @@
 	}
 	header.Set(CodeHeader, strconv.Itoa(int(answer.Code)))
 	header.Set(ResultHeader, answer.Code.String())
+	header.Del(RefusalHeader)
+	if answer.Refusal != 0 {
+		header.Set(RefusalHeader, answer.Refusal.String())
+	}
+	header.Del(RequestHeader)
 	if requestID != "" {
 		header.Set(RequestHeader, requestID)
 	}
@@ -56,14 +61,24 @@
 	if !ok {
 		info.Status = http.StatusBadGateway
 	}
+	var refusal string
+	if answer.Refusal != 0 {
+		refused, _ := answer.Refusal.Info()
+		info.Status = refused.Status
+		refusal = answer.Refusal.String()
+	}
 	body, err := json.Marshal(struct {
 		Code    int    `json:"code"`
 		Result  string `json:"result"`
 		Family  string `json:"family"`
+		Refusal string `json:"refusal,omitempty"`
 		Meaning string `json:"meaning"`
 		Advice  string `json:"advice"`
 		Detail  string `json:"detail,omitempty"`
-	}{int(answer.Code), answer.Code.String(), answer.Code.Family().String(), info.Meaning, info.Advice, answer.Detail})
+	}{
+		int(answer.Code), answer.Code.String(), answer.Code.Family().String(), refusal,
+		info.Meaning, info.Advice, answer.Detail,
+	})
 	if err != nil {
 		return http.StatusInternalServerError, nil
 	}
--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -225,8 +225,10 @@
 	return t.Status == statusOK && !t.Torn && !t.Foreign
 }
 
+// notRun says whether the answer told that this sending ran nowhere.
 func (t Try) notRun() bool {
-	return result.Code(t.Code).Family() == result.NotRun
+	code := result.Code(t.Code)
+	return code.Family() == result.NotRun || code == result.RepeatRefused
 }
 
 // lines counts each kind in each phase, in the order of the phases and then of
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -18,6 +18,7 @@
 	codeHeader     = "Dandelion-Code"
 	resultHeader   = "Dandelion-Result"
 	keyHeader      = "Idempotency-Key"
+	freshHeader    = "Dandelion-Key-Fresh"
 )
 
 // unnamed stands in for the name of a request that has none.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -163,14 +163,14 @@
 		return outcome
 	}
 	begun := l.Clock.Now()
-	key := mintKey(kind)
+	key, sent := mintKey(kind), false
 	pause := time.Duration(0)
 	for i := 0; i <= l.Config.Callers.Retries; i++ {
 		if i > 0 && !l.sleep(ctx, pause) {
 			break
 		}
 		entry := l.Config.Entries[(arrival.Entry+i)%len(l.Config.Entries)]
-		try := l.try(ctx, kind, entry, attemptName(arrival.ID, i), key)
+		try := l.try(ctx, kind, entry, attemptName(arrival.ID, i), key, !sent)
 		outcome.Tries = append(outcome.Tries, try)
 		if try.good() {
 			outcome.Good = true
@@ -178,8 +178,10 @@
 		}
 		pause = l.Config.Callers.pause(try)
 		if wantsNewKey(try, i) {
-			key = mintKey(kind)
+			key, sent = mintKey(kind), false
+			continue
 		}
+		sent = true
 	}
 	outcome.Took = l.Clock.Now().Sub(begun)
 	return outcome
@@ -193,7 +195,7 @@
 	return max(c.Backoff, try.RetryAfter)
 }
 
-func (l *Load) try(ctx context.Context, kind *schema.Kind, entry, attempt, key string) Try {
+func (l *Load) try(ctx context.Context, kind *schema.Kind, entry, attempt, key string, fresh bool) Try {
 	timeout := time.Duration(l.Config.Callers.TimeoutShare * float64(kind.Deadline))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -201,6 +203,9 @@
 	if err != nil {
 		return Try{Result: "bad_request"}
 	}
+	if key != "" && fresh {
+		request.Header.Set(freshHeader, "true")
+	}
 	answer, err := l.client.Do(request)
 	if err != nil {
 		return Try{Result: faultName(err)}
@@ -289,9 +294,9 @@
 // known not to have run. A lost owner leaves that open but for a first attempt.
 func wantsNewKey(try Try, index int) bool {
 	switch result.Code(try.Code) {
-	case result.KeyTooOld, result.KeyFromFuture:
+	case result.KeyTooOld, result.KeyFromFuture, result.NoOwner:
 		return true
-	case result.OwnerGone:
+	case result.OwnerGone, result.OwnerUnclear:
 		return index == 0
 	}
 	return false
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -18,8 +18,9 @@
 // fakeEntry stands for an entry node: it answers each attempt by a function
 // and keeps the keys that it saw.
 type fakeEntry struct {
-	mu   sync.Mutex
-	keys []string
+	mu    sync.Mutex
+	keys  []string
+	fresh []string
 	*httptest.Server
 }
 
@@ -28,6 +29,7 @@
 	entry.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		entry.mu.Lock()
 		entry.keys = append(entry.keys, r.Header.Get(keyHeader))
+		entry.fresh = append(entry.fresh, r.Header.Get(freshHeader))
 		entry.mu.Unlock()
 		answer(w, r.Header.Get(RequestHeader))
 	}))
@@ -70,6 +72,8 @@
 	is.Equal(outcome.Tries[0], Try{Result: "overloaded", Code: 200, Status: 503})
 	is.True(first.keys[0] != "")
 	is.Equal(first.keys[0], second.keys[0])
+	is.Equal(first.fresh[0], "true")
+	is.Equal(second.fresh[0], "") // the key was sent before
 }
 
 func TestCallerMintsANewKeyOnlyWhenTheOldCannotRun(t *testing.T) {
@@ -79,7 +83,10 @@
 		fresh      bool
 	}{
 		{"213", "key_too_old", 409, true},
+		{"215", "no_owner", 503, true},
 		{"305", "owner_gone", 503, true},
+		{"311", "owner_unclear", 503, true},
+		{"312", "repeat_refused", 503, false},
 		{"300", "lost", 502, false},
 		{"308", "forgotten", 409, false},
 	} {
@@ -89,6 +96,7 @@
 		load := testLoad(t, &instantClock{}, first, second)
 		is.True(load.request(testContext(t), Arrival{ID: "1-1", Kind: "order"}).Good)
 		is.Equal(first.keys[0] != second.keys[0], test.fresh) // whether the key is another
+		is.Equal(second.fresh[0] == "true", test.fresh)
 	}
 	is.New(t).True(!wantsNewKey(Try{Code: 305}, 1)) // the first attempt may have run at the lost owner
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -187,6 +187,12 @@
 	return holding.Keeper(), result.OK
 }
 
+// covered says whether the plan known here names an owner for a key.
+func (n *Node) covered(service string, key once.Key) bool {
+	_, ok := n.plans.get(service).Find(key)
+	return ok
+}
+
 // settling says whether the node that holds a key is leaving, or has been
 // replaced by another process that is about to close its holdings.
 func (n *Node) settling(service string, key once.Key) bool {
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -89,6 +89,7 @@
 		Backoff:    budget.Backoff{Base: backoffBase, Max: backoffMax, Random: rand.Float64},
 		Owner:      n.keeper,
 		Settling:   n.settling,
+		Covered:    n.covered,
 		RetryShare: n.retryShare,
 		Moved:      n.members.Kick,
 	}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -111,6 +111,9 @@
 		// Code is the conclusion over all sendings of the request: the code
 		// that a node sent, or the caller's own when none arrived.
 		Code result.Code
+		// Refusal is why the last sending was refused where the code is
+		// RepeatRefused, else 0.
+		Refusal result.Code
 		// Replayed says that the answer is the recorded one of an earlier run.
 		Replayed bool
 		Status   int
@@ -151,6 +154,7 @@
 	deadlineHeader = "Dandelion-Deadline"
 	codeHeader     = "Dandelion-Code"
 	requestHeader  = "Dandelion-Request"
+	refusalHeader  = "Dandelion-Refusal"
 )
 
 const (
@@ -196,8 +200,8 @@
 
 // Do sends the request and repeats it where that is safe and can help. It
 // returns InvalidRequest, NotRun or Unknown, and no error for a whole answer of
-// the target, whatever its HTTP status. With Request.Key, NotRun speaks of the
-// sendings of this call only, not of earlier ones with the key.
+// the target, whatever its HTTP status. With Request.Key, it never returns NotRun:
+// an earlier sending of the key may have run.
 func (c *Caller) Do(ctx context.Context, request Request) (Answer, error) {
 	if err := c.check(&request); err != nil {
 		return Answer{Code: result.BadRequest}, err
@@ -207,6 +211,7 @@
 	for {
 		if code := c.stopped(ctx, course.deadline); code != 0 {
 			answer.Code = answer.Code.Then(code)
+			answer = course.concluded(answer)
 			return answer, failure(answer)
 		}
 		sending := course.next(c.Clock.Now())
@@ -215,6 +220,7 @@
 		c.heard(sending.node, outcome)
 		delay, again := course.ended(c.Clock.Now(), outcome)
 		if !again || !c.pause(ctx, delay) {
+			answer = course.concluded(answer)
 			return answer, failure(answer)
 		}
 	}
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -160,6 +160,8 @@
 		switch name {
 		case "retry":
 			w.Header().Set("Retry-After", strings.ReplaceAll(value, "_", " "))
+		case "refusal":
+			w.Header().Set(refusalHeader, value)
 		case "status":
 			status, _ = strconv.Atoi(value)
 		case "body":
@@ -216,7 +218,11 @@
 	m.play = strings.FieldsFunc(d.Input, func(r rune) bool { return r == '\n' })
 	m.mu.Unlock()
 	answer, err := m.caller.Do(ctx, request)
-	m.note("= %s %s sendings=%d key=%s", answer.Code, answer.Code.Family(), answer.Sendings, m.keyName(answer.Key))
+	code := answer.Code.String()
+	if answer.Refusal != 0 {
+		code += "(" + answer.Refusal.String() + ")"
+	}
+	m.note("= %s %s sendings=%d key=%s", code, answer.Code.Family(), answer.Sendings, m.keyName(answer.Key))
 	if answer.Status != 0 {
 		m.note(" status=%d body=%s", answer.Status, answer.Body)
 	}
--- a/pkg/caller/course.go
+++ b/pkg/caller/course.go
@@ -56,6 +56,8 @@
 	// outcome is what a sending showed.
 	outcome struct {
 		code result.Code
+		// refusal is why the sending was refused, with RepeatRefused.
+		refusal result.Code
 		// sent is set when bytes of the request may have left the caller.
 		sent bool
 		// answered is set when the node began an answer.
@@ -120,7 +122,7 @@
 func (c *course) ended(now time.Time, o outcome) (time.Duration, bool) {
 	c.keySent = c.keySent || o.sent
 	c.unknown = c.unknown || o.code.Family() == result.Unknown
-	if o.code.Family() == result.Complete || !c.helps(o.code) {
+	if o.code.Family() == result.Complete || !c.helps(o.reason()) {
 		return 0, false
 	}
 	c.position = (c.position + 1) % len(c.nodes)
@@ -163,7 +165,7 @@
 		return false
 	case result.KeyTooOld:
 		return !c.given && !c.unknown
-	case result.TargetFailed, result.AnswerTooLarge, result.KeyReused, result.Forgotten, result.CancelledLate:
+	case result.TargetFailed, result.AnswerTooLarge, result.OwnerGone, result.KeyReused, result.Forgotten, result.CancelledLate:
 		return false
 	case result.PartlyRun:
 		// The owner has recorded the key as lost and has no answer to give.
@@ -172,6 +174,24 @@
 	return true
 }
 
+// concluded keeps "not run" from a request whose key came with it: an earlier
+// sending of the key, which is not known here, may have run.
+func (c *course) concluded(answer Answer) Answer {
+	if c.given && answer.Code.Family() == result.NotRun {
+		answer.Refusal = answer.Code
+		answer.Code = result.RepeatRefused
+	}
+	return answer
+}
+
+// reason is the code that says why a sending did not end well.
+func (o outcome) reason() result.Code {
+	if o.code == result.RepeatRefused && o.refusal != 0 {
+		return o.refusal
+	}
+	return o.code
+}
+
 func (c *course) delay(retryAfter time.Duration) time.Duration {
 	doubled := float64(c.backoff.Base) * math.Exp2(float64(c.repeats-1))
 	backoff := min(doubled, float64(c.backoff.Max)) * (minJitter + (1-minJitter)*c.random())
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -50,8 +50,9 @@
 		answer.Header = response.Header
 		answer.Body = body
 	}
+	answer.Refusal, _ = result.Parse(response.Header.Get(refusalHeader))
 	wait := retryAfter(response.Header.Get("Retry-After"), c.Clock.Now())
-	return answer, outcome{code: code, sent: true, answered: true, retryAfter: wait}
+	return answer, outcome{code: code, refusal: answer.Refusal, sent: true, answered: true, retryAfter: wait}
 }
 
 // form makes the HTTP request of one sending.
--- a/pkg/caller/truth_test.go
+++ b/pkg/caller/truth_test.go
@@ -84,7 +84,7 @@
 		return o.answer(request, code.Draw(o.t, "code"), false), nil
 	}
 	if o.gone[key] {
-		return o.answer(request, ownerless(fresh), false), nil
+		return o.answer(request, o.ownerless(fresh), false), nil
 	}
 	code := result.OK
 	if key != "" && o.ran[key] {
@@ -98,11 +98,11 @@
 }
 
 // ownerless is the code of an entry node for a key whose owner is gone.
-func ownerless(fresh bool) result.Code {
+func (o *owner) ownerless(fresh bool) result.Code {
 	if fresh {
 		return result.NoOwner
 	}
-	return result.OwnerGone
+	return rapid.SampledFrom([]result.Code{result.OwnerGone, result.OwnerUnclear}).Draw(o.t, "ownerless")
 }
 
 func (o *owner) answer(request *http.Request, code result.Code, cut bool) *http.Response {
@@ -137,7 +137,12 @@
 		c.Retries = rapid.IntRange(0, 5).Draw(t, "retries")
 		c.Random = func() float64 { return rapid.Float64Range(0, 0.99).Draw(t, "random") }
 		repeat := rapid.SampledFrom([]Repeat{Safe, Never}).Draw(t, "repeat")
-		answer, err := c.Do(context.Background(), Request{Method: http.MethodPost, Path: "/orders", Repeat: repeat})
+		request := Request{Method: http.MethodPost, Path: "/orders", Repeat: repeat}
+		if rapid.Bool().Draw(t, "sent_before") {
+			request.Key = mintKey()
+			o.run(request.Key)
+		}
+		answer, err := c.Do(context.Background(), request)
 		o.arrive()
 		if repeat == Never {
 			is.True(o.executions <= 1) // at most once
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -72,6 +72,8 @@
 	Forgotten       Code = 308
 	PartlyRun       Code = 309
 	CancelledLate   Code = 310
+	OwnerUnclear    Code = 311
+	RepeatRefused   Code = 312
 )
 
 var table = []Info{
@@ -106,12 +108,14 @@
 	{TargetFailed, "target_failed", "The target answered that it failed; the call ran in part or whole.", "Read the target's answer.", 502},
 	{AnswerTruncated, "answer_truncated", "The target's answer ended before its declared length.", "Repeat with the same key if the kind allows it.", 502},
 	{AnswerTooLarge, "answer_too_large", "The target's answer is longer than the declared size.", "Ask for less, or have the declared size raised.", 502},
-	{OwnerGone, "owner_gone", "The owner of the key is gone, and with it the record of whether the key ran.", "If this key was never sent before, mint a new one; else ask for the state.", 503},
+	{OwnerGone, "owner_gone", "The owner of the key is gone, and with it the record of whether the key ran.", "Ask for the state: the key has no answer any more. If it was never sent before, mint a new one.", 503},
 	{KeyReused, "key_reused", "The key was used before for another request.", "Mint a key for each request.", 422},
 	{RunningStill, "running_still", "A run with the same key has not ended within the deadline.", "Repeat with the same key.", 504},
 	{Forgotten, "forgotten", "The key is older than the time for which records are kept.", "Ask for the state; mint a new key for a new request.", 409},
 	{PartlyRun, "partly_run", "The target refused the call after some of its own calls had run.", "Repeat with the same key if the kind allows it.", 502},
 	{CancelledLate, "cancelled_late", "The caller went away while the target was at work.", "Repeat with the same key.", 499},
+	{OwnerUnclear, "owner_unclear", "The node cannot tell or reach the owner of the key now. If the key ran, its record may still have the answer.", "Repeat with the same key in a few seconds.", 503},
+	{RepeatRefused, "repeat_refused", "This sending was refused and ran nowhere, but an earlier one of the same key may have run.", "Act on the refusal named in Dandelion-Refusal, and keep the key: only its answer tells what became of the request.", 503},
 }
 
 var byCode = index()
