Carry "failed below" as a field of the message

Cause: that an answer failed because of the target's own calls travelled as the header Dandelion-Below among the target's headers. It held only because one line dropped that header from every target's answer; one way round it and a failing target is never ejected.

Ruled out: keeping the header with a stricter list of names that nodes keep for themselves, which every new one would have to be added to.

Now CarryResponse has the field below. A target's headers travel unread.

TestFailureBelowDoesNotEject now draws the target's headers, and sends them through a real target and the node beside it.

--- a/internal/entry/below_test.go
+++ b/internal/entry/below_test.go
@@ -2,55 +2,85 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
-	"github.com/dandelionfield/dandelionfield/internal/admit"
-	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/local"
-	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/route"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 const failedAnswers = 10
 
+// failingTarget answers that it failed, with headers of its choice, after a call
+// of its own that was refused or without one.
+type failingTarget struct {
+	server *local.Server
+	header http.Header
+	below  bool
+}
+
+func (f *failingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if serving, ok := f.server.Serving(r.Header.Get(local.ContextHeader)); ok && f.below {
+		serving.ChildSent()
+		serving.ChildEnded(result.Overloaded, schema.Safe)
+	}
+	for name, values := range f.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
 // A target is ejected for answers that fail by themselves, and not for those
-// that fail because of the calls below it.
+// that fail because of the calls below it. Nothing that it writes into its
+// answers makes the one look like the other; its headers travel unread.
 func TestFailureBelowDoesNotEject(t *testing.T) {
-	for name, below := range map[string]bool{"own": false, "below": true} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			c := order()
-			s := &Sender{
-				Clock:      clock.System{},
-				Metrics:    metric.New(),
-				Route:      route.Settings{Random: func() float64 { return 0 }},
-				RetryShare: func(string) float64 { return 0.1 },
-			}
-			s.Init(admit.NewDoor())
-			target := route.Target{Name: "node", Incarnation: "inc-1"}
-			s.Update(c.Kind.Service, []route.Target{target, {Name: "other", Incarnation: "inc-2"}})
-			for range failedAnswers {
-				answer := takeFailure(s, c, target, below)
-				is.Equal(answer.Header.Get(local.BelowHeader), "")
+	target := &failingTarget{}
+	served := httptest.NewServer(target)
+	t.Cleanup(served.Close)
+	target.server = newServer(served.URL)
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		target.below = rapid.Bool().Draw(t, "below")
+		target.header = drawHeader(t)
+		s, c := newNear(nil), order()
+		node := route.Target{Name: "node", Incarnation: s.Self}
+		s.Update(c.Kind.Service, []route.Target{node, {Name: "other", Incarnation: "inc-2"}})
+		for range failedAnswers {
+			request := s.request(c, node, 0)
+			response := target.server.Carry(context.Background(), request)
+			one := &sending{sender: s, call: c}
+			answer := one.take(node, request, response, time.Millisecond, c.Tokens.Lend())
+			is.Equal(answer.Code, result.TargetFailed)
+			for name, values := range target.header {
+				is.Equal(answer.Header[name], values)
 			}
-			is.Equal(s.Targets(c.Kind.Service)[0].EjectedUntil.IsZero(), below)
-		})
-	}
+		}
+		is.Equal(s.Targets(c.Kind.Service)[0].EjectedUntil.IsZero(), target.below)
+	})
 }
 
-func takeFailure(s *Sender, c *call.Call, target route.Target, below bool) *call.Answer {
-	response := &relaypb.CarryResponse{Code: uint32(result.TargetFailed)}
-	if below {
-		response.Headers = []*relaypb.Header{{Name: local.BelowHeader, Value: "true"}}
+// drawHeader draws what a target may write, above all what nodes say among
+// themselves.
+func drawHeader(t *rapid.T) http.Header {
+	names := []string{
+		"Dandelion-Below", "Below", "Dandelion-Code", "Dandelion-Result", "Dandelion-Context",
+		"Dandelion-Refusal", "Replayed", "X-" + rapid.StringMatching("[A-Z][a-z]{0,5}").Draw(t, "name"),
+	}
+	header := http.Header{}
+	for range rapid.IntRange(0, 6).Draw(t, "headers") {
+		name := rapid.SampledFrom(names).Draw(t, "which")
+		header.Add(name, rapid.SampledFrom([]string{"true", "1", "302", "ok"}).Draw(t, "value"))
 	}
-	one := &sending{sender: s, call: c}
-	return one.take(target, s.request(c, target, 0), response, time.Millisecond, c.Tokens.Lend())
+	return header
 }
 
 // A caller that leaves says nothing against the target.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -183,10 +183,8 @@
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
 	code := told(result.Code(response.Code))
-	header := local.Unpack(response.Headers)
 	report := route.Report{Outcome: outcome(code), Latency: took}
-	if header.Get(local.BelowHeader) != "" {
-		header.Del(local.BelowHeader)
+	if response.Below {
 		report.Outcome = route.Blameless
 	}
 	if load := response.Load; load != nil {
@@ -207,7 +205,7 @@
 		Code:   code,
 		Detail: response.Detail,
 		Status: int(response.Status),
-		Header: header,
+		Header: local.Unpack(response.Headers),
 		Body:   response.Body,
 	}
 }
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -118,11 +118,29 @@
 		_, _ = io.WriteString(w, "whole")
 	}))
 	t.Cleanup(target.Close)
+	b.wire = newWire(t, serveRelay(t, newServer(target.URL)))
+	b.sender = &Sender{
+		Clock:      clock.System{},
+		Metrics:    metric.New(),
+		Log:        hclog.NewNullLogger(),
+		Client:     relay.NewClient(),
+		Route:      route.Settings{Random: func() float64 { return 0 }},
+		Backoff:    budget.Backoff{Base: time.Millisecond, Max: time.Millisecond, Random: func() float64 { return 0 }},
+		RetryShare: func(string) float64 { return 0.1 },
+		Moved:      func() {},
+	}
+	b.sender.Init(admit.NewDoor())
+	b.sender.Update(order().Kind.Service, []route.Target{{Name: "node", Incarnation: "inc-1", Address: b.wire.listener.Addr().String()}})
+	return b
+}
+
+// newServer returns the node beside a target that serves orders.
+func newServer(url string) *local.Server {
 	kind := order().Kind
-	server := local.New(local.Settings{
+	return local.New(local.Settings{
 		Incarnation: "inc-1",
 		Service:     kind.Service,
-		Target:      local.NewTarget(strings.TrimPrefix(target.URL, "http://"), 10, local.NewHeld(func() int64 { return 1 << 20 })),
+		Target:      local.NewTarget(strings.TrimPrefix(url, "http://"), 10, local.NewHeld(func() int64 { return 1 << 20 })),
 		Clock:       clock.System{},
 		Metrics:     metric.New(),
 		Log:         hclog.NewNullLogger(),
@@ -136,20 +154,6 @@
 		Learn:       func(uint32) {},
 		Revision:    func() int64 { return 1 },
 	})
-	b.wire = newWire(t, serveRelay(t, server))
-	b.sender = &Sender{
-		Clock:      clock.System{},
-		Metrics:    metric.New(),
-		Log:        hclog.NewNullLogger(),
-		Client:     relay.NewClient(),
-		Route:      route.Settings{Random: func() float64 { return 0 }},
-		Backoff:    budget.Backoff{Base: time.Millisecond, Max: time.Millisecond, Random: func() float64 { return 0 }},
-		RetryShare: func(string) float64 { return 0.1 },
-		Moved:      func() {},
-	}
-	b.sender.Init(admit.NewDoor())
-	b.sender.Update(kind.Service, []route.Target{{Name: "node", Incarnation: "inc-1", Address: b.wire.listener.Addr().String()}})
-	return b
 }
 
 func serveRelay(t *testing.T, server *local.Server) string {
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -238,6 +238,7 @@
 		Code:       uint32(code),
 		Detail:     reply.Detail,
 		TokensLeft: uint32(a.serving.Tokens.Left()),
+		Below:      below,
 	}
 	if reply.Facts.BodyWhole {
 		answer.Status = uint32(reply.Status)
@@ -245,9 +246,6 @@
 		answer.Body = reply.Body
 		answer.Digest = xxhash.Sum64(reply.Body)
 	}
-	if below {
-		answer.Headers = append(answer.Headers, &relaypb.Header{Name: BelowHeader, Value: "true"})
-	}
 	return answer
 }
 
--- a/internal/local/header.go
+++ b/internal/local/header.go
@@ -9,11 +9,6 @@
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
 
-// BelowHeader marks, between nodes only, an answer that failed while a call of
-// the target itself was refused, failed or under way. It says nothing against
-// the target.
-const BelowHeader = "Dandelion-Below"
-
 // hopByHop are the headers that belong to one connection and never travel on.
 var hopByHop = map[string]bool{
 	"Connection":          true,
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -123,7 +123,6 @@
 	defer response.Body.Close()
 	reply.Status = response.StatusCode
 	reply.Facts.Status = response.StatusCode
-	response.Header.Del(BelowHeader)
 	reply.Headers = pack(response.Header)
 	t.read(ctx, reply, response.Body, limits.MaxAnswerBytes)
 	return reply
