Refuse paths that targets may read as another kind

Cause: the kind was found by the decoded path, and the path goes on to the target as it came. POST /orders/7%2Fnotes was /orders/7/notes for the node, a safe kind of critical importance, and /orders/{order} for a target that splits before it decodes, as net/http does: an order of a kind that never repeats went out important and repeatable.

Now the request passes only if the path is of one kind when it is decoded whole, by segments, and not at all. Dot segments were refused before, encoded or not.

Ruled out: sending on the decoded path, which changes what a target gets; refusing every encoded slash, which parameters may hold.

--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -113,9 +113,9 @@
 		return call.Refuse(result.NoConfiguration, "")
 	}
 	request := exchange.Request
-	kind, ok := rules.Match(request.Method, request.URL.Path)
+	kind, ok := kindOf(rules, request.Method, request.URL)
 	if !ok {
-		return call.Refuse(result.UnknownKind, request.Method+" "+request.URL.Path)
+		return call.Refuse(result.UnknownKind, request.Method+" "+request.URL.EscapedPath())
 	}
 	deadline, err := f.deadline(request, kind)
 	if err != nil {
