--- a/internal/entry/near_test.go
+++ b/internal/entry/near_test.go
@@ -19,16 +19,21 @@
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
-// hasty is a clock whose waits end at once.
-type hasty struct{}
+// near is the incarnation of the node of newNear.
+const near = "inc-1"
 
-func (hasty) Now() time.Time {
-	return time.Now()
+// hasty is a clock that is set by hand, and whose waits end at once.
+type hasty struct {
+	now time.Time
 }
 
-func (hasty) After(time.Duration) <-chan time.Time {
+func (h *hasty) Now() time.Time {
+	return h.now
+}
+
+func (h *hasty) After(time.Duration) <-chan time.Time {
 	fired := make(chan time.Time, 1)
-	fired <- time.Now()
+	fired <- h.now
 	return fired
 }
 
@@ -36,11 +41,11 @@
 // target's address.
 func newNear(beside func(request *relaypb.CarryRequest) *relaypb.CarryResponse) *Sender {
 	s := &Sender{
-		Clock:   hasty{},
+		Clock:   &hasty{now: time.Now()},
 		Metrics: metric.New(),
 		Log:     hclog.NewNullLogger(),
 		Client:  relay.NewClient(),
-		Self:    "inc-1",
+		Self:    near,
 		Beside: func(_ context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
 			return beside(request)
 		},
