Set up tests of filters and routes in one place

Cause: five tests of filters each made the filters of a node, and four tests of routes each told one target to end its calls otherwise than the rest.

The bounds and what is judged are as before. Ruled out as doubling: the lists of imports, the literal of a server's settings in two packages, and relay.proto, which duplicates finds by their shape.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -182,7 +182,7 @@
 // take checks an answer and learns from it.
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
-	code := told(result.Code(response.Code))
+	code := entryCode(result.Code(response.Code))
 	report := route.Report{Outcome: outcome(code), Latency: took}
 	if response.Below {
 		report.Outcome = route.Blameless
@@ -210,9 +210,9 @@
 	}
 }
 
-// told is what the code of a node says here. A node that is not the owner of a
-// key as far as it knows cannot tell that the owner is gone.
-func told(code result.Code) result.Code {
+// entryCode is what the code of a node says at the entry. A node that is not the
+// owner of a key as far as it knows cannot tell that the owner is gone.
+func entryCode(code result.Code) result.Code {
 	if code == result.OwnerGone {
 		return result.OwnerUnclear
 	}
--- a/internal/filter/door_test.go
+++ b/internal/filter/door_test.go
@@ -7,13 +7,11 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"github.com/dandelionfield/dandelionfield/internal/admit"
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/local"
-	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -118,16 +116,12 @@
 }
 
 func passDoor(set *schema.Set, door *admit.Door, now time.Time, one doorCase) *call.Answer {
-	matcher := schema.NewMatcher(set)
-	inward := &Inward{
-		Clock:   fixed{now},
-		Metrics: metric.New(),
-		Log:     hclog.NewNullLogger(),
-		Rules:   func() *Rules { return &Rules{Limits: set.Limits, Match: matcher.Match, Chain: set.Chain} },
-		Serving: func(handle string) (*call.Serving, bool) {
-			return &call.Serving{Deadline: now.Add(time.Second), Tokens: call.NewTokens(0)}, handle == "known"
-		},
-		Allows: func(services []string, order uint32) (string, bool) { return door.Allows(now, services, order) },
+	inward := newPlain(now, func() *Rules { return rulesOf(set) })
+	inward.Serving = func(handle string) (*call.Serving, bool) {
+		return &call.Serving{Deadline: now.Add(time.Second), Tokens: call.NewTokens(0)}, handle == "known"
+	}
+	inward.Allows = func(services []string, order uint32) (string, bool) {
+		return door.Allows(now, services, order)
 	}
 	request := httptest.NewRequest(one.method, one.path, nil)
 	request.Header.Set(local.ContextHeader, one.handle)
--- a/internal/filter/filter_test.go
+++ b/internal/filter/filter_test.go
@@ -101,29 +101,42 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	matcher := schema.NewMatcher(set)
-	rules := &Rules{Revision: 1, Limits: set.Limits, Match: matcher.Match, Chain: set.Chain}
+	rules := rulesOf(set)
 	if d.HasArg("no_rules") {
 		rules = nil
 	}
+	inward := newPlain(now, func() *Rules { return rules })
+	inward.Serving = func(handle string) (*call.Serving, bool) {
+		if handle == "known" {
+			return parent, true
+		}
+		return nil, false
+	}
+	inward.TargetHost = "127.0.0.1"
+	inward.Allows = func(services []string, _ uint32) (string, bool) {
+		return services[0], !d.HasArg("closed")
+	}
+	return inward
+}
+
+// newPlain returns filters with the rules, no call under way and an open door.
+func newPlain(now time.Time, rules func() *Rules) *Inward {
 	return &Inward{
 		Clock:   fixed{now},
 		Metrics: metric.New(),
 		Log:     hclog.NewNullLogger(),
-		Rules:   func() *Rules { return rules },
-		Serving: func(handle string) (*call.Serving, bool) {
-			if handle == "known" {
-				return parent, true
-			}
-			return nil, false
-		},
-		TargetHost: "127.0.0.1",
-		Allows: func(services []string, _ uint32) (string, bool) {
-			return services[0], !d.HasArg("closed")
-		},
+		Rules:   rules,
+		Serving: func(string) (*call.Serving, bool) { return nil, false },
+		Allows:  func([]string, uint32) (string, bool) { return "", true },
 	}
 }
 
+// rulesOf returns the rules that follow from declarations.
+func rulesOf(set *schema.Set) *Rules {
+	matcher := schema.NewMatcher(set)
+	return &Rules{Revision: 1, Limits: set.Limits, Match: matcher.Match, Chain: set.Chain}
+}
+
 // readRequest reads a method and a path, then headers, then the body.
 func readRequest(d *datadriven.TestData) *http.Request {
 	lines := strings.Split(d.Input, "\n")
--- a/internal/filter/path_test.go
+++ b/internal/filter/path_test.go
@@ -11,12 +11,10 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/dandelionfield/dandelionfield/internal/call"
-	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -166,16 +164,8 @@
 // tells the kind and the path that go to the target, or nothing when the request
 // is refused.
 func newClassifier(set *schema.Set) func(text string) (kind, uri string) {
-	matcher := schema.NewMatcher(set)
-	rules := &Rules{Limits: set.Limits, Match: matcher.Match, Chain: set.Chain}
-	inward := &Inward{
-		Clock:   fixed{time.Unix(1_800_000_000, 0)},
-		Metrics: metric.New(),
-		Log:     hclog.NewNullLogger(),
-		Rules:   func() *Rules { return rules },
-		Serving: func(string) (*call.Serving, bool) { return nil, false },
-		Allows:  func([]string, uint32) (string, bool) { return "", true },
-	}
+	rules := rulesOf(set)
+	inward := newPlain(time.Unix(1_800_000_000, 0), func() *Rules { return rules })
 	return func(text string) (kind, uri string) {
 		chain := Chain(inward.Filters(), func(_ context.Context, e *Exchange) *call.Answer {
 			kind, uri = e.Call.Kind.Name, e.Call.Path
--- a/internal/filter/repeated_test.go
+++ b/internal/filter/repeated_test.go
@@ -7,12 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/dandelionfield/dandelionfield/internal/call"
-	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -50,19 +48,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	matcher := schema.NewMatcher(set)
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		play := &meshPlay{t: t}
 		var rules *Rules
-		inward := &Inward{
-			Clock:   fixed{time.Unix(1_800_000_000, 0)},
-			Metrics: metric.New(),
-			Log:     hclog.NewNullLogger(),
-			Rules:   func() *Rules { return rules },
-			Serving: func(string) (*call.Serving, bool) { return nil, false },
-			Allows:  func([]string, uint32) (string, bool) { return "orders", rapid.Bool().Draw(t, "open") },
-		}
+		inward := newPlain(time.Unix(1_800_000_000, 0), func() *Rules { return rules })
+		inward.Allows = func([]string, uint32) (string, bool) { return "orders", rapid.Bool().Draw(t, "open") }
 		handler := Handler(Chain(inward.Filters(), play.end))
 		method, path := http.MethodPost, "/orders"
 		if rapid.Bool().Draw(t, "safe") {
@@ -72,7 +63,7 @@
 		for i := range rapid.IntRange(1, 4).Draw(t, "sendings") {
 			rules = nil
 			if rapid.IntRange(0, 9).Draw(t, "configured") > 0 {
-				rules = &Rules{Limits: set.Limits, Match: matcher.Match, Chain: set.Chain}
+				rules = rulesOf(set)
 			}
 			request := httptest.NewRequest(method, path, nil)
 			request.Header.Set(KeyHeader, "019a0000-0000-7000-8000-000000000001")
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -42,10 +42,29 @@
 	s.Random = f.random.Float64
 	f.table = New(s)
 	f.table.Update(f.now, targets)
-	f.answer = func(string) (time.Duration, Outcome) { return f.usual(), Complete }
+	f.heal()
 	return f
 }
 
+// heal lets all targets complete their calls.
+func (f *field) heal() {
+	f.answer = func(string) (time.Duration, Outcome) { return f.usual(), Complete }
+}
+
+// except lets one target end its calls otherwise than the rest, which complete.
+func (f *field) except(name string, took func() time.Duration, outcome Outcome) {
+	f.answer = func(target string) (time.Duration, Outcome) {
+		if target == name {
+			return took(), outcome
+		}
+		return f.usual(), Complete
+	}
+}
+
+func always(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
 func (f *field) usual() time.Duration {
 	return time.Duration((0.5 + f.random.Float64()) * float64(100*time.Millisecond))
 }
@@ -106,12 +125,7 @@
 func TestFastFailureDrawsNoCalls(t *testing.T) {
 	is := is.New(t)
 	f := newField(Settings{DataCentre: "a"}, targetsIn("a"))
-	f.answer = func(target string) (time.Duration, Outcome) {
-		if target == "a0" {
-			return time.Millisecond, Failed
-		}
-		return f.usual(), Complete
-	}
+	f.except("a0", always(time.Millisecond), Failed)
 	f.run(400, 10*time.Second)
 	fair := 4000 / 3
 	t.Logf("failing target got %d calls, a fair share is %d", f.sent["a0"], fair)
@@ -122,19 +136,14 @@
 func TestSilentTargetIsEjectedAndTriedAgain(t *testing.T) {
 	is := is.New(t)
 	f := newField(Settings{DataCentre: "a"}, targetsIn("a"))
-	f.answer = func(target string) (time.Duration, Outcome) {
-		if target == "a0" {
-			return time.Second, Silent
-		}
-		return f.usual(), Complete
-	}
+	f.except("a0", always(time.Second), Silent)
 	f.run(300, 5*time.Second)
 	is.Equal(f.ejected(), []string{"a0"})
 	before := f.sent["a0"]
 	f.run(300, 10*time.Second)
 	is.True(f.sent["a0"] > before)    // it is tried again
 	is.True(f.sent["a0"] < before+20) // by few calls
-	f.answer = func(string) (time.Duration, Outcome) { return f.usual(), Complete }
+	f.heal()
 	f.run(300, 10*time.Second)
 	is.Equal(len(f.ejected()), 0)
 	before = f.sent["a0"]
@@ -149,7 +158,7 @@
 		f.answer = func(string) (time.Duration, Outcome) { return 10 * time.Millisecond, outcome }
 		f.run(300, 10*time.Second)
 		is.True(len(f.sent) == 3 && f.sent["a0"]+f.sent["a1"]+f.sent["a2"] > 2500) // all are used
-		f.answer = func(string) (time.Duration, Outcome) { return f.usual(), Complete }
+		f.heal()
 		f.run(300, 2*time.Second)
 		f.failed = 0
 		f.run(300, time.Second)
@@ -203,12 +212,7 @@
 func TestDeeperFailureBlamesNobody(t *testing.T) {
 	is := is.New(t)
 	f := newField(Settings{DataCentre: "a"}, targetsIn("a"))
-	f.answer = func(target string) (time.Duration, Outcome) {
-		if target == "a0" {
-			return f.usual(), Blameless
-		}
-		return f.usual(), Complete
-	}
+	f.except("a0", f.usual, Blameless)
 	f.run(300, 5*time.Second)
 	is.Equal(len(f.ejected()), 0)
 }
@@ -230,12 +234,7 @@
 	is := is.New(t)
 	targets := targetsIn("a", "b", "c")
 	f := newField(Settings{DataCentre: "a"}, []Target{targets[0], targets[3], targets[6]})
-	f.answer = func(target string) (time.Duration, Outcome) {
-		if target == "a0" {
-			return time.Millisecond, Unreachable
-		}
-		return f.usual(), Complete
-	}
+	f.except("a0", always(time.Millisecond), Unreachable)
 	f.run(200, 10*time.Second)
 	is.Equal(f.ejected(), []string{"a0"})
 	is.True(f.sent["a0"] < 2000/3/10) // a tenth of a fair share
