Tell a fresh key that its owner is unclear as not run

Cause: a node that is not the owner of a key answers 305, which the entry passes on as 311, unknown, also for a key that was never sent before. Nothing ran for it, and a caller may mint another key.

Now a fresh key gets 215 no_owner there, as it does where the entry itself finds no owner, and neither counts against the target. Other attempts of the same call keep their unknown result, as with every refusal.

Ruled out: saying so at the node that is asked, which does not hear whether a key is fresh.

With it off: owner_unclear for no_owner, and Refused for Blameless.

--- a/internal/entry/owner_test.go
+++ b/internal/entry/owner_test.go
@@ -34,7 +34,7 @@
 		{name: "no plan covers the key", want: result.OwnerUnclear},
 		{name: "being replaced", covered: true, settling: true, want: result.OwnerUnclear},
 		{name: "known but no target", keeper: "elsewhere", covered: true, want: result.OwnerUnclear},
-		{name: "asked, and not the owner", keeper: "inc-1", covered: true, answer: result.OwnerGone, want: result.OwnerUnclear},
+		{name: "asked, and not the owner", keeper: near, covered: true, answer: result.OwnerGone, want: result.OwnerUnclear},
 	} {
 		t.Run(view.name, func(t *testing.T) {
 			is := is.New(t)
@@ -63,14 +63,20 @@
 
 // A key that was never sent before cannot have run, whoever its owner is.
 func TestFreshKeyWithoutOwnerIsNotRun(t *testing.T) {
-	is := is.New(t)
-	s := newNear(nil)
-	s.Owner = func(string, once.Key, bool) (string, result.Code) { return "elsewhere", result.OK }
-	s.Settling = func(string, once.Key) bool { return false }
-	c := order()
-	c.Key = once.Mint(time.Now()).Text
-	c.KeyFresh = true
-	is.Equal(s.Send(context.Background(), c).Code, result.NoOwner)
+	for _, keeper := range []string{"elsewhere", near} { // no target here, and a node that is not the owner
+		is := is.New(t)
+		s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+			return &relaypb.CarryResponse{AttemptId: request.AttemptId, Code: uint32(result.OwnerGone)}
+		})
+		s.Owner = func(string, once.Key, bool) (string, result.Code) { return keeper, result.OK }
+		s.Settling = func(string, once.Key) bool { return false }
+		c := order()
+		c.Key = once.Mint(time.Now()).Text
+		c.KeyFresh = true
+		is.Equal(s.Send(context.Background(), c).Code, result.NoOwner)
+		// Nor does it say anything against the target.
+		is.Equal(outcome(result.NoOwner), route.Blameless)
+	}
 }
 
 // Answers that say nothing against a target do not eject it, however many.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -182,7 +182,7 @@
 // take checks an answer and learns from it.
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
-	code := entryCode(result.Code(response.Code))
+	code := s.entryCode(result.Code(response.Code))
 	report := route.Report{Outcome: outcome(code), Latency: took}
 	if response.Below {
 		report.Outcome = route.Blameless
@@ -211,12 +211,16 @@
 }
 
 // entryCode is what the code of a node says at the entry. A node that is not the
-// owner of a key as far as it knows cannot tell that the owner is gone.
-func entryCode(code result.Code) result.Code {
-	if code == result.OwnerGone {
-		return result.OwnerUnclear
+// owner of a key as far as it knows cannot tell that the owner is gone; and a key
+// that was never sent before cannot have run elsewhere.
+func (s *sending) entryCode(code result.Code) result.Code {
+	switch {
+	case code != result.OwnerGone:
+		return code
+	case s.call.KeyFresh:
+		return result.NoOwner
 	}
-	return code
+	return result.OwnerUnclear
 }
 
 // whole says whether an answer belongs to the attempt and is undamaged.
@@ -309,7 +313,7 @@
 	switch code {
 	case result.Unreachable:
 		return route.Unreachable
-	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.OwnerUnclear:
+	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.NoOwner, result.OwnerUnclear:
 		return route.Blameless
 	}
 	switch code.Family() {
