Keep the claim of a fresh key from targets

Cause: Dandelion-Key-Fresh went on to the target with the caller's other headers. A target that copies its headers to its own calls claimed a fresh key for them, also when the mesh called it a second time, and could be told "not run" of a call that had run for the first one.

Ruled out: leaving it to the page for callers, which a target that copies all headers does not heed.

Now the header ends at the entry. With the mechanism off, the script of the filters has two headers for one. kill and roll passed once each with -race.

--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -96,9 +96,10 @@
 // the sending that it answers; where the key may have been sent before, an
 // earlier sending may have run, or be under way still.
 func repeated(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
-	answer := next(ctx, exchange)
 	header := exchange.Request.Header
-	if header.Get(KeyHeader) == "" || header.Get(FreshHeader) == "true" || answer.Code.Family() != result.NotRun {
+	mayHaveRun := header.Get(KeyHeader) != "" && header.Get(FreshHeader) != "true"
+	answer := next(ctx, exchange)
+	if !mayHaveRun || answer.Code.Family() != result.NotRun {
 		return answer
 	}
 	answer.Refusal = answer.Code
@@ -183,9 +184,14 @@
 	return exchange.Call.RequestID
 }
 
-// key checks the idempotency key of a kind that never repeats.
+// key checks the idempotency key of a kind that never repeats. That a key is
+// fresh is not passed on: a target that copies its headers to the calls that it
+// makes would claim it for theirs, also when it is called a second time.
 func (f *Inward) key(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
-	text := exchange.Request.Header.Get(KeyHeader)
+	header := exchange.Request.Header
+	fresh := header.Get(FreshHeader) == "true"
+	header.Del(FreshHeader)
+	text := header.Get(KeyHeader)
 	if text == "" {
 		return next(ctx, exchange)
 	}
@@ -197,7 +203,7 @@
 		text = key.Text
 	}
 	exchange.Call.Key = text
-	exchange.Call.KeyFresh = exchange.Request.Header.Get(FreshHeader) == "true"
+	exchange.Call.KeyFresh = fresh
 	return next(ctx, exchange)
 }
 
