--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -109,7 +109,7 @@
 	case result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned, result.NoConfiguration:
 		s.sender.Moved()
 		return true
-	case result.NoOwner, result.OwnerGone:
+	case result.NoOwner, result.OwnerGone, result.OwnerUnclear:
 		return s.reowned(ctx)
 	case result.Lost, result.AnswerTruncated, result.TargetFailed, result.PartlyRun:
 		return s.call.Kind.Repeat == schema.Safe
@@ -160,6 +160,7 @@
 func (s *sending) attempt(ctx context.Context) *call.Answer {
 	target, code := s.sender.choose(s.call, s.tried)
 	if code != result.OK {
+		s.sender.Metrics.Refusals.WithLabelValues(s.call.Kind.Service, code.String()).Inc()
 		return call.Refuse(code, "")
 	}
 	s.tried[target.Name] = true
@@ -185,11 +186,9 @@
 // take checks an answer and learns from it.
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
-	code := result.Code(response.Code)
-	header := local.Unpack(response.Headers)
+	code := s.entryCode(result.Code(response.Code))
 	report := route.Report{Outcome: outcome(code), Latency: took}
-	if header.Get(local.BelowHeader) != "" {
-		header.Del(local.BelowHeader)
+	if response.Below {
 		report.Outcome = route.Blameless
 	}
 	if load := response.Load; load != nil {
@@ -210,11 +209,24 @@
 		Code:   code,
 		Detail: response.Detail,
 		Status: int(response.Status),
-		Header: header,
+		Header: local.Unpack(response.Headers),
 		Body:   response.Body,
 	}
 }
 
+// entryCode is what the code of a node says at the entry. A node that is not the
+// owner of a key as far as it knows cannot tell that the owner is gone; and a key
+// that was never sent before cannot have run elsewhere.
+func (s *sending) entryCode(code result.Code) result.Code {
+	switch {
+	case code != result.OwnerGone:
+		return code
+	case s.call.KeyFresh:
+		return result.NoOwner
+	}
+	return result.OwnerUnclear
+}
+
 // whole says whether an answer belongs to the attempt and is undamaged.
 func (s *sending) whole(request *relaypb.CarryRequest, response *relaypb.CarryResponse) bool {
 	if response.AttemptId != request.AttemptId {
@@ -323,7 +335,7 @@
 	switch code {
 	case result.Unreachable:
 		return route.Unreachable
-	case result.PartlyRun, result.Cancelled, result.CancelledLate:
+	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.NoOwner, result.OwnerUnclear:
 		return route.Blameless
 	case result.TargetStopped:
 		return route.Failed
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -53,12 +53,16 @@
 	CodeHeader     = "Dandelion-Code"
 	ResultHeader   = "Dandelion-Result"
 	RequestHeader  = "Dandelion-Request"
+	// RefusalHeader names why a sending was refused, where the code is that of a
+	// refused repeat.
+	RefusalHeader = "Dandelion-Refusal"
 )
 
 // Filters returns the filters in the order in which they run.
 func (f *Inward) Filters() []Filter {
 	return []Filter{
 		{Name: "record", Run: f.record},
+		{Name: "repeated", Run: repeated},
 		{Name: "classify", Run: f.classify},
 		{Name: "inherit", Run: f.inherit},
 		{Name: "key", Run: f.key},
@@ -80,6 +84,7 @@
 		"request", exchange.Call.RequestID,
 		"kind", kind,
 		"result", answer.Code.String(),
+		"refusal", answer.Refusal,
 		"status", answer.Status,
 		"took_ms", f.Clock.Now().Sub(began).Milliseconds(),
 		"detail", answer.Detail,
@@ -87,6 +92,21 @@
 	return answer
 }
 
+// repeated keeps "not run" from requests that may have run. A refusal speaks of
+// the sending that it answers; where the key may have been sent before, an
+// earlier sending may have run, or be under way still.
+func repeated(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	header := exchange.Request.Header
+	mayHaveRun := header.Get(KeyHeader) != "" && header.Get(FreshHeader) != "true"
+	answer := next(ctx, exchange)
+	if !mayHaveRun || answer.Code.Family() != result.NotRun {
+		return answer
+	}
+	answer.Refusal = answer.Code
+	answer.Code = result.RepeatRefused
+	return answer
+}
+
 // classify finds the declared kind and fixes the deadline.
 func (f *Inward) classify(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	rules := f.Rules()
@@ -94,9 +114,9 @@
 		return call.Refuse(result.NoConfiguration, "")
 	}
 	request := exchange.Request
-	kind, ok := rules.Match(request.Method, request.URL.Path)
+	kind, ok := kindOf(rules, request.Method, request.URL)
 	if !ok {
-		return call.Refuse(result.UnknownKind, request.Method+" "+request.URL.Path)
+		return call.Refuse(result.UnknownKind, request.Method+" "+request.URL.EscapedPath())
 	}
 	deadline, err := f.deadline(request, kind)
 	if err != nil {
@@ -164,9 +184,14 @@
 	return exchange.Call.RequestID
 }
 
-// key checks the idempotency key of a kind that never repeats.
+// key checks the idempotency key of a kind that never repeats. That a key is
+// fresh is not passed on: a target that copies its headers to the calls that it
+// makes would claim it for theirs, also when it is called a second time.
 func (f *Inward) key(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
-	text := exchange.Request.Header.Get(KeyHeader)
+	header := exchange.Request.Header
+	fresh := header.Get(FreshHeader) == "true"
+	header.Del(FreshHeader)
+	text := header.Get(KeyHeader)
 	if text == "" {
 		return next(ctx, exchange)
 	}
@@ -178,7 +203,7 @@
 		text = key.Text
 	}
 	exchange.Call.Key = text
-	exchange.Call.KeyFresh = exchange.Request.Header.Get(FreshHeader) == "true"
+	exchange.Call.KeyFresh = fresh
 	return next(ctx, exchange)
 }
 
