--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,10 @@
 mesh: build
 	scripts/mesh.sh
 
+# As in `make bench SEEDS="3 4 5" RUNS=1 TRACES="slow both" FORMER=<commit>`.
 bench: build
-	scripts/bench.sh
+	scripts/bench.sh $(SEEDS:%=--seed %) $(TRACES:%=--trace %) $(FIRMS:%=--firm %) \
+		$(RUNS:%=--runs %) $(FORMER:%=--former %)
 
 clean:
 	rm -rf bin run
--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -36,6 +36,8 @@
 		Result string `json:"result"`
 		Code   int    `json:"code"`
 		Status int    `json:"status"`
+		// At is when the attempt was sent, from the start of the trace.
+		At time.Duration `json:"at_ns"`
 		// RetryAfter is how long the answer told the caller to wait.
 		RetryAfter time.Duration `json:"-"`
 		// Torn is set for an answer that claimed success and was not whole.
@@ -79,6 +81,8 @@
 		Good            int `json:"good"`
 		CriticalOffered int `json:"critical_offered"`
 		CriticalGood    int `json:"critical_good"`
+		// Kinds counts the requests of each kind.
+		Kinds map[string]KindCount `json:"kinds"`
 		// Demand is how many calls a second of each service the requests would
 		// take, by the calls that their kinds declare, if all were good and
 		// none repeated.
@@ -95,12 +99,18 @@
 		Capacity map[string]float64 `json:"capacity"`
 	}
 
+	// KindCount counts the requests of one kind that arrived in a spell.
+	KindCount struct {
+		Seconds float64 `json:"seconds"`
+		Offered int     `json:"offered"`
+		Good    int     `json:"good"`
+	}
+
 	// Report is what a run showed.
 	Report struct {
-		// Label says what ran, for a table of several reports.
-		Label    []string       `json:"label,omitempty"`
 		Spells   []Spell        `json:"spells"`
 		Lines    []Line         `json:"lines"`
+		Moments  []Moment       `json:"moments"`
 		Offered  int            `json:"offered"`
 		Good     int            `json:"good"`
 		Refusals map[string]int `json:"refusals"`
@@ -121,6 +131,8 @@
 		Foreign     int     `json:"foreign"`
 		DoubleRuns  int     `json:"double_runs"`
 		FalseNotRun int     `json:"false_not_run"`
+		// Use is what the nodes took; nil when it was not measured.
+		Use *NodeUse `json:"use,omitempty"`
 		// Silent names the targets whose executions could not be read; what
 		// they ran is missing from this report.
 		Silent []string `json:"silent,omitempty"`
@@ -135,6 +147,7 @@
 	report := Report{
 		Refusals:  map[string]int{},
 		Spells:    spells(config, mesh, outcomes),
+		Moments:   moments(config.Phases, outcomes),
 		RecoveryS: Recovery(outcomes, config.Trigger),
 	}
 	tries := 0
@@ -225,6 +238,10 @@
 	return t.Status == statusOK && !t.Torn && !t.Foreign
 }
 
+func (t Try) sent() bool {
+	return t.Result != loadBound && t.Result != kindNotDeclared
+}
+
 func (t Try) notRun() bool {
 	return result.Code(t.Code).Family() == result.NotRun
 }
--- a/internal/lab/account_test.go
+++ b/internal/lab/account_test.go
@@ -28,9 +28,10 @@
 //	config      the phases and the trigger
 //	outcomes    one request a line: ID KIND PHASE AT TOOK TRY..., where a try is
 //	            the name of a result code, or torn, foreign, timeout; a last try
-//	            of ok or replayed is a good answer
+//	            of ok or replayed is a good answer. A try is sent with the
+//	            request, or at T in NAME@T
 //	ran         one execution a line: TARGET ATTEMPT KIND ARRIVED RUNS WORK_MS
-//	report, lines, spells
+//	report, lines, spells, moments, recovery
 func TestAccount(t *testing.T) {
 	datadriven.Walk(t, "testdata/account", func(t *testing.T, path string) {
 		s := &accountScript{}
@@ -60,13 +61,17 @@
 			s.ran(is, row)
 		}
 	case "report":
-		report.Lines, report.Spells = nil, nil
+		report.Lines, report.Spells, report.Moments = nil, nil, nil
 		body, err := json.MarshalIndent(report, "", "  ")
 		is.NoErr(err)
 		text.Write(body)
 		text.WriteString("\n")
 	case "recovery":
 		fmt.Fprintln(&text, report.recovery())
+	case "moments":
+		for _, moment := range report.Moments {
+			fmt.Fprintf(&text, "%.1f s: %d offered, %d good, %d attempts\n", moment.AtS, moment.Offered, moment.Good, moment.Attempts)
+		}
 	case "lines":
 		for _, line := range report.Lines {
 			fmt.Fprintf(&text, "%+v\n", line)
@@ -125,7 +130,12 @@
 	is.NoErr(err)
 	outcome := Outcome{ID: fields[0], Kind: fields[1], Phase: fields[2], At: at, Took: took}
 	for _, name := range fields[5:] {
-		try := Try{Result: name, Torn: name == "torn", Foreign: name == "foreign"}
+		name, sent, late := strings.Cut(name, "@")
+		try := Try{Result: name, At: at, Torn: name == "torn", Foreign: name == "foreign"}
+		if late {
+			try.At, err = time.ParseDuration(sent)
+			is.NoErr(err)
+		}
 		if code, ok := result.Parse(name); ok {
 			info, _ := code.Info()
 			try.Code, try.Status = int(code), info.Status
--- a/internal/lab/added.go
+++ b/internal/lab/added.go
@@ -5,22 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 )
 
-const (
-	// ticksPerSecond is the unit of processor time in /proc/<id>/stat.
-	ticksPerSecond = 100
-	// idleTime is how long the processes are watched while they are idle.
-	idleTime = 3 * time.Second
-)
+// idleTime is how long the processes are watched while they are idle.
+const idleTime = 3 * time.Second
 
 type (
 	// Added measures the time that a mesh adds to a call: it alternates direct
@@ -174,37 +168,3 @@
 	index := int(q * float64(len(values)-1))
 	return values[index].Seconds() * 1000
 }
-
-// processorTime returns the processor time that the processes have used. One
-// that is gone counts as nothing.
-func processorTime(ids []int) time.Duration {
-	total := time.Duration(0)
-	for _, id := range ids {
-		text, err := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
-		if err != nil {
-			continue
-		}
-		total += parseStat(string(text))
-	}
-	return total
-}
-
-// parseStat reads user and system time from a line of /proc/<id>/stat. They
-// are the 12th and 13th field after the name, which ends at the last bracket.
-func parseStat(line string) time.Duration {
-	const user, system = 11, 12
-	_, rest, _ := strings.Cut(line[strings.LastIndex(line, ")")+1:], " ")
-	fields := strings.Fields(rest)
-	if len(fields) <= system {
-		return 0
-	}
-	ticks := 0
-	for _, field := range []int{user, system} {
-		count, err := strconv.Atoi(fields[field])
-		if err != nil {
-			return 0
-		}
-		ticks += count
-	}
-	return time.Duration(ticks) * time.Second / ticksPerSecond
-}
--- /dev/null
+++ b/internal/lab/bench_test.go
@@ -0,0 +1,128 @@
+package lab
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+// TestBench runs the scripts over the reports in testdata/runs. The commands are
+//
+//	spread      the figures of some runs
+//	runs        the reports to read, one a line
+//	table, kinds, charts
+func TestBench(t *testing.T) {
+	datadriven.Walk(t, "testdata/bench", func(t *testing.T, path string) {
+		var runs []Run[Report]
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var text strings.Builder
+			switch d.Cmd {
+			case "spread":
+				return spreadOf(is.New(t), strings.Fields(d.Input))
+			case "runs":
+				runs = readTestRuns(strings.Fields(d.Input))
+			case "table":
+				PrintLoads(&text, runs)
+			case "kinds":
+				PrintKinds(&text, runs)
+			case "charts":
+				for _, chart := range Charts(runs) {
+					printChart(&text, chart)
+				}
+			default:
+				t.Fatalf("no such command: %s", d.Cmd)
+			}
+			return strings.ReplaceAll(text.String(), "\n\n", "\n")
+		})
+	})
+}
+
+func spreadOf(is *is.I, fields []string) string {
+	figures := make([]float64, 0, len(fields))
+	for _, field := range fields {
+		figure, err := strconv.ParseFloat(field, 64)
+		is.NoErr(err)
+		figures = append(figures, figure)
+	}
+	return fmt.Sprintf("%+v\n", NewSpread(figures))
+}
+
+func readTestRuns(names []string) []Run[Report] {
+	const root = "testdata/runs"
+	paths := make([]string, 0, len(names))
+	for _, name := range names {
+		paths = append(paths, filepath.Join(root, name))
+	}
+	return ReadRuns[Report](root, paths)
+}
+
+func printChart(text *strings.Builder, chart Chart) {
+	fmt.Fprintf(text, "%s, trigger from %g to %g s\n", chart.Name, chart.TriggerFrom, chart.TriggerTo)
+	printCurves(text, "offered", []Curve{chart.Offered})
+	printCurves(text, "good", chart.Good)
+	printCurves(text, "attempts", chart.Attempts)
+}
+
+func printCurves(text *strings.Builder, figure string, curves []Curve) {
+	for _, curve := range curves {
+		fmt.Fprintf(text, "%s, %s:", figure, curve.Name)
+		for _, point := range curve.Points {
+			fmt.Fprintf(text, " %gs=%g(%g..%g)", point.AtS, point.Median, point.Low, point.High)
+		}
+		fmt.Fprintln(text)
+	}
+}
+
+// TestPictureNamesItsCurves draws the runs and looks for the names of the axes
+// and meshes in the picture's text.
+func TestPictureNamesItsCurves(t *testing.T) {
+	is := is.New(t)
+	runs := readTestRuns([]string{
+		"firm/slow/naive/3-1.json",
+		"firm/slow/naive/4-1.json",
+		"firm/slow/dandelionfield/3-1.json",
+	})
+	charts := Charts(runs)
+	is.Equal(len(charts), 1)
+	path := filepath.Join(t.TempDir(), "slow.svg")
+	is.NoErr(charts[0].Save(path))
+	picture, err := os.ReadFile(path)
+	is.NoErr(err)
+	for _, want := range []string{"firm-slow", "naive", "dandelionfield", "good answers a second"} {
+		is.True(strings.Contains(string(picture), want)) // the picture bears the name
+	}
+	is.True(charts[0].Save(filepath.Join(t.TempDir(), "slow.unknown")) != nil)
+}
+
+func TestNodeUseIsTheMeanAndTheLargest(t *testing.T) {
+	is := is.New(t)
+	const second = 1_000_000_000
+	before := []usage{{processor: second, peak: 10_000_000}, {processor: 2 * second, peak: 30_000_000}}
+	after := []usage{{processor: 2 * second, peak: 20_000_000}, {processor: 5 * second, peak: 40_000_000}}
+	use := newNodeUse(before, after, 10*second)
+	is.Equal(*use, NodeUse{Nodes: 2, ProcessorPercent: 20, MostProcessorPercent: 30, MemoryMB: 40})
+	is.Equal(newNodeUse(before, nil, 10*second), nil) // a node that is gone has no figure
+	is.Equal(newNodeUse(nil, after, 10*second), nil)
+	is.Equal(newNodeUse(nil, nil, 10*second), nil)
+}
+
+func TestUsageOfAProcess(t *testing.T) {
+	is := is.New(t)
+	list, err := readUsage([]int{os.Getpid()})
+	is.NoErr(err)
+	is.Equal(len(list), 1)
+	is.True(list[0].peak > bytesPerMB)
+	_, err = readUsage([]int{os.Getpid(), -1})
+	is.True(err != nil) // one of them is not there
+	peak, alive := parsePeak([]byte("Name:\tnode\nVmHWM:\t     100 kB\nThreads:\t4\n"))
+	is.Equal(peak, int64(102400))
+	is.True(alive)
+	_, alive = parsePeak([]byte("Name:\tnode\nState:\tZ (zombie)\n"))
+	is.True(!alive)
+}
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -32,7 +31,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(platformCommand(), targetCommand(), naiveCommand(), layoutCommand(),
-		loadCommand(), addedCommand(), tableCommand())
+		loadCommand(), addedCommand(), tableCommand(), reportCommand())
 	return root
 }
 
@@ -154,127 +153,6 @@
 	return command
 }
 
-func loadCommand() *cobra.Command {
-	var path, record, replay string
-	var label []string
-	var asJSON, strict bool
-	command := &cobra.Command{
-		Use:   "load",
-		Short: "Send a trace of whole requests and check every answer",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			var config LoadConfig
-			if err := ReadYAML(path, &config); err != nil {
-				return err
-			}
-			arrivals, err := loadTrace(config, record, replay)
-			if err != nil {
-				return err
-			}
-			report, err := runLoad(command.Context(), config, arrivals)
-			if err != nil {
-				return err
-			}
-			report.Label = label
-			if asJSON {
-				err = json.NewEncoder(os.Stdout).Encode(report)
-			} else {
-				report.Print(os.Stdout)
-			}
-			if strict && len(report.Missed) > 0 {
-				return badTrace.New("%d stated outcomes missed", len(report.Missed))
-			}
-			return err
-		},
-	}
-	addConfigFlag(command, &path)
-	command.Flags().StringSliceVar(&label, "label", nil, "words that name the run in a table")
-	command.Flags().StringVar(&record, "record", "", "file to keep the trace in")
-	command.Flags().StringVar(&replay, "replay", "", "file with a kept trace to send")
-	command.Flags().BoolVar(&strict, "strict", false, "fail when the run misses a stated outcome of its trace")
-	command.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
-	return command
-}
-
-func addedCommand() *cobra.Command {
-	added := &Added{Clock: clock.System{}}
-	var asJSON bool
-	command := &cobra.Command{
-		Use:   "added",
-		Short: "Measure the time that the mesh adds to a call",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			report := added.Run(command.Context())
-			if asJSON {
-				return json.NewEncoder(os.Stdout).Encode(report)
-			}
-			report.Print(os.Stdout)
-			return nil
-		},
-	}
-	flags := command.Flags()
-	flags.StringVar(&added.Entry, "entry", "", "IP:PORT of the node that relays")
-	flags.StringVar(&added.Target, "target", "", "IP:PORT of the target that is called directly")
-	flags.StringVar(&added.Path, "path", "", "declared path of a GET kind")
-	flags.IntVar(&added.Pairs, "pairs", 2000, "pairs of calls")
-	flags.IntVar(&added.Workers, "workers", 4, "pairs under way at once")
-	flags.DurationVar(&added.Gap, "gap", 5*time.Millisecond, "pause of a worker between pairs")
-	flags.IntSliceVar(&added.Processes, "process", nil, "process ids whose processor time is counted")
-	flags.BoolVar(&asJSON, "json", false, "print the report as JSON")
-	for _, name := range []string{"entry", "target", "path"} {
-		_ = command.MarkFlagRequired(name)
-	}
-	return command
-}
-
-func tableCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "table REPORT...",
-		Short: "Print reports of load as one table in markdown",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(_ *cobra.Command, paths []string) error {
-			reports := make([]Report, 0, len(paths))
-			for _, path := range paths {
-				text, err := os.ReadFile(path)
-				if err != nil {
-					return badFile.Wrap(err, "read report")
-				}
-				var report Report
-				if err := json.Unmarshal(text, &report); err != nil {
-					return badFile.Wrap(err, "%s", path)
-				}
-				reports = append(reports, report)
-			}
-			PrintMarkdown(os.Stdout, reports)
-			return nil
-		},
-	}
-}
-
-func loadTrace(config LoadConfig, record, replay string) ([]Arrival, error) {
-	if replay != "" {
-		return ReadTrace(replay)
-	}
-	arrivals := NewTrace(config)
-	if record == "" {
-		return arrivals, nil
-	}
-	return arrivals, WriteTrace(record, arrivals)
-}
-
-func runLoad(ctx context.Context, config LoadConfig, arrivals []Arrival) (Report, error) {
-	mesh, err := schema.ParseDir(config.Mesh)
-	if err != nil {
-		return Report{}, err
-	}
-	load, err := NewLoad(config, mesh, clock.System{})
-	if err != nil {
-		return Report{}, err
-	}
-	load.Live = os.Stderr
-	return load.Run(ctx, arrivals), nil
-}
-
 func addConfigFlag(command *cobra.Command, path *string) {
 	command.Flags().StringVar(path, "config", "", "settings file")
 	_ = command.MarkFlagRequired("config")
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -1,41 +1,30 @@
 package lab
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/dandelionfield/dandelionfield/internal/clock"
-	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
 const (
-	statusOK = http.StatusOK
 	// maxOpen bounds the requests that the load tool has under way at once.
 	maxOpen = 8000
 	// filesKept is how many open files are left for all but the callers.
 	filesKept = 200
+	// loadBound and kindNotDeclared are the results of attempts that were not sent.
+	loadBound       = "load_bound"
+	kindNotDeclared = "kind_not_declared"
 	// liveEvery is the time between two live lines.
 	liveEvery = time.Second
-	// askTimeout bounds calls to the switches and counters of stand-ins.
-	askTimeout = 5 * time.Second
-	// longestAnswer bounds what a caller reads of an answer.
-	longestAnswer = 4 << 20
 )
 
 type (
@@ -81,6 +70,9 @@
 		Config LoadConfig
 		Mesh   *schema.Set
 		Clock  clock.Clock
+		// Processes holds the ids of the nodes whose processor time and memory
+		// are reported; none leaves them out of the report.
+		Processes []int
 		// Live receives a line a second; nil for none.
 		Live io.Writer
 
@@ -119,6 +111,7 @@
 // Run sends the arrivals at their times, whatever becomes of earlier ones, and
 // reports what callers saw and targets ran.
 func (l *Load) Run(ctx context.Context, arrivals []Arrival) Report {
+	before := l.usage()
 	start := l.Clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -134,7 +127,7 @@
 		l.now.offered.Add(1)
 		if l.now.open.Load() >= maxOpen {
 			l.keep(Outcome{ID: arrival.ID, Kind: arrival.Kind, Phase: arrival.Phase, At: arrival.At,
-				Tries: []Try{{Result: "load_bound"}}})
+				Tries: []Try{{Result: loadBound}}})
 			continue
 		}
 		l.now.open.Add(1)
@@ -144,14 +137,25 @@
 		})
 	}
 	callers.Wait()
+	use := newNodeUse(before, l.usage(), l.Clock.Now().Sub(start))
 	cancel()
 	side.Wait()
 	done, silent := l.executions()
 	report := Account(l.Config, l.Mesh, l.kept, done)
 	report.Silent = silent
+	report.Use = use
 	return report
 }
 
+// usage reads what the nodes have used, or nothing when one of them is gone.
+func (l *Load) usage() []usage {
+	list, err := readUsage(l.Processes)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fieldlab: use of the nodes not measured:", err)
+	}
+	return list
+}
+
 // request plays one caller: it repeats at other entry nodes until it has a
 // good answer or no retry is left. A kind that may never repeat goes out under
 // one idempotency key.
@@ -159,7 +163,7 @@
 	outcome := Outcome{ID: arrival.ID, Kind: arrival.Kind, Phase: arrival.Phase, At: arrival.At}
 	kind := l.Mesh.Kind(arrival.Kind)
 	if kind == nil {
-		outcome.Tries = []Try{{Result: "kind_not_declared"}}
+		outcome.Tries = []Try{{Result: kindNotDeclared}}
 		return outcome
 	}
 	begun := l.Clock.Now()
@@ -170,7 +174,9 @@
 			break
 		}
 		entry := l.Config.Entries[(arrival.Entry+i)%len(l.Config.Entries)]
+		sent := arrival.At + l.Clock.Now().Sub(begun)
 		try := l.try(ctx, kind, entry, attemptName(arrival.ID, i), key)
+		try.At = sent
 		outcome.Tries = append(outcome.Tries, try)
 		if try.good() {
 			outcome.Good = true
@@ -193,123 +199,6 @@
 	return max(c.Backoff, try.RetryAfter)
 }
 
-func (l *Load) try(ctx context.Context, kind *schema.Kind, entry, attempt, key string) Try {
-	timeout := time.Duration(l.Config.Callers.TimeoutShare * float64(kind.Deadline))
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	request, err := newAttempt(ctx, kind, entry, attempt, key)
-	if err != nil {
-		return Try{Result: "bad_request"}
-	}
-	answer, err := l.client.Do(request)
-	if err != nil {
-		return Try{Result: faultName(err)}
-	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, longestAnswer))
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return Check(answer.StatusCode, answer.Header, nil, kind.Name, attempt)
-	}
-	if err != nil {
-		return Try{Result: faultName(err)}
-	}
-	return Check(answer.StatusCode, answer.Header, body, kind.Name, attempt)
-}
-
-// Check judges one answer: its code, and for a success whether the body is
-// whole and belongs to the request. A replayed answer names the attempt that
-// ran, so only the requests are compared.
-func Check(status int, header http.Header, body []byte, kind, attempt string) Try {
-	try := Try{Status: status, Result: header.Get(resultHeader)}
-	try.Code, _ = strconv.Atoi(header.Get(codeHeader))
-	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil {
-		try.RetryAfter = time.Duration(seconds) * time.Second
-	}
-	if try.Result == "" {
-		try.Result = "http_" + strconv.Itoa(status)
-	}
-	if status != statusOK {
-		return try
-	}
-	var answer Answer
-	if err := json.Unmarshal(body, &answer); err != nil || !answer.Whole() {
-		try.Torn = true
-		try.Result = "torn"
-		return try
-	}
-	if answer.Kind != kind || baseRequest(answer.Request) != baseRequest(attempt) {
-		try.Foreign = true
-		try.Result = "foreign"
-	}
-	return try
-}
-
-// newAttempt builds a request that net/http cannot repeat by itself: with an
-// Idempotency-Key it would do so for a body that it can rewind.
-func newAttempt(ctx context.Context, kind *schema.Kind, entry, attempt, key string) (*http.Request, error) {
-	url := "http://" + entry + fillPath(kind.Path, baseRequest(attempt))
-	if kind.Method == http.MethodGet {
-		request, err := http.NewRequestWithContext(ctx, kind.Method, url, nil)
-		if err != nil {
-			return nil, err
-		}
-		request.Header.Set(RequestHeader, attempt)
-		return request, nil
-	}
-	body := `{"request":"` + baseRequest(attempt) + `"}`
-	request, err := http.NewRequestWithContext(ctx, kind.Method, url, io.NopCloser(strings.NewReader(body)))
-	if err != nil {
-		return nil, err
-	}
-	request.ContentLength = int64(len(body))
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(RequestHeader, attempt)
-	if key != "" {
-		request.Header.Set(keyHeader, key)
-	}
-	return request, nil
-}
-
-func attemptName(id string, try int) string {
-	return id + "." + strconv.Itoa(try+1)
-}
-
-func mintKey(kind *schema.Kind) string {
-	if kind.Repeat != schema.Never {
-		return ""
-	}
-	key, err := uuid.NewV7()
-	if err != nil {
-		return ""
-	}
-	return key.String()
-}
-
-// wantsNewKey reports whether the answer says that the key cannot run and is
-// known not to have run. A lost owner leaves that open but for a first attempt.
-func wantsNewKey(try Try, index int) bool {
-	switch result.Code(try.Code) {
-	case result.KeyTooOld, result.KeyFromFuture:
-		return true
-	case result.OwnerGone:
-		return index == 0
-	}
-	return false
-}
-
-func faultName(err error) string {
-	if errors.Is(err, context.DeadlineExceeded) {
-		return "timeout"
-	}
-	if errors.Is(err, context.Canceled) {
-		return "stopped"
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return "connection_refused"
-	}
-	return "connection_lost"
-}
-
 func (l *Load) keep(outcome Outcome) {
 	if outcome.Good {
 		l.now.good.Add(1)
@@ -351,83 +240,3 @@
 		offered, good, failed, refused = o, g, f, r
 	}
 }
-
-func (l *Load) switchFaults(ctx context.Context, start time.Time) {
-	faults := slices.Clone(l.Config.Faults)
-	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
-	for _, fault := range faults {
-		if !l.sleep(ctx, fault.At-l.Clock.Now().Sub(start)) {
-			return
-		}
-		for _, address := range l.faultAddresses(fault) {
-			if err := l.post(ctx, address, fault.Switch); err != nil {
-				fmt.Fprintln(os.Stderr, "fieldlab: fault not switched:", err)
-			}
-		}
-	}
-}
-
-func (l *Load) faultAddresses(fault Fault) []string {
-	var addresses []string
-	if fault.Platform {
-		addresses = append(addresses, l.Config.Platform)
-	}
-	for _, target := range l.Config.Targets {
-		if slices.Contains(fault.Targets, target.Name) || slices.Contains(fault.Targets, target.Service) {
-			addresses = append(addresses, target.Address)
-		}
-	}
-	return addresses
-}
-
-func (l *Load) post(ctx context.Context, address string, values map[string]any) error {
-	body, err := json.Marshal(values)
-	if err != nil {
-		return badTrace.Wrap(err, "fault")
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/-/faults", bytes.NewReader(body))
-	if err != nil {
-		return callError.Wrap(err, "%s", address)
-	}
-	answer, err := l.client.Do(request)
-	if err != nil {
-		return callError.Wrap(err, "%s", address)
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode >= http.StatusBadRequest {
-		return callError.New("%s answered %s", address, answer.Status)
-	}
-	return nil
-}
-
-// executions asks every target what it ran, and names those that do not answer.
-func (l *Load) executions() (done []Executions, silent []string) {
-	for _, target := range l.Config.Targets {
-		executions, err := l.ask(target.Address)
-		if err != nil {
-			silent = append(silent, target.Name)
-			continue
-		}
-		done = append(done, executions)
-	}
-	return done, silent
-}
-
-func (l *Load) ask(address string) (Executions, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/-/executions", nil)
-	if err != nil {
-		return Executions{}, callError.Wrap(err, "%s", address)
-	}
-	answer, err := l.client.Do(request)
-	if err != nil {
-		return Executions{}, callError.Wrap(err, "%s", address)
-	}
-	defer answer.Body.Close()
-	var executions Executions
-	err = json.NewDecoder(answer.Body).Decode(&executions)
-	return executions, err
-}
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -64,8 +64,10 @@
 	first := newEntry(t, refuseWith("200", "overloaded", 503))
 	second := newEntry(t, answerWith("order"))
 	load := testLoad(t, &instantClock{}, first, second)
+	load.Config.Callers.Backoff = 200 * time.Millisecond
 	outcome := load.request(testContext(t), Arrival{ID: "1-1", Kind: "order"})
 	is.True(outcome.Good)
+	is.Equal(outcome.Tries[1].At, 200*time.Millisecond)
 	is.Equal(len(outcome.Tries), 2)
 	is.Equal(outcome.Tries[0], Try{Result: "overloaded", Code: 200, Status: 503})
 	is.True(first.keys[0] != "")
--- /dev/null
+++ b/internal/lab/print.go
@@ -0,0 +1,118 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Print writes the report as a table for people.
+func (r Report) Print(w io.Writer) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "phase\tkind\toffered\tgood\tshare\tgood/s\tp50 ms\tp99 ms\t")
+	for _, line := range r.Lines {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f%%\t%.1f\t%.0f\t%.0f\t\n", line.Phase, line.Kind,
+			line.Offered, line.Good, 100*line.Share, line.GoodPerSecond, line.P50MS, line.P99MS)
+	}
+	_ = table.Flush()
+	r.printSpells(w)
+	_, _ = fmt.Fprintf(w, "goodput: %d of %d requests; recovery: %s\n", r.Good, r.Offered, r.recovery())
+	_, _ = fmt.Fprintf(w, "attempts per request: %.2f by callers; repeats of one attempt, most: %d; calls at targets per request: %.2f, most %d\n",
+		r.TriesPerRequest, r.MostRepeats, r.CallsPerRequest, r.MostCalls)
+	_, _ = fmt.Fprintf(w, "work: %d ms, wasted: %d ms\n", r.WorkMS, r.WastedMS)
+	_, _ = fmt.Fprintf(w, "torn answers: %d; foreign answers: %d; double executions: %d; false not run: %d\n",
+		r.Torn, r.Foreign, r.DoubleRuns, r.FalseNotRun)
+	_, _ = fmt.Fprintf(w, "failed attempts: %s\n", r.refusals())
+	for _, missed := range r.Missed {
+		_, _ = fmt.Fprintln(w, "missed:", missed)
+	}
+	if len(r.Silent) > 0 {
+		_, _ = fmt.Fprintf(w, "targets that could not be asked what they ran: %s\n", strings.Join(r.Silent, ", "))
+	}
+}
+
+func (r Report) recovery() string {
+	if r.RecoveryS == NotRecovered {
+		return "not in the trace"
+	}
+	return fmt.Sprintf("%.1f s", r.RecoveryS)
+}
+
+func (r Report) refusals() string {
+	if len(r.Refusals) == 0 {
+		return "none"
+	}
+	var words []string
+	for _, name := range slices.Sorted(maps.Keys(r.Refusals)) {
+		words = append(words, fmt.Sprintf("%s=%d", name, r.Refusals[name]))
+	}
+	return strings.Join(words, " ")
+}
+
+func (r Report) wastedPercent() float64 {
+	if r.WorkMS == 0 {
+		return 0
+	}
+	return 100 * float64(r.WastedMS) / float64(r.WorkMS)
+}
+
+func (r Report) spell(name string) Spell {
+	for _, spell := range r.Spells {
+		if spell.Name == name {
+			return spell
+		}
+	}
+	return Spell{}
+}
+
+func (s Spell) rate() string {
+	if s.Seconds == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f of %.0f", float64(s.Answered)/s.Seconds, float64(s.Offered)/s.Seconds)
+}
+
+func (s Spell) offeredPerSecond() float64 {
+	return perSecond(s.Offered, s.Seconds)
+}
+
+func (s Spell) answeredPerSecond() float64 {
+	return perSecond(s.Answered, s.Seconds)
+}
+
+func perSecond(count int, seconds float64) float64 {
+	if seconds == 0 {
+		return 0
+	}
+	return float64(count) / seconds
+}
+
+func (s Spell) criticalShare() string {
+	if s.CriticalOffered == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%% (%.1f%% of possible)", 100*float64(s.CriticalGood)/float64(s.CriticalOffered), 100*s.criticalGoodShare())
+}
+
+// tightest says how many useful calls the bottleneck made and could make.
+func (s Spell) tightest() string {
+	service := s.bottleneck()
+	if service == "" {
+		return "-"
+	}
+	return fmt.Sprintf("%s %.1f/s of %.1f/s", service, s.Useful[service], min(s.Demand[service], s.Capacity[service]))
+}
+
+func (r Report) printSpells(w io.Writer) {
+	for _, spell := range r.Spells {
+		_, _ = fmt.Fprintf(w, "%s the trigger: good answers %s requests a second; critical good %s; useful calls a second and capacity:",
+			spell.Name, spell.rate(), spell.criticalShare())
+		for _, service := range slices.Sorted(maps.Keys(spell.Useful)) {
+			_, _ = fmt.Fprintf(w, " %s=%.0f/%.0f", service, spell.Useful[service], spell.Capacity[service])
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+}
--- a/internal/lab/spell.go
+++ b/internal/lab/spell.go
@@ -10,11 +10,7 @@
 
 // spells counts a run before, during and after its trigger.
 func spells(config LoadConfig, mesh *schema.Set, outcomes []Outcome) []Spell {
-	length := time.Duration(0)
-	for _, phase := range config.Phases {
-		length += phase.Duration
-	}
-	bounds := []time.Duration{0, config.Trigger.From, config.Trigger.To, length}
+	bounds := []time.Duration{0, config.Trigger.From, config.Trigger.To, length(config.Phases)}
 	var list []Spell
 	for i, name := range []string{"before", "during", "after"} {
 		from, to := bounds[i], bounds[i+1]
@@ -28,7 +24,7 @@
 }
 
 func spell(name string, from, to time.Duration, mesh *schema.Set, outcomes []Outcome) Spell {
-	counted := Spell{Name: name, Seconds: (to - from).Seconds(), Demand: map[string]float64{},
+	counted := Spell{Name: name, Seconds: (to - from).Seconds(), Kinds: map[string]KindCount{}, Demand: map[string]float64{},
 		CriticalDemand: map[string]float64{}, Useful: map[string]float64{}}
 	for _, outcome := range outcomes {
 		kind := mesh.Kind(outcome.Kind)
@@ -45,6 +41,7 @@
 			continue
 		}
 		counted.Offered++
+		counted.count(outcome)
 		walkCalls(mesh, kind, func(called *schema.Kind) {
 			counted.Demand[called.Service] += 1 / counted.Seconds
 			if kind.Importance == schema.Critical {
@@ -65,6 +62,17 @@
 	return counted
 }
 
+// count adds a request of the spell to those of its kind.
+func (s *Spell) count(outcome Outcome) {
+	kind := s.Kinds[outcome.Kind]
+	kind.Seconds = s.Seconds
+	kind.Offered++
+	if outcome.Good {
+		kind.Good++
+	}
+	s.Kinds[outcome.Kind] = kind
+}
+
 // capacities returns the capacity of each service under the slow factor that
 // was switched last before a time of the trace.
 func capacities(config LoadConfig, before time.Duration) map[string]float64 {
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -1,206 +1,207 @@
 package lab
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"maps"
 	"math"
 	"slices"
 	"strings"
-	"text/tabwriter"
 )
 
-// column is one figure of the table in markdown.
-type column struct {
+// column is one figure of a table in markdown.
+type column[R any] struct {
 	head   string
 	format string
-	figure func(r Report) float64
-}
-
-// Print writes the report as a table for people.
-func (r Report) Print(w io.Writer) {
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(table, "phase\tkind\toffered\tgood\tshare\tgood/s\tp50 ms\tp99 ms\t")
-	for _, line := range r.Lines {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f%%\t%.1f\t%.0f\t%.0f\t\n", line.Phase, line.Kind,
-			line.Offered, line.Good, 100*line.Share, line.GoodPerSecond, line.P50MS, line.P99MS)
-	}
-	_ = table.Flush()
-	r.printSpells(w)
-	_, _ = fmt.Fprintf(w, "goodput: %d of %d requests; recovery: %s\n", r.Good, r.Offered, r.recovery())
-	_, _ = fmt.Fprintf(w, "attempts per request: %.2f by callers; repeats of one attempt, most: %d; calls at targets per request: %.2f, most %d\n",
-		r.TriesPerRequest, r.MostRepeats, r.CallsPerRequest, r.MostCalls)
-	_, _ = fmt.Fprintf(w, "work: %d ms, wasted: %d ms\n", r.WorkMS, r.WastedMS)
-	_, _ = fmt.Fprintf(w, "torn answers: %d; foreign answers: %d; double executions: %d; false not run: %d\n",
-		r.Torn, r.Foreign, r.DoubleRuns, r.FalseNotRun)
-	_, _ = fmt.Fprintf(w, "failed attempts: %s\n", r.refusals())
-	for _, missed := range r.Missed {
-		_, _ = fmt.Fprintln(w, "missed:", missed)
-	}
-	if len(r.Silent) > 0 {
-		_, _ = fmt.Fprintf(w, "targets that could not be asked what they ran: %s\n", strings.Join(r.Silent, ", "))
+	// figure is not a number where the run did not measure it, and infinite
+	// where a time did not end.
+	figure func(r R) float64
+}
+
+// PrintLoads writes one row for the runs of each label, with the stated goals
+// in the head. A cell is the median and, where runs differ, the lowest and the
+// highest. Runs without a report are named below the table.
+func PrintLoads(w io.Writer, runs []Run[Report]) {
+	printRows(w, loadColumns(), grouped(runs))
+	for _, run := range runs {
+		if run.Missing != "" {
+			continue
+		}
+		name := run.title()
+		if len(run.Report.Silent) > 0 {
+			_, _ = fmt.Fprintf(w, "\n%s: could not ask %s what they ran.\n", name, strings.Join(run.Report.Silent, ", "))
+		}
+		if len(run.Report.Missed) > 0 {
+			_, _ = fmt.Fprintf(w, "\n%s missed: %s.\n", name, strings.Join(run.Report.Missed, "; "))
+		}
 	}
+	printMissing(w, runs)
 }
 
-func (r Report) recovery() string {
-	if r.RecoveryS == NotRecovered {
-		return "not in the trace"
-	}
-	return fmt.Sprintf("%.1f s", r.RecoveryS)
+// PrintAddeds writes one row for the runs of each label of the time that a mesh
+// adds to a call.
+func PrintAddeds(w io.Writer, runs []Run[AddedReport]) {
+	printRows(w, addedColumns(), grouped(runs))
+	printMissing(w, runs)
 }
 
-func (r Report) refusals() string {
-	if len(r.Refusals) == 0 {
-		return "none"
-	}
-	var words []string
-	for _, name := range slices.Sorted(maps.Keys(r.Refusals)) {
-		words = append(words, fmt.Sprintf("%s=%d", name, r.Refusals[name]))
+// PrintKinds writes one row for each kind of request that the runs of a label
+// had during the trigger.
+func PrintKinds(w io.Writer, runs []Run[Report]) {
+	kinds := make([]Run[KindCount], 0, len(runs))
+	for _, group := range grouped(runs) {
+		kinds = append(kinds, byKind(group)...)
 	}
-	return strings.Join(words, " ")
+	printRows(w, kindColumns(), grouped(kinds))
+	printMissing(w, runs)
 }
 
-// PrintMarkdown writes one row for the reports of each label, with the stated
-// goals in the head. Where a label has several reports, a figure is followed by
-// the lowest and the highest of them.
-func PrintMarkdown(w io.Writer, reports []Report) {
-	shown := columns()
-	head := make([]string, 0, len(shown))
-	for _, column := range shown {
-		head = append(head, column.head)
-	}
-	_, _ = fmt.Fprintf(w, "| run | runs | %s |\n|---|--:|%s\n", strings.Join(head, " | "), strings.Repeat("--:|", len(head)))
-	for _, group := range grouped(reports) {
-		row := make([]string, 0, len(shown))
-		for _, column := range shown {
-			row = append(row, column.cell(group))
+// byKind parts the runs of one label into those of its kinds.
+func byKind(runs []Run[Report]) []Run[KindCount] {
+	names := map[string]bool{}
+	for _, run := range runs {
+		for name := range run.Report.spell("during").Kinds {
+			names[name] = true
 		}
-		_, _ = fmt.Fprintf(w, "| %s | %d | %s |\n", strings.Join(group[0].Label, " "), len(group), strings.Join(row, " | "))
 	}
-	for _, report := range reports {
-		name := strings.Join(report.Label, " ")
-		if len(report.Silent) > 0 {
-			_, _ = fmt.Fprintf(w, "\n%s: could not ask %s what they ran.\n", name, strings.Join(report.Silent, ", "))
-		}
-		if len(report.Missed) > 0 {
-			_, _ = fmt.Fprintf(w, "\n%s missed: %s.\n", name, strings.Join(report.Missed, "; "))
+	list := make([]Run[KindCount], 0, len(names)*len(runs))
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		for _, run := range runs {
+			list = append(list, Run[KindCount]{
+				Label:   append(slices.Clone(run.Label), name),
+				Report:  run.Report.spell("during").Kinds[name],
+				Missing: run.Missing,
+			})
 		}
 	}
+	return list
+}
+
+func kindColumns() []column[KindCount] {
+	return []column[KindCount]{
+		{"requests/s during", "%.1f", func(k KindCount) float64 { return perSecond(k.Offered, k.Seconds) }},
+		{"good of them/s", "%.1f", func(k KindCount) float64 { return perSecond(k.Good, k.Seconds) }},
+		{"good of them", "%.1f%%", func(k KindCount) float64 { return 100 * share(k.Good, k.Offered) }},
+	}
 }
 
-func columns() []column {
-	return []column{
-		{"requests/s during", "%.0f", func(r Report) float64 { return r.spell("during").perSecond(r.spell("during").Offered) }},
-		{"good answers/s during", "%.0f", func(r Report) float64 { return r.spell("during").perSecond(r.spell("during").Answered) }},
+func loadColumns() []column[Report] {
+	return []column[Report]{
+		{"requests/s during", "%.0f", func(r Report) float64 { return r.spell("during").offeredPerSecond() }},
+		{"good answers/s during", "%.0f", func(r Report) float64 { return r.spell("during").answeredPerSecond() }},
 		{"bottleneck used for good answers (goal >= 90%)", "%.1f%%", func(r Report) float64 { return 100 * r.spell("during").bottleneckShare() }},
 		{"critical good of possible (goal >= 99%)", "%.1f%%", func(r Report) float64 { return 100 * r.spell("during").criticalGoodShare() }},
-		{"recovery (goal <= 2 s)", "%.1f s", func(r Report) float64 { return r.RecoveryS }},
+		{"recovery (goal <= 2 s)", "%.1f s", Report.recoverySeconds},
+		{"callers' attempts/request", "%.2f", func(r Report) float64 { return r.TriesPerRequest }},
 		{"repeats of one attempt, most (goal <= R = 3)", "%.0f", func(r Report) float64 { return float64(r.MostRepeats) }},
 		{"double runs (goal 0)", "%.0f", func(r Report) float64 { return float64(r.DoubleRuns) }},
 		{"false not run (goal 0)", "%.0f", func(r Report) float64 { return float64(r.FalseNotRun) }},
 		{"torn or foreign (goal 0)", "%.0f", func(r Report) float64 { return float64(r.Torn + r.Foreign) }},
 		{"calls at targets/request", "%.2f", func(r Report) float64 { return r.CallsPerRequest }},
 		{"wasted work", "%.1f%%", Report.wastedPercent},
+		{"processor of a node, mean of one core", "%.1f%%", func(r Report) float64 { return r.use().ProcessorPercent }},
+		{"memory of a node, most", "%.0f MB", func(r Report) float64 { return r.use().MemoryMB }},
 	}
 }
 
-// grouped returns the reports by label, in the order in which labels appear.
-func grouped(reports []Report) [][]Report {
-	var groups [][]Report
-	for _, report := range reports {
-		at := slices.IndexFunc(groups, func(g []Report) bool { return slices.Equal(g[0].Label, report.Label) })
-		if at < 0 {
-			groups = append(groups, []Report{report})
-			continue
-		}
-		groups[at] = append(groups[at], report)
+func addedColumns() []column[AddedReport] {
+	return []column[AddedReport]{
+		{"failed pairs", "%.0f", func(r AddedReport) float64 { return float64(r.Failed) }},
+		{"direct p50", "%.3f ms", func(r AddedReport) float64 { return r.DirectP50MS }},
+		{"direct p99", "%.3f ms", func(r AddedReport) float64 { return r.DirectP99MS }},
+		{"relayed p50", "%.3f ms", func(r AddedReport) float64 { return r.RelayedP50MS }},
+		{"relayed p99", "%.3f ms", func(r AddedReport) float64 { return r.RelayedP99MS }},
+		{"added p50", "%.3f ms", func(r AddedReport) float64 { return r.AddedP50MS }},
+		{"added p99 (goal <= 2 ms)", "%.3f ms", func(r AddedReport) float64 { return r.AddedP99MS }},
+		{"processor time a relayed call", "%.3f ms", func(r AddedReport) float64 { return r.ProcessorMS }},
+		{"all nodes in an idle second", "%.0f ms", func(r AddedReport) float64 { return r.IdleMS }},
 	}
-	return groups
 }
 
-// cell returns the middle figure of the reports, and the lowest and highest.
-func (c column) cell(reports []Report) string {
-	figures := make([]float64, 0, len(reports))
-	for _, report := range reports {
-		figures = append(figures, c.figure(report))
-	}
-	// A run that never recovered is worse than any that did.
-	slices.SortFunc(figures, func(a, b float64) int { return cmp.Compare(neverLast(a), neverLast(b)) })
-	low, high := c.print(figures[0]), c.print(figures[len(figures)-1])
-	if low == high {
-		return low
+func printRows[R any](w io.Writer, columns []column[R], rows [][]Run[R]) {
+	heads := make([]string, 0, len(columns))
+	for _, column := range columns {
+		heads = append(heads, column.head)
 	}
-	return fmt.Sprintf("%s (%s to %s)", c.print(figures[(len(figures)-1)/2]), low, high)
-}
-
-func (c column) print(figure float64) string {
-	if figure == NotRecovered {
-		return "none"
+	_, _ = fmt.Fprintf(w, "| run | runs | %s |\n|---|--:|%s\n", strings.Join(heads, " | "), strings.Repeat("--:|", len(heads)))
+	for _, row := range rows {
+		reports := measured(row)
+		cells := make([]string, 0, len(columns))
+		for _, column := range columns {
+			cells = append(cells, column.cell(reports))
+		}
+		name := strings.Join(row[0].Label, " ")
+		_, _ = fmt.Fprintf(w, "| %s | %s | %s |\n", name, countRuns(len(reports), len(row)), strings.Join(cells, " | "))
 	}
-	return fmt.Sprintf(c.format, figure)
 }
 
-func neverLast(figure float64) float64 {
-	if figure == NotRecovered {
-		return math.Inf(1)
+func printMissing[R any](w io.Writer, runs []Run[R]) {
+	for _, run := range runs {
+		if run.Missing != "" {
+			_, _ = fmt.Fprintf(w, "\n%s: %s.\n", run.title(), run.Missing)
+		}
 	}
-	return figure
 }
 
-func (r Report) wastedPercent() float64 {
-	if r.WorkMS == 0 {
-		return 0
+// countRuns says how many of the wanted runs there are.
+func countRuns(have, want int) string {
+	if have < want {
+		return fmt.Sprintf("%d of %d", have, want)
 	}
-	return 100 * float64(r.WastedMS) / float64(r.WorkMS)
+	return fmt.Sprint(have)
 }
 
-func (r Report) spell(name string) Spell {
-	for _, spell := range r.Spells {
-		if spell.Name == name {
-			return spell
+// grouped returns the runs by label, in the order in which labels appear.
+func grouped[R any](runs []Run[R]) [][]Run[R] {
+	var groups [][]Run[R]
+	for _, run := range runs {
+		at := slices.IndexFunc(groups, func(g []Run[R]) bool { return slices.Equal(g[0].Label, run.Label) })
+		if at < 0 {
+			groups = append(groups, []Run[R]{run})
+			continue
 		}
+		groups[at] = append(groups[at], run)
 	}
-	return Spell{}
+	return groups
 }
 
-func (s Spell) rate() string {
-	if s.Seconds == 0 {
-		return "-"
+// cell returns the middle figure of the reports, and the lowest and highest.
+// It says so when some of them lack the figure.
+func (c column[R]) cell(reports []R) string {
+	figures := make([]float64, 0, len(reports))
+	for _, report := range reports {
+		figures = append(figures, c.figure(report))
 	}
-	return fmt.Sprintf("%.0f of %.0f", float64(s.Answered)/s.Seconds, float64(s.Offered)/s.Seconds)
-}
-
-func (s Spell) perSecond(count int) float64 {
-	if s.Seconds == 0 {
-		return 0
+	spread := NewSpread(figures)
+	text := c.print(spread.Median)
+	if low, high := c.print(spread.Low), c.print(spread.High); low != high {
+		text += fmt.Sprintf(" (%s to %s)", low, high)
 	}
-	return float64(count) / s.Seconds
-}
-
-func (s Spell) criticalShare() string {
-	if s.CriticalOffered == 0 {
-		return "-"
+	if spread.Runs > 0 && spread.Runs < len(reports) {
+		text += fmt.Sprintf(", %d of %d runs", spread.Runs, len(reports))
 	}
-	return fmt.Sprintf("%.1f%% (%.1f%% of possible)", 100*float64(s.CriticalGood)/float64(s.CriticalOffered), 100*s.criticalGoodShare())
+	return text
 }
 
-// tightest says how many useful calls the bottleneck made and could make.
-func (s Spell) tightest() string {
-	service := s.bottleneck()
-	if service == "" {
+func (c column[R]) print(figure float64) string {
+	if math.IsNaN(figure) {
 		return "-"
 	}
-	return fmt.Sprintf("%s %.1f/s of %.1f/s", service, s.Useful[service], min(s.Demand[service], s.Capacity[service]))
+	if math.IsInf(figure, 1) {
+		return "none"
+	}
+	return fmt.Sprintf(c.format, figure)
 }
 
-func (r Report) printSpells(w io.Writer) {
-	for _, spell := range r.Spells {
-		_, _ = fmt.Fprintf(w, "%s the trigger: good answers %s requests a second; critical good %s; useful calls a second and capacity:",
-			spell.Name, spell.rate(), spell.criticalShare())
-		for _, service := range slices.Sorted(maps.Keys(spell.Useful)) {
-			_, _ = fmt.Fprintf(w, " %s=%.0f/%.0f", service, spell.Useful[service], spell.Capacity[service])
-		}
-		_, _ = fmt.Fprintln(w)
+// recoverySeconds returns the recovery time: infinite when goodput did not come
+// back, which is worse than any run in which it did, and not a number when the
+// trigger lasted to the trace's end.
+func (r Report) recoverySeconds() float64 {
+	if r.spell("after").Seconds == 0 {
+		return math.NaN()
+	}
+	if r.RecoveryS == NotRecovered {
+		return math.Inf(1)
 	}
+	return r.RecoveryS
 }
--- a/internal/lab/table_test.go
+++ b/internal/lab/table_test.go
@@ -22,18 +22,24 @@
 	is.Equal(spell.criticalGoodShare(), 0.45) // all offered ones are possible
 }
 
-func TestMarkdownShowsTheSpread(t *testing.T) {
+func TestTableShowsTheSpread(t *testing.T) {
 	is := is.New(t)
+	after := []Spell{{Name: "after", Seconds: 8}}
+	run := func(label string, report Report) Run[Report] {
+		return Run[Report]{Label: []string{label}, Report: report}
+	}
 	var text strings.Builder
-	PrintMarkdown(&text, []Report{
-		{Label: []string{"slow"}, RecoveryS: 0.5},
-		{Label: []string{"other"}, RecoveryS: 1},
-		{Label: []string{"slow"}, RecoveryS: NotRecovered, DoubleRuns: 2},
-		{Label: []string{"slow"}, RecoveryS: 1.5},
+	PrintLoads(&text, []Run[Report]{
+		run("slow", Report{RecoveryS: 0.5, Spells: after}),
+		run("other", Report{RecoveryS: 1, Spells: after}),
+		run("slow", Report{RecoveryS: NotRecovered, Spells: after, DoubleRuns: 2}),
+		run("slow", Report{RecoveryS: 1.5, Spells: after}),
+		run("whole", Report{RecoveryS: NotRecovered}),
 	})
 	rows := strings.Split(strings.TrimSpace(text.String()), "\n")
-	is.Equal(len(rows), 4)
+	is.Equal(len(rows), 5)
 	is.True(strings.HasPrefix(rows[2], "| slow | 3 |"))
-	is.True(strings.Contains(rows[2], "| 1.5 s (0.5 s to none) | 0 | 0 (0 to 2) |")) // never recovered is the worst
-	is.True(strings.Contains(rows[3], "| 1.0 s | 0 | 0 |"))
+	is.True(strings.Contains(rows[2], "| 1.5 s (0.5 s to none) | 0.00 | 0 | 0 (0 to 2) |")) // never recovered is the worst
+	is.True(strings.Contains(rows[3], "| 1.0 s | 0.00 | 0 | 0 |"))
+	is.True(strings.Contains(rows[4], "| - | 0.00 | 0 | 0 |")) // no time was left to recover in
 }
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -1,8 +1,13 @@
-# Starting and ending the processes of one firm; sourced by the other scripts.
-# Every process is started in the background and ended by its own id.
+# Starting and ending the processes of one firm; sourced by the other scripts,
+# which set $out to the directory of the run. Every process is started in the
+# background and ended by its own id.
 
 declare -a started=()
 declare -A pid_of=()
+# The program of the nodes and the firm's declarations; bench.sh sets others for
+# a former commit.
+node_program=bin/dandelionfield
+declarations=
 
 # write_layout FIRM [FLAG]...: writes the settings of the firm's processes into
 # $out. FIELDLAB_NETWORK moves the firm to other loopback addresses, such as
@@ -26,15 +31,22 @@
 # stop_all ends what start started and waits for it. What has not ended after
 # 15 s is killed.
 stop_all() {
-  local pid try
+  local pid
   for pid in "${started[@]}"; do
     kill -CONT "$pid" 2>/dev/null || true
     kill -TERM "$pid" 2>/dev/null || true
   done
-  for try in $(seq 150); do
+  for _ in $(seq 150); do
     any_alive || break
     sleep 0.1
   done
+  kill_all
+}
+
+# kill_all ends what start started at once, without a planned stop, and waits
+# for it.
+kill_all() {
+  local pid
   for pid in "${started[@]}"; do
     kill -KILL "$pid" 2>/dev/null || true
     wait "$pid" 2>/dev/null || true
@@ -60,8 +72,8 @@
 
 # wait_port NAME IP:PORT: waits until the process of that name listens there.
 wait_port() {
-  local host=${2%:*} port=${2##*:} try
-  for try in $(seq 100); do
+  local host=${2%:*} port=${2##*:}
+  for _ in $(seq 100); do
     if ! kill -0 "${pid_of[$1]}" 2>/dev/null; then
       echo "$1 ended:" >&2
       tail -n 3 "$out/$1.log" >&2
@@ -80,7 +92,7 @@
 # the firm in $out.
 start_stand_ins() {
   local file platform
-  platform=$(setting "$(ls "$out"/node-*.yaml | head -n 1)" platform_address)
+  platform=$(setting "$(first_node)" platform_address)
   start platform bin/fieldlab platform --listen "$platform"
   wait_port platform "$platform"
   for file in "$out"/target-*.yaml; do
@@ -105,10 +117,10 @@
 # wait_members ADMIN TOKEN: waits until the node knows all nodes in $out, since
 # "in force everywhere" speaks of the nodes that it knows.
 wait_members() {
-  local want known try
+  local want known
   want=$(ls "$out"/node-*.yaml | wc -l)
-  for try in $(seq 100); do
-    known=$(bin/dandelionfield status --node "$1" --token "$2" |
+  for _ in $(seq 100); do
+    known=$("$node_program" status --node "$1" --token "$2" |
       awk '/^MEMBER/ { on = 1; next } /^$/ { on = 0 } on' | wc -l)
     if [ "$known" -eq "$want" ]; then
       return 0
@@ -119,17 +131,41 @@
   return 1
 }
 
+# first_node: prints the settings file of the first node in $out.
+first_node() {
+  ls "$out"/node-*.yaml | head -n 1
+}
+
 # start_nodes FIRM: starts the nodes and applies the firm's declarations.
 start_nodes() {
   local file first
-  first=$(ls "$out"/node-*.yaml | head -n 1)
+  first=$(first_node)
   for file in "$out"/node-*.yaml; do
-    start "$(basename "$file" .yaml)" bin/dandelionfield node --config "$file"
+    start "$(basename "$file" .yaml)" "$node_program" node --config "$file"
   done
   for file in "$out"/node-*.yaml; do
     wait_port "$(basename "$file" .yaml)" "$(setting "$file" caller_listen)"
   done
   wait_members "$(setting "$first" admin_listen)" "$(setting "$first" operator_token)"
-  bin/dandelionfield apply -f "examples/$1/mesh" --node "$(setting "$first" admin_listen)" \
+  "$node_program" apply -f "${declarations:-examples/$1/mesh}" --node "$(setting "$first" admin_listen)" \
     --token "$(setting "$first" operator_token)" --wait | tail -n 2
 }
+
+# start_mesh FIRM MESH: starts the stand-ins of the firm in $out, and its mesh:
+# naive, or else the nodes.
+start_mesh() {
+  start_stand_ins
+  case $2 in
+    naive) start_naive ;;
+    *) start_nodes "$1" ;;
+  esac
+}
+
+# run_firm FIRM: starts the firm's mesh in $out until the script ends.
+run_firm() {
+  out=run/$1
+  trap stop_all EXIT
+  trap 'exit 130' INT TERM
+  write_layout "$1"
+  start_mesh "$1" dandelionfield
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,13 +7,6 @@
 cd "$(dirname "$0")/.."
 source scripts/common.sh
 
-firm=${1:-cannelle}
-out=run/$firm
-trap stop_all EXIT
-trap 'exit 130' INT TERM
-
-write_layout "$firm"
-start_stand_ins
-start_nodes "$firm"
+run_firm "${1:-cannelle}"
 sleep 3 # the stand-ins are cold for their first 3 s
 bin/fieldlab load --config "$out/load-demo.yaml"
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -6,16 +6,9 @@
 cd "$(dirname "$0")/.."
 source scripts/common.sh
 
-firm=${1:-cannelle}
-out=run/$firm
-trap stop_all EXIT
-trap 'exit 130' INT TERM
-
-write_layout "$firm"
-start_stand_ins
-start_nodes "$firm"
+run_firm "${1:-cannelle}"
 for file in "$out"/node-*.yaml; do
   echo "$(setting "$file" name): callers $(setting "$file" caller_listen), operators $(setting "$file" admin_listen)"
 done
-echo "operator token: $(setting "$(ls "$out"/node-*.yaml | head -n 1)" operator_token); Ctrl-C ends the mesh"
+echo "operator token: $(setting "$(first_node)" operator_token); Ctrl-C ends the mesh"
 wait
