--- a/internal/lab/picture.go
+++ b/internal/lab/picture.go
@@ -19,6 +19,8 @@
 	pictureMargin = vg.Inch / 12
 	lineWidth     = vg.Length(1.5)
 	bandOpacity   = 0x38
+	// headroom keeps the legend off the curves.
+	headroom = 1.3
 )
 
 var (
@@ -88,9 +90,10 @@
 	panel.Title.Text = title
 	panel.Y.Label.Text = figure
 	panel.Y.Min = 0
+	panel.Y.Max = headroom * c.highest(curves)
 	panel.Legend.Top = true
 	panel.Legend.Left = true
-	if err := c.addTrigger(panel, curves); err != nil {
+	if err := c.addTrigger(panel); err != nil {
 		return nil, err
 	}
 	panel.Add(plotter.NewGrid())
@@ -109,12 +112,9 @@
 	return panel, nil
 }
 
-// addTrigger shades the time of the trigger, up to the highest of the curves.
-func (c Chart) addTrigger(panel *plot.Plot, curves []Curve) error {
-	top := c.Offered.highest()
-	for _, curve := range curves {
-		top = max(top, curve.highest())
-	}
+// addTrigger shades the time of the trigger over the whole height.
+func (c Chart) addTrigger(panel *plot.Plot) error {
+	top := panel.Y.Max
 	shade, err := plotter.NewPolygon(plotter.XYs{
 		{X: c.TriggerFrom, Y: 0},
 		{X: c.TriggerFrom, Y: top},
@@ -171,10 +171,14 @@
 	return nil
 }
 
-func (c Curve) highest() float64 {
-	top := 0.0
-	for _, point := range c.Points {
-		top = max(top, point.High)
+// highest returns the highest value of the curves and the arrivals, and at least
+// 1, so that an empty run has an axis too.
+func (c Chart) highest(curves []Curve) float64 {
+	top := 1.0
+	for _, curve := range append([]Curve{c.Offered}, curves...) {
+		for _, point := range curve.Points {
+			top = max(top, point.High)
+		}
 	}
 	return top
 }
