--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -45,7 +45,10 @@
 fi
 first_network=${FIELDLAB_NETWORK:-127.0.1}
 reports=run/bench
+left_out=$reports/left_out.txt
 most_cells=4 # more meshes at once would measure each other
+mkdir -p "$reports"
+rm -f "$left_out"
 declare -a cells=()
 trap stop_cells EXIT
 trap 'exit 130' INT TERM
@@ -211,6 +214,14 @@
   done
 }
 
+# print_left_out: prints what the former commit ran without.
+print_left_out() {
+  if [ -s "$left_out" ]; then
+    echo
+    sort -u "$left_out"
+  fi
+}
+
 begun=$SECONDS
 failed=0
 for run in $(seq "$runs"); do
@@ -230,13 +241,19 @@
 done
 if [ ${#loads[@]} -gt 0 ]; then
   list_reports "${loads[@]}"
-  bin/fieldlab table --root "$reports" "${files[@]}" | tee "$reports/table-$name.md"
+  {
+    bin/fieldlab table --root "$reports" "${files[@]}"
+    print_left_out
+  } | tee "$reports/table-$name.md"
   bin/fieldlab table --root "$reports" --kinds "${files[@]}" >"$reports/kinds-$name.md"
   bin/fieldlab report --root "$reports" --out "$reports/pictures-$name" "${files[@]}" >&2
 fi
 if [ ${#loads[@]} -lt ${#traces[@]} ]; then
   list_reports added
   echo
-  bin/fieldlab table --root "$reports" --added "${files[@]}" | tee "$reports/added-$name.md"
+  {
+    bin/fieldlab table --root "$reports" --added "${files[@]}"
+    print_left_out
+  } | tee "$reports/added-$name.md"
 fi
 exit "$failed"
--- a/scripts/former.sh
+++ b/scripts/former.sh
@@ -29,7 +29,7 @@
 }
 
 # use_former FIRM: makes the nodes in $out those of the former commit, with the
-# settings and declarations that it knows.
+# settings and declarations that it knows, and notes in $left_out what it does not.
 use_former() {
   local file
   node_program=run/former/$former/dandelionfield
@@ -37,22 +37,29 @@
   cp -r "examples/$1/mesh" "$declarations"
   for file in "$out"/node-*.yaml; do
     leave_out_unknown "$node_program" check --settings "$file"
+  done | sort -u | note_left_out "the nodes' settings"
+  leave_out_unknown "$node_program" check "$declarations" | sort -u | note_left_out "the declarations of $1"
+}
+
+# note_left_out PLACE: notes each key of its input.
+note_left_out() {
+  local key
+  while read -r key; do
+    echo "former-$former does not know $key in $1; it ran without." | tee -a "$left_out" >&2
   done
-  leave_out_unknown "$node_program" check "$declarations"
 }
 
 # leave_out_unknown COMMAND...: runs a check and removes the lines of keys that
-# it does not know from the files that it names, until it finds no more. It says
-# what it left out; any other fault remains for the node or the apply to tell.
+# it does not know from the files that it names, until it finds no more. It
+# prints these keys; any other fault remains for the node or the apply to tell.
 leave_out_unknown() {
-  local problems places file line key
+  local problems places file line
   for _ in $(seq 10); do
     problems=$("$@" 2>&1) && return 0
     places=$(sed -n 's/^\([^ :]*\):\([0-9]*\):[0-9]*: .*expected one of the keys .*/\1 \2/p' <<<"$problems" | sort -k1,1 -k2,2nr)
     [ -n "$places" ] || return 0
     while read -r file line; do
-      key=$(sed -n "${line}s/^[ -]*\([a-z_]*\):.*/\1/p" "$file")
-      echo "$former does not know $key in $(basename "$file"): left out" >&2
+      sed -n "${line}s/^[ -]*\([a-z_]*\):.*/\1/p" "$file"
       sed -i "${line}d" "$file"
     done <<<"$places"
   done
