Tell with each bench how late the load was and how to run it again

Cause: on a busy host the load tool itself is late, and a bench then measures the host; no table showed it. Nor did a table tell its commit, host and command.

The report now has the 99th percentile of how late requests were sent, and the tables begin with commit, cores, memory, load average, wall time and command.

TestReportTellsHowLateTheLoadWas fails without the measurement (0 for 30 ms).

--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -131,6 +131,9 @@
 		Foreign     int     `json:"foreign"`
 		DoubleRuns  int     `json:"double_runs"`
 		FalseNotRun int     `json:"false_not_run"`
+		// LateP99MS is how late requests were sent after their time in the trace.
+		// A host that is too busy for the load itself shows here.
+		LateP99MS float64 `json:"late_p99_ms"`
 		// Use is what the nodes took; nil when it was not measured.
 		Use *NodeUse `json:"use,omitempty"`
 		// Silent names the targets whose executions could not be read; what
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -119,10 +119,12 @@
 	side.Go(func() { l.switchFaults(ctx, start) })
 	side.Go(func() { l.printLive(ctx, start) })
 	var callers sync.WaitGroup
+	late := make([]time.Duration, 0, len(arrivals))
 	for _, arrival := range arrivals {
 		if !l.sleep(ctx, arrival.At-l.Clock.Now().Sub(start)) {
 			break
 		}
+		late = append(late, l.Clock.Now().Sub(start)-arrival.At)
 		l.now.phase.Store(arrival.Phase)
 		l.now.offered.Add(1)
 		if l.now.open.Load() >= maxOpen {
@@ -144,6 +146,7 @@
 	report := Account(l.Config, l.Mesh, l.kept, done)
 	report.Silent = silent
 	report.Use = use
+	report.LateP99MS = quantile(late, 0.99)
 	return report
 }
 
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -174,3 +174,24 @@
 		}
 	}
 }
+
+// lateClock ends every wait 30 ms after its time.
+type lateClock struct {
+	instantClock
+}
+
+func (c *lateClock) After(d time.Duration) <-chan time.Time {
+	return c.instantClock.After(d + 30*time.Millisecond)
+}
+
+func TestReportTellsHowLateTheLoadWas(t *testing.T) {
+	is := is.New(t)
+	entry := newEntry(t, answerWith("look"))
+	load := testLoad(t, &lateClock{}, entry)
+	report := load.Run(testContext(t), []Arrival{
+		{ID: "1-1", Kind: "look", At: 100 * time.Millisecond},
+		{ID: "1-2", Kind: "look", At: 200 * time.Millisecond},
+	})
+	is.Equal(report.Good, 2)
+	is.Equal(report.LateP99MS, 30.0)
+}
--- a/internal/lab/print.go
+++ b/internal/lab/print.go
@@ -26,6 +26,7 @@
 	_, _ = fmt.Fprintf(w, "torn answers: %d; foreign answers: %d; double executions: %d; false not run: %d\n",
 		r.Torn, r.Foreign, r.DoubleRuns, r.FalseNotRun)
 	_, _ = fmt.Fprintf(w, "failed attempts: %s\n", r.refusals())
+	_, _ = fmt.Fprintf(w, "requests sent late, p99: %.1f ms\n", r.LateP99MS)
 	for _, missed := range r.Missed {
 		_, _ = fmt.Fprintln(w, "missed:", missed)
 	}
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -101,6 +101,7 @@
 		{"wasted work", "%.1f%%", Report.wastedPercent},
 		{"processor of a node, mean of one core", "%.1f%%", func(r Report) float64 { return r.use().ProcessorPercent }},
 		{"memory of a node, most", "%.0f MB", func(r Report) float64 { return r.use().MemoryMB }},
+		{"load sent late, p99", "%.1f ms", func(r Report) float64 { return r.LateP99MS }},
 	}
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -19,6 +19,7 @@
 source scripts/common.sh
 source scripts/former.sh
 
+command_line=${*:+ $*}
 traces=() firms=() meshes=() seeds=() runs=1 former=
 while [ $# -gt 0 ]; do
   case $1 in
@@ -214,6 +215,18 @@
   done
 }
 
+# print_setting: prints what a reader needs to judge the figures and to get them again.
+print_setting() {
+  local commit
+  commit=$(git rev-parse --short HEAD)
+  git diff --quiet HEAD || commit+=" with changes"
+  echo "Commit $commit; host with $(nproc) cores and $(awk '/^MemTotal/ { printf "%.0f", $2 / 1024 / 1024 }' /proc/meminfo) GiB;" \
+    "load average $(cut -d ' ' -f 1-3 /proc/loadavg) at the end; $((SECONDS - begun)) s for:"
+  echo
+  echo "    scripts/bench.sh$command_line"
+  echo
+}
+
 # print_left_out: prints what the former commit ran without.
 print_left_out() {
   if [ -s "$left_out" ]; then
@@ -242,6 +255,7 @@
 if [ ${#loads[@]} -gt 0 ]; then
   list_reports "${loads[@]}"
   {
+    print_setting
     bin/fieldlab table --root "$reports" "${files[@]}"
     print_left_out
   } | tee "$reports/table-$name.md"
@@ -252,6 +266,7 @@
   list_reports added
   echo
   {
+    print_setting
     bin/fieldlab table --root "$reports" --added "${files[@]}"
     print_left_out
   } | tee "$reports/added-$name.md"
