Try the bench's own command lines and what a former commit leaves out

Cause: tables, pictures and the keys that a former commit does not know were tried by hand only. A script now runs the functions of scripts/former.sh against the real check, and the commands of fieldlab against report files.

The tables' functions have names that tell them apart, constants stand at the head of naive.go and trace.go, and the package comment says the way of a bench.

--- a/internal/lab/bench_test.go
+++ b/internal/lab/bench_test.go
@@ -28,9 +28,9 @@
 			case "runs":
 				runs = readTestRuns(strings.Fields(d.Input))
 			case "table":
-				PrintLoads(&text, runs)
+				PrintLoadTable(&text, runs)
 			case "kinds":
-				PrintKinds(&text, runs)
+				PrintKindTable(&text, runs)
 			case "charts":
 				for _, chart := range Charts(runs) {
 					printChart(&text, chart)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,6 +4,10 @@
 //
 // A layout file says which hosts a firm has; Write turns it into the settings
 // of every process. Every host has its own address in 127.0.0.0/8.
+//
+// A bench goes this way: NewTrace draws the arrivals, Load sends them and checks
+// the answers, Account counts callers' outcomes against what targets ran, and
+// the Report of each run is read by ReadRuns into tables and Charts.
 package lab
 
 import "strings"
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -1,9 +1,11 @@
 package lab
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -195,3 +197,20 @@
 	is.Equal(report.Good, 2)
 	is.Equal(report.LateP99MS, 30.0)
 }
+
+func TestStoppedLoadLeavesNoReport(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "load.yaml")
+	config := LoadConfig{
+		Mesh:    "../../examples/cannelle/mesh",
+		Entries: []string{"127.0.0.1:1"},
+		Phases:  []Phase{{Name: "calm", Duration: time.Hour, Rate: 1}},
+	}
+	is.NoErr(writeYAML(path, config))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	command := Command()
+	command.SetArgs([]string{"load", "--json", "--config", path})
+	err := command.ExecuteContext(ctx)
+	is.True(err != nil && strings.Contains(err.Error(), "stopped before the end of the trace"))
+}
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -103,11 +103,11 @@
 			out := command.OutOrStdout()
 			switch {
 			case added:
-				PrintAddeds(out, ReadRuns[AddedReport](root, paths))
+				PrintAddedTable(out, ReadRuns[AddedReport](root, paths))
 			case kinds:
-				PrintKinds(out, ReadRuns[Report](root, paths))
+				PrintKindTable(out, ReadRuns[Report](root, paths))
 			default:
-				PrintLoads(out, ReadRuns[Report](root, paths))
+				PrintLoadTable(out, ReadRuns[Report](root, paths))
 			}
 		},
 	}
--- a/internal/lab/naive.go
+++ b/internal/lab/naive.go
@@ -12,8 +12,12 @@
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
-// naiveRetries is how often the naive relay repeats a failed call at each hop.
-const naiveRetries = 3
+const (
+	// naiveRetries is how often the naive relay repeats a failed call at each hop.
+	naiveRetries = 3
+	// naiveIdle is how many idle connections to one target are kept.
+	naiveIdle = 20
+)
 
 type (
 	// NaiveConfig is the settings of one naive relay.
@@ -51,9 +55,6 @@
 	return &Naive{config: config, client: newClient(naiveIdle), next: next}
 }
 
-// naiveIdle is how many idle connections to one target are kept.
-const naiveIdle = 20
-
 // Handler returns the relay's HTTP door for the kinds of the mesh.
 func (n *Naive) Handler(mesh *schema.Set) http.Handler {
 	mux := http.NewServeMux()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -53,8 +53,8 @@
 	return use
 }
 
-// use returns what the nodes took, as not a number when that is not known.
-func (r Report) use() NodeUse {
+// nodeUse returns what the nodes took, as not a number when that is not known.
+func (r Report) nodeUse() NodeUse {
 	if r.Use == nil {
 		return NodeUse{ProcessorPercent: math.NaN(), MostProcessorPercent: math.NaN(), MemoryMB: math.NaN()}
 	}
--- /dev/null
+++ b/internal/lab/script_test.go
@@ -0,0 +1,39 @@
+package lab
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/dandelionfield/dandelionfield/internal/cli"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"dandelionfield": func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{})) },
+		"fieldlab":       func() { os.Exit(Main()) },
+	})
+}
+
+// TestScripts runs the scripts of testdata/script: the command line of fieldlab,
+// and the functions of scripts/ that no mesh is needed for.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			for name, path := range map[string]string{
+				"SCRIPTS": "../../scripts",
+				"RUNS":    "testdata/runs",
+			} {
+				whole, err := filepath.Abs(path)
+				if err != nil {
+					return err
+				}
+				env.Setenv(name, whole)
+			}
+			return nil
+		},
+	})
+}
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -18,10 +18,10 @@
 	figure func(r R) float64
 }
 
-// PrintLoads writes one row for the runs of each label, with the stated goals
+// PrintLoadTable writes one row for the runs of each label, with the stated goals
 // in the head. A cell is the median and, where runs differ, the lowest and the
 // highest. Runs without a report are named below the table.
-func PrintLoads(w io.Writer, runs []Run[Report]) {
+func PrintLoadTable(w io.Writer, runs []Run[Report]) {
 	printRows(w, loadColumns(), grouped(runs))
 	for _, run := range runs {
 		if run.Missing != "" {
@@ -38,16 +38,16 @@
 	printMissing(w, runs)
 }
 
-// PrintAddeds writes one row for the runs of each label of the time that a mesh
+// PrintAddedTable writes one row for the runs of each label of the time that a mesh
 // adds to a call.
-func PrintAddeds(w io.Writer, runs []Run[AddedReport]) {
+func PrintAddedTable(w io.Writer, runs []Run[AddedReport]) {
 	printRows(w, addedColumns(), grouped(runs))
 	printMissing(w, runs)
 }
 
-// PrintKinds writes one row for each kind of request that the runs of a label
+// PrintKindTable writes one row for each kind of request that the runs of a label
 // had during the trigger.
-func PrintKinds(w io.Writer, runs []Run[Report]) {
+func PrintKindTable(w io.Writer, runs []Run[Report]) {
 	kinds := make([]Run[KindCount], 0, len(runs))
 	for _, group := range grouped(runs) {
 		kinds = append(kinds, byKind(group)...)
@@ -99,8 +99,8 @@
 		{"torn or foreign (goal 0)", "%.0f", func(r Report) float64 { return float64(r.Torn + r.Foreign) }},
 		{"calls at targets/request", "%.2f", func(r Report) float64 { return r.CallsPerRequest }},
 		{"wasted work", "%.1f%%", Report.wastedPercent},
-		{"processor of a node, mean of one core", "%.1f%%", func(r Report) float64 { return r.use().ProcessorPercent }},
-		{"memory of a node, most", "%.0f MB", func(r Report) float64 { return r.use().MemoryMB }},
+		{"processor of a node, mean of one core", "%.1f%%", func(r Report) float64 { return r.nodeUse().ProcessorPercent }},
+		{"memory of a node, most", "%.0f MB", func(r Report) float64 { return r.nodeUse().MemoryMB }},
 		{"load sent late, p99", "%.1f ms", func(r Report) float64 { return r.LateP99MS }},
 	}
 }
--- a/internal/lab/table_test.go
+++ b/internal/lab/table_test.go
@@ -29,7 +29,7 @@
 		return Run[Report]{Label: []string{label}, Report: report}
 	}
 	var text strings.Builder
-	PrintLoads(&text, []Run[Report]{
+	PrintLoadTable(&text, []Run[Report]{
 		run("slow", Report{RecoveryS: 0.5, Spells: after}),
 		run("other", Report{RecoveryS: 1, Spells: after}),
 		run("slow", Report{RecoveryS: NotRecovered, Spells: after, DoubleRuns: 2}),
--- a/internal/lab/trace.go
+++ b/internal/lab/trace.go
@@ -9,6 +9,8 @@
 	"time"
 )
 
+const millionths = 1_000_000
+
 type (
 	// Phase is a stretch of a trace with one rate of arrivals.
 	Phase struct {
@@ -129,5 +131,3 @@
 	}
 	return names[len(names)-1]
 }
-
-const millionths = 1_000_000
