Fail a measurement of added time whose nodes end or that is stopped

Cause: a node that had ended counted as nothing, which made the processor time of a call too low without a word, and an interrupted measurement reported the pairs that it had as if they were all.

TestAddedTakesTurns fails without either check (not true: err != nil, one run each).

--- a/internal/lab/added.go
+++ b/internal/lab/added.go
@@ -61,13 +61,50 @@
 	}
 )
 
-// Run makes the pairs and reports them. It ends early when the context ends.
-func (a *Added) Run(ctx context.Context) AddedReport {
-	client := newClient(a.Workers)
-	start := processorTime(a.Processes)
+// Run makes the pairs and reports them. It fails when the context ends first,
+// or one of the processes.
+func (a *Added) Run(ctx context.Context) (AddedReport, error) {
+	idle, err := a.idleShare()
+	if err != nil {
+		return AddedReport{}, err
+	}
+	before, err := processorTime(a.Processes)
+	if err != nil {
+		return AddedReport{}, err
+	}
+	begun := a.Clock.Now()
+	pairs := a.pairs(ctx)
+	after, err := processorTime(a.Processes)
+	if err != nil {
+		return AddedReport{}, err
+	}
+	if ctx.Err() != nil {
+		return AddedReport{}, badTrace.New("stopped after %d of %d pairs", len(pairs), a.Pairs)
+	}
+	report := summarise(pairs)
+	report.IdleMS = idle * 1000
+	if len(pairs) > 0 {
+		used := (after - before).Seconds() - idle*a.Clock.Now().Sub(begun).Seconds()
+		report.ProcessorMS = used * 1000 / float64(len(pairs))
+	}
+	return report, nil
+}
+
+// idleShare returns the processor time that the processes use while they are
+// idle, as a share of the time.
+func (a *Added) idleShare() (float64, error) {
+	before, err := processorTime(a.Processes)
+	if err != nil {
+		return 0, err
+	}
 	<-a.Clock.After(idleTime)
-	idle := float64(processorTime(a.Processes)-start) / float64(idleTime)
-	before, begun := processorTime(a.Processes), a.Clock.Now()
+	after, err := processorTime(a.Processes)
+	return float64(after-before) / float64(idleTime), err
+}
+
+// pairs makes the pairs by the workers, until the context ends.
+func (a *Added) pairs(ctx context.Context) []pair {
+	client := newClient(a.Workers)
 	var mu sync.Mutex
 	var pairs []pair
 	var workers sync.WaitGroup
@@ -83,13 +120,7 @@
 		})
 	}
 	workers.Wait()
-	report := summarise(pairs)
-	report.IdleMS = idle * 1000
-	if len(pairs) > 0 {
-		used := (processorTime(a.Processes) - before).Seconds() - idle*a.Clock.Now().Sub(begun).Seconds()
-		report.ProcessorMS = used * 1000 / float64(len(pairs))
-	}
-	return report
+	return pairs
 }
 
 // pair makes a direct and a relayed call, in turns the one first or the other.
--- a/internal/lab/added_test.go
+++ b/internal/lab/added_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,8 +45,18 @@
 		Workers: 1,
 		Clock:   &instantClock{},
 	}
-	is.Equal(added.Run(testContext(t)).Pairs, 2)
+	report, err := added.Run(testContext(t))
+	is.NoErr(err)
+	is.Equal(report.Pairs, 2)
 	is.Equal(order, []string{"direct", "relayed", "relayed", "direct"})
+	added.Processes = []int{-1}
+	_, err = added.Run(testContext(t))
+	is.True(err != nil) // the processor time of a node that is gone is not known
+	added.Processes = nil
+	stopped, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = added.Run(stopped)
+	is.True(err != nil) // a part of the pairs is no report
 }
 
 func TestProcessorTime(t *testing.T) {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -66,7 +66,10 @@
 		Short: "Measure the time that the mesh adds to a call",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			report := added.Run(command.Context())
+			report, err := added.Run(command.Context())
+			if err != nil {
+				return err
+			}
 			if asJSON {
 				return json.NewEncoder(os.Stdout).Encode(report)
 			}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -83,18 +83,14 @@
 	return list, nil
 }
 
-// processorTime returns the processor time that the processes have used. One
-// that is gone counts as nothing.
-func processorTime(ids []int) time.Duration {
+// processorTime returns the processor time that the processes have used together.
+func processorTime(ids []int) (time.Duration, error) {
+	list, err := readUsage(ids)
 	total := time.Duration(0)
-	for _, id := range ids {
-		text, err := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
-		if err != nil {
-			continue
-		}
-		total += parseStat(string(text))
+	for _, one := range list {
+		total += one.processor
 	}
-	return total
+	return total, err
 }
 
 // parseStat reads user and system time from a line of /proc/<id>/stat. They
