--- a/internal/lab/added.go
+++ b/internal/lab/added.go
@@ -5,22 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 )
 
-const (
-	// ticksPerSecond is the unit of processor time in /proc/<id>/stat.
-	ticksPerSecond = 100
-	// idleTime is how long the processes are watched while they are idle.
-	idleTime = 3 * time.Second
-)
+// idleTime is how long the processes are watched while they are idle.
+const idleTime = 3 * time.Second
 
 type (
 	// Added measures the time that a mesh adds to a call: it alternates direct
@@ -67,13 +61,50 @@
 	}
 )
 
-// Run makes the pairs and reports them. It ends early when the context ends.
-func (a *Added) Run(ctx context.Context) AddedReport {
-	client := newClient(a.Workers)
-	start := processorTime(a.Processes)
+// Run makes the pairs and reports them. It fails when the context ends first,
+// or one of the processes.
+func (a *Added) Run(ctx context.Context) (AddedReport, error) {
+	idle, err := a.idleShare()
+	if err != nil {
+		return AddedReport{}, err
+	}
+	before, err := processorTime(a.Processes)
+	if err != nil {
+		return AddedReport{}, err
+	}
+	begun := a.Clock.Now()
+	pairs := a.pairs(ctx)
+	after, err := processorTime(a.Processes)
+	if err != nil {
+		return AddedReport{}, err
+	}
+	if ctx.Err() != nil {
+		return AddedReport{}, badTrace.New("stopped after %d of %d pairs", len(pairs), a.Pairs)
+	}
+	report := summarise(pairs)
+	report.IdleMS = idle * 1000
+	if len(pairs) > 0 {
+		used := (after - before).Seconds() - idle*a.Clock.Now().Sub(begun).Seconds()
+		report.ProcessorMS = used * 1000 / float64(len(pairs))
+	}
+	return report, nil
+}
+
+// idleShare returns the processor time that the processes use while they are
+// idle, as a share of the time.
+func (a *Added) idleShare() (float64, error) {
+	before, err := processorTime(a.Processes)
+	if err != nil {
+		return 0, err
+	}
 	<-a.Clock.After(idleTime)
-	idle := float64(processorTime(a.Processes)-start) / float64(idleTime)
-	before, begun := processorTime(a.Processes), a.Clock.Now()
+	after, err := processorTime(a.Processes)
+	return float64(after-before) / float64(idleTime), err
+}
+
+// pairs makes the pairs by the workers, until the context ends.
+func (a *Added) pairs(ctx context.Context) []pair {
+	client := newClient(a.Workers)
 	var mu sync.Mutex
 	var pairs []pair
 	var workers sync.WaitGroup
@@ -89,13 +120,7 @@
 		})
 	}
 	workers.Wait()
-	report := summarise(pairs)
-	report.IdleMS = idle * 1000
-	if len(pairs) > 0 {
-		used := (processorTime(a.Processes) - before).Seconds() - idle*a.Clock.Now().Sub(begun).Seconds()
-		report.ProcessorMS = used * 1000 / float64(len(pairs))
-	}
-	return report
+	return pairs
 }
 
 // pair makes a direct and a relayed call, in turns the one first or the other.
@@ -174,37 +199,3 @@
 	index := int(q * float64(len(values)-1))
 	return values[index].Seconds() * 1000
 }
-
-// processorTime returns the processor time that the processes have used. One
-// that is gone counts as nothing.
-func processorTime(ids []int) time.Duration {
-	total := time.Duration(0)
-	for _, id := range ids {
-		text, err := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
-		if err != nil {
-			continue
-		}
-		total += parseStat(string(text))
-	}
-	return total
-}
-
-// parseStat reads user and system time from a line of /proc/<id>/stat. They
-// are the 12th and 13th field after the name, which ends at the last bracket.
-func parseStat(line string) time.Duration {
-	const user, system = 11, 12
-	_, rest, _ := strings.Cut(line[strings.LastIndex(line, ")")+1:], " ")
-	fields := strings.Fields(rest)
-	if len(fields) <= system {
-		return 0
-	}
-	ticks := 0
-	for _, field := range []int{user, system} {
-		count, err := strconv.Atoi(fields[field])
-		if err != nil {
-			return 0
-		}
-		ticks += count
-	}
-	return time.Duration(ticks) * time.Second / ticksPerSecond
-}
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -1,9 +1,11 @@
 package lab
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,8 +68,10 @@
 	first := newEntry(t, refuseWith("200", "overloaded", 503))
 	second := newEntry(t, answerWith("order"))
 	load := testLoad(t, &instantClock{}, first, second)
+	load.Config.Callers.Backoff = 200 * time.Millisecond
 	outcome := load.request(testContext(t), Arrival{ID: "1-1", Kind: "order"})
 	is.True(outcome.Good)
+	is.Equal(outcome.Tries[1].At, 200*time.Millisecond)
 	is.Equal(len(outcome.Tries), 2)
 	is.Equal(outcome.Tries[0], Try{Result: "overloaded", Code: 200, Status: 503})
 	is.True(first.keys[0] != "")
@@ -180,3 +184,41 @@
 		}
 	}
 }
+
+// lateClock ends every wait 30 ms after its time.
+type lateClock struct {
+	instantClock
+}
+
+func (c *lateClock) After(d time.Duration) <-chan time.Time {
+	return c.instantClock.After(d + 30*time.Millisecond)
+}
+
+func TestReportTellsHowLateTheLoadWas(t *testing.T) {
+	is := is.New(t)
+	entry := newEntry(t, answerWith("look"))
+	load := testLoad(t, &lateClock{}, entry)
+	report := load.Run(testContext(t), []Arrival{
+		{ID: "1-1", Kind: "look", At: 100 * time.Millisecond},
+		{ID: "1-2", Kind: "look", At: 200 * time.Millisecond},
+	})
+	is.Equal(report.Good, 2)
+	is.Equal(report.LateP99MS, 30.0)
+}
+
+func TestStoppedLoadLeavesNoReport(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "load.yaml")
+	config := LoadConfig{
+		Mesh:    "../../examples/cannelle/mesh",
+		Entries: []string{"127.0.0.1:1"},
+		Phases:  []Phase{{Name: "calm", Duration: time.Hour, Rate: 1}},
+	}
+	is.NoErr(writeYAML(path, config))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	command := Command()
+	command.SetArgs([]string{"load", "--json", "--config", path})
+	err := command.ExecuteContext(ctx)
+	is.True(err != nil && strings.Contains(err.Error(), "stopped before the end of the trace"))
+}
