Put a wire between nodes and silence it under load

Cause: silent connections were proved within packages, not on real processes.

fieldlab wire forwards TCP on loopback and can hold what goes to a node, what comes from it, or both, for all connections or the open ones, or reset them. What was held arrives late when the switch is off. Nodes learn the wire's address through the new setting relay_address, which hosts behind a translated address need anyway; it defaults to relay_listen.

The wire's tests fail without the hold (4 tests), without open_only, without holding the end of a connection, without the reset of open or of new connections.

internal/node and internal/setup are touched for relay_address alone.

--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), targetCommand(), naiveCommand(), layoutCommand(),
+	root.AddCommand(platformCommand(), targetCommand(), naiveCommand(), wireCommand(), layoutCommand(),
 		loadCommand(), addedCommand(), tableCommand())
 	return root
 }
@@ -110,8 +110,31 @@
 	return command
 }
 
+func wireCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "wire",
+		Short: "Forward connections to one address, and go silent when told to",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var config WireConfig
+			if err := ReadYAML(path, &config); err != nil {
+				return err
+			}
+			wire := NewWire(config)
+			group, ctx := errgroup.WithContext(command.Context())
+			group.Go(func() error { return wire.Serve(ctx) })
+			group.Go(func() error { return serve(ctx, config.ControlListen, &http.Server{Handler: wire.Handler()}) })
+			return group.Wait()
+		},
+	}
+	addConfigFlag(command, &path)
+	return command
+}
+
 func layoutCommand() *cobra.Command {
 	var firm, out, network string
+	var wires []string
 	var seed uint64
 	var fixed time.Duration
 	command := &cobra.Command{
@@ -132,6 +155,7 @@
 			if fixed > 0 {
 				layout.FixTime(fixed)
 			}
+			layout.Wires = append(layout.Wires, wires...)
 			meshDir, err := filepath.Abs(filepath.Join(firm, "mesh"))
 			if err != nil {
 				return err
@@ -149,6 +173,7 @@
 	command.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the layout's")
 	command.Flags().StringVar(&network, "network", "", "first three parts of the hosts' addresses in place of the layout's")
 	command.Flags().DurationVar(&fixed, "fixed-time", 0, "one service time for all stand-ins")
+	command.Flags().StringSliceVar(&wires, "wire", nil, "hosts whose node other nodes reach through a wire")
 	_ = command.MarkFlagRequired("firm")
 	_ = command.MarkFlagRequired("out")
 	return command
--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -22,6 +22,8 @@
 	targetPort
 	platformPort
 	controlPort
+	wirePort
+	wireControlPort
 )
 
 // platformHost is the last part of the platform stand-in's address.
@@ -46,7 +48,9 @@
 		// CallsAfter names the calls that a kind makes after its own work, by
 		// kind. It makes all others before.
 		CallsAfter map[string][]string `yaml:"calls_after"`
-		Load       LayoutLoad          `yaml:"load"`
+		// Wires names the hosts whose node others reach through a wire.
+		Wires []string   `yaml:"wires"`
+		Load  LayoutLoad `yaml:"load"`
 	}
 
 	// LayoutService says how the stand-ins of one service behave.
@@ -93,6 +97,7 @@
 		Service         string        `yaml:"service"`
 		CallerListen    string        `yaml:"caller_listen"`
 		RelayListen     string        `yaml:"relay_listen"`
+		RelayAddress    string        `yaml:"relay_address,omitempty"`
 		AdminListen     string        `yaml:"admin_listen"`
 		TargetAddress   string        `yaml:"target_address"`
 		PlatformAddress string        `yaml:"platform_address"`
@@ -145,7 +150,7 @@
 }
 
 // Write writes the settings of every process into the directory out, as
-// node-*.yaml, target-*.yaml, naive-*.yaml and load-<trace>.yaml.
+// node-*.yaml, target-*.yaml, naive-*.yaml, wire-*.yaml and load-<trace>.yaml.
 func (l *Layout) Write(mesh *schema.Set, meshDir, out string) error {
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return badFile.Wrap(err, "make directory")
@@ -160,6 +165,9 @@
 			"target-": target,
 			"naive-":  l.naive(host, meshDir),
 		}
+		if l.wired(host) {
+			files["wire-"] = l.wire(host)
+		}
 		for prefix, settings := range files {
 			if err := writeYAML(filepath.Join(out, prefix+host.Name+".yaml"), settings); err != nil {
 				return err
@@ -184,7 +192,7 @@
 }
 
 func (l *Layout) node(host Host) nodeSettings {
-	return nodeSettings{
+	settings := nodeSettings{
 		Name:            host.Name,
 		DataCentre:      host.DataCentre,
 		Region:          l.Region,
@@ -199,6 +207,23 @@
 		DrainTimeout:    l.DrainTimeout,
 		MemoryBytes:     l.MemoryBytes,
 	}
+	if l.wired(host) {
+		settings.RelayAddress = l.wire(host).Listen
+	}
+	return settings
+}
+
+func (l *Layout) wired(host Host) bool {
+	return slices.Contains(l.Wires, host.Name)
+}
+
+func (l *Layout) wire(host Host) WireConfig {
+	return WireConfig{
+		Name:          host.Name,
+		Listen:        l.address(host.IP, wirePort),
+		To:            l.address(host.IP, relayPort),
+		ControlListen: l.address(host.IP, wireControlPort),
+	}
 }
 
 func (l *Layout) target(mesh *schema.Set, host Host) (TargetConfig, error) {
@@ -310,6 +335,9 @@
 			Service: host.Service,
 			Address: l.address(host.IP, controlPort),
 		})
+		if l.wired(host) {
+			config.Wires = append(config.Wires, LoadTarget{Name: host.Name, Service: host.Service, Address: l.wire(host).ControlListen})
+		}
 	}
 	return config
 }
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -46,6 +46,7 @@
 		Mesh     string             `yaml:"mesh"`
 		Entries  []string           `yaml:"entries"`
 		Targets  []LoadTarget       `yaml:"targets"`
+		Wires    []LoadTarget       `yaml:"wires,omitempty"`
 		Platform string             `yaml:"platform"`
 		Callers  Callers            `yaml:"callers"`
 		Mix      map[string]float64 `yaml:"mix"`
@@ -377,6 +378,11 @@
 			addresses = append(addresses, target.Address)
 		}
 	}
+	for _, wire := range l.Config.Wires {
+		if slices.Contains(fault.Wires, wire.Name) || slices.Contains(fault.Wires, wire.Service) {
+			addresses = append(addresses, wire.Address)
+		}
+	}
 	return addresses
 }
 
--- a/internal/lab/trace.go
+++ b/internal/lab/trace.go
@@ -20,11 +20,13 @@
 		Mix map[string]float64 `yaml:"mix,omitempty" json:"mix,omitempty"`
 	}
 
-	// Fault switches targets, or the platform, at a time of the trace.
+	// Fault switches targets, wires or the platform at a time of the trace.
 	Fault struct {
 		At time.Duration `yaml:"at" json:"at_ns"`
 		// Targets holds names of targets or of services.
-		Targets  []string       `yaml:"targets,omitempty" json:"targets,omitempty"`
+		Targets []string `yaml:"targets,omitempty" json:"targets,omitempty"`
+		// Wires holds names of hosts or of services.
+		Wires    []string       `yaml:"wires,omitempty" json:"wires,omitempty"`
 		Platform bool           `yaml:"platform,omitempty" json:"platform,omitempty"`
 		Switch   map[string]any `yaml:"switch" json:"switch"`
 	}
--- /dev/null
+++ b/internal/lab/wire_test.go
@@ -0,0 +1,166 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// silence is how long a test listens for bytes that must not come.
+	silence = 50 * time.Millisecond
+	// patience ends a test whose bytes never come.
+	patience = 5 * time.Second
+)
+
+// wirePair is a wire, and the connections that arrive at its far end.
+type wirePair struct {
+	wire    *Wire
+	address string
+	arrived chan net.Conn
+}
+
+func newWirePair(t *testing.T) *wirePair {
+	t.Helper()
+	is := is.New(t)
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	near, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	p := &wirePair{
+		wire:    NewWire(WireConfig{To: far.Addr().String()}),
+		address: near.Addr().String(),
+		arrived: make(chan net.Conn, 1),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		_ = far.Close()
+	})
+	go func() {
+		for conn, err := far.Accept(); err == nil; conn, err = far.Accept() {
+			p.arrived <- conn
+		}
+	}()
+	go func() { _ = p.wire.forward(ctx, near) }()
+	return p
+}
+
+// open dials through the wire and returns both ends.
+func (p *wirePair) open(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	near, err := net.Dial("tcp", p.address)
+	is.New(t).NoErr(err)
+	far = <-p.arrived
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	// A byte each way shows that the wire has both directions under way.
+	passes(t, near, far)
+	passes(t, far, near)
+	return near, far
+}
+
+func passes(t *testing.T, from, to net.Conn) {
+	t.Helper()
+	send(t, from)
+	receive(t, to)
+}
+
+func send(t *testing.T, from net.Conn) {
+	t.Helper()
+	_, err := from.Write([]byte{1})
+	is.New(t).NoErr(err)
+}
+
+func receive(t *testing.T, to net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(to.SetReadDeadline(time.Now().Add(patience)))
+	_, err := io.ReadFull(to, make([]byte, 1))
+	is.NoErr(err)
+}
+
+// holds requires that a byte is on its way and does not arrive.
+func holds(t *testing.T, from, to net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	send(t, from)
+	is.NoErr(to.SetReadDeadline(time.Now().Add(silence)))
+	_, err := to.Read(make([]byte, 1))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // a byte came through, or an end
+}
+
+// ends reports whether a connection ends with no further byte.
+func ends(t *testing.T, conn net.Conn) bool {
+	t.Helper()
+	is.New(t).NoErr(conn.SetReadDeadline(time.Now().Add(patience)))
+	_, err := conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func TestWireHoldsOneDirection(t *testing.T) {
+	is := is.New(t)
+	p := newWirePair(t)
+	near, far := p.open(t)
+	p.wire.Switch(WireFaults{SilentTo: true})
+	holds(t, near, far)
+	passes(t, far, near)
+	p.wire.Switch(WireFaults{SilentFrom: true})
+	receive(t, far) // what was held arrives late
+	holds(t, far, near)
+	passes(t, near, far)
+	is.Equal(p.wire.Stats(), WireStats{Opened: 1, Open: 1, Silenced: 1})
+	p.wire.Switch(WireFaults{})
+	receive(t, near)
+}
+
+func TestWireHoldsOpenConnectionsOnly(t *testing.T) {
+	is := is.New(t)
+	p := newWirePair(t)
+	near, far := p.open(t)
+	p.wire.Switch(WireFaults{SilentTo: true, SilentFrom: true, OpenOnly: true})
+	p.open(t)
+	holds(t, near, far)
+	holds(t, far, near)
+	is.Equal(p.wire.Stats(), WireStats{Opened: 2, Open: 2, Silenced: 1})
+}
+
+func TestWireHoldsTheEndOfAConnection(t *testing.T) {
+	is := is.New(t)
+	p := newWirePair(t)
+	near, far := p.open(t)
+	p.wire.Switch(WireFaults{SilentTo: true, SilentFrom: true})
+	is.NoErr(near.Close())
+	is.NoErr(far.SetReadDeadline(time.Now().Add(silence)))
+	_, err := far.Read(make([]byte, 1))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // the end came through
+	p.wire.Switch(WireFaults{})
+	is.True(ends(t, far))
+}
+
+func TestCutWireResets(t *testing.T) {
+	is := is.New(t)
+	p := newWirePair(t)
+	near, far := p.open(t)
+	p.wire.Switch(WireFaults{SilentTo: true})
+	holds(t, near, far)
+	p.wire.Switch(WireFaults{Cut: true})
+	is.True(ends(t, near))
+	is.True(ends(t, far)) // the held byte came, or the connection is open
+	// The reset of a new connection may come before the dial has returned.
+	again, err := net.Dial("tcp", p.address)
+	if err == nil {
+		is.True(ends(t, again)) // a new connection passes
+		_ = again.Close()
+	}
+	p.wire.Switch(WireFaults{})
+	p.open(t)
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -51,7 +51,7 @@
 	return once.Node{
 		Name:        n.settings.Name,
 		Incarnation: n.incarnation,
-		Address:     n.settings.RelayListen,
+		Address:     n.settings.RelayAddress,
 		StartedMS:   n.started.UnixMilli(),
 		Leaving:     n.leaving.Load(),
 	}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -47,7 +47,7 @@
 		Name:          n.settings.Name,
 		Incarnation:   n.incarnation,
 		StartedMS:     n.started.UnixMilli(),
-		RelayAddress:  n.settings.RelayListen,
+		RelayAddress:  n.settings.RelayAddress,
 		CallerAddress: n.settings.CallerListen,
 		AdminAddress:  n.settings.AdminListen,
 		DataCentre:    n.settings.DataCentre,
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -116,8 +117,9 @@
 	})
 }
 
-// startMesh [-naive] starts the platform, the targets and the nodes, and applies
-// the declarations. With -naive, naive relays take the place of nodes. NETWORK
+// startMesh [-naive] [-wire HOST]... starts the platform, the targets and the
+// nodes, and applies the declarations. With -naive, naive relays take the place
+// of nodes; with -wire, other nodes reach that of a host through a wire. NETWORK
 // becomes the first three parts of the addresses.
 func startMesh(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
@@ -132,15 +134,23 @@
 	if seed := os.Getenv(seedVariable); seed != "" {
 		layout = append(layout, "--seed", seed)
 	}
+	flags := flag.NewFlagSet("mesh", flag.ContinueOnError)
+	naive := flags.Bool("naive", false, "")
+	flags.Func("wire", "", func(host string) error {
+		layout = append(layout, "--wire", host)
+		return nil
+	})
+	ts.Check(flags.Parse(args))
 	ts.Check(ts.Exec("fieldlab", layout...))
 	platform := network + ".200:7104"
 	m.start(ts, "platform", "fieldlab", "platform", "--listen", platform)
 	waitPort(ts, platform)
 	m.startAll(ts, "fieldlab", "target", "listen")
-	if len(args) > 0 && args[0] == "-naive" {
+	if *naive {
 		m.startAll(ts, "fieldlab", "naive", "listen")
 		return
 	}
+	m.startAll(ts, "fieldlab", "wire", "control_listen")
 	m.startAll(ts, "dandelionfield", "node", "admin_listen")
 	ts.Setenv("ADMIN", network+".11:7102")
 	ts.Setenv("DANDELIONFIELD_TOKEN", "loopback-trial-only")
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -19,8 +19,11 @@
 	Service string
 	// CallerListen takes requests of callers and of the target itself.
 	CallerListen string
-	// RelayListen takes calls of other nodes and is announced to them.
+	// RelayListen takes calls of other nodes.
 	RelayListen string
+	// RelayAddress is where other nodes reach RelayListen. It is announced to
+	// them, and differs from it on a host behind a translated address.
+	RelayAddress string
 	// AdminListen takes the resource API and the metrics.
 	AdminListen     string
 	TargetAddress   string
@@ -89,6 +92,9 @@
 	if err := reader.Problems.Err(); err != nil {
 		return nil, err
 	}
+	if node.RelayAddress == "" {
+		node.RelayAddress = node.RelayListen
+	}
 	return node, nil
 }
 
@@ -104,6 +110,7 @@
 		{Key: "admin_listen", Required: true, Read: place.Listen(&n.AdminListen)},
 		{Key: "target_address", Required: true, Read: place.Address(&n.TargetAddress)},
 		{Key: "platform_address", Required: true, Read: place.Address(&n.PlatformAddress)},
+		{Key: "relay_address", Read: place.Address(&n.RelayAddress)},
 		{Key: "operator_token", Read: token(&n.OperatorToken)},
 		{Key: "log_level", Read: level(&n.LogLevel)},
 		{Key: "drain_timeout", Read: place.Duration(&n.DrainTimeout, 0, maxDrainTimeout)},
@@ -112,15 +119,20 @@
 }
 
 // checkListen reports an address that two listeners would share. Port 0 takes
-// any free port, so it may stand twice.
+// any free port, so it may stand twice. The announced address leads to the
+// relay listener, so it may not be that of another one.
 func checkListen(reader *place.Reader, object place.Object) {
 	taken := map[string]string{}
-	for _, key := range []string{"caller_listen", "relay_listen", "admin_listen", "target_address"} {
+	for _, key := range []string{"caller_listen", "relay_listen", "admin_listen", "target_address", "relay_address"} {
 		value, present := object.Fields[key]
 		if !present || anyPort.MatchString(value.Node.Value) {
 			continue
 		}
-		if other, twice := taken[value.Node.Value]; twice {
+		other, twice := taken[value.Node.Value]
+		if twice && key == "relay_address" && other == "relay_listen" {
+			continue
+		}
+		if twice {
 			reader.Reportf(value, "another address than that of %s", other)
 			continue
 		}
