Leave a former incarnation its keys behind a translated address

Cause: with relay_address set, two hosts may announce one address, so that the bind of a new incarnation does not prove the former one gone. Its holdings were ended all the same, and a paused host that wakes could run a key a second time.

Ruled out: comparing the bound address as well, since rows of members and plans carry the announced one alone, and hosts of two networks may bind the same one.

Nodes without relay_address are as before.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -54,6 +54,7 @@
 		Address:     n.settings.RelayAddress,
 		StartedMS:   n.started.UnixMilli(),
 		Leaving:     n.leaving.Load(),
+		Translated:  n.settings.RelayAddress != n.settings.RelayListen,
 	}
 }
 
--- a/internal/once/next.go
+++ b/internal/once/next.go
@@ -131,6 +131,9 @@
 // With Margin 1000 and a start at 50000: the last key accepted was minted at
 // 52000 at the latest, so the holding ends at 52001.
 func (d *draft) closePredecessors() {
+	if d.self.Translated {
+		return
+	}
 	closeMS := d.self.StartedMS + 2*d.marginMS() + 1
 	d.closeLast(closeMS, func(h Holding) bool {
 		return h.Records == "" && d.sameAddress(h.Name, h.Address, h.Incarnation)
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -72,6 +72,10 @@
 		// not leaving keeps it bound.
 		StartedMS int64
 		Leaving   bool
+		// Translated says that the address is not the one that was bound. The
+		// bind then proves nothing of a former incarnation, which may be on
+		// another host, so its holdings run to their ends.
+		Translated bool
 	}
 
 	// Rules are the declared bounds.
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -93,7 +93,7 @@
 	case "start":
 		var name string
 		d.ScanArgs(t, "name", &name)
-		s.nodes[arg(0)] = Node{Name: name, Address: name, Incarnation: arg(0), StartedMS: startMS + s.nowMS}
+		s.nodes[arg(0)] = Node{Name: name, Address: name, Incarnation: arg(0), StartedMS: startMS + s.nowMS, Translated: d.HasArg("translated")}
 		s.ledgers[arg(0)] = NewLedger[string](s.nodes[arg(0)], s.rules, s.bytes)
 		s.ledgers[arg(0)].Learn(s.table)
 	case "stop":
