Cut a region off, take the store from it, and slow the store down

Cause: failures of a region and of the platform for a part of the mesh were not tried on real processes.

The firm wide has two regions with two data centres each.

cut.txt: both regions apart for 6 s, the south without the platform, calls held and released late.

An apply on a side without the store is not refused at once: it waits and is then judged by its expected revision. A first form of store.txt that required a refusal failed for that.

Outside of the trials: internal/relay (From), internal/setup and one line of internal/node.

--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -137,6 +137,7 @@
 	var wires []string
 	var seed uint64
 	var fixed time.Duration
+	var allWires bool
 	command := &cobra.Command{
 		Use:   "layout",
 		Short: "Write the settings of every process of a firm",
@@ -156,6 +157,7 @@
 				layout.FixTime(fixed)
 			}
 			layout.Wires = append(layout.Wires, wires...)
+			layout.AllWires = layout.AllWires || allWires
 			meshDir, err := filepath.Abs(filepath.Join(firm, "mesh"))
 			if err != nil {
 				return err
@@ -174,6 +176,7 @@
 	command.Flags().StringVar(&network, "network", "", "first three parts of the hosts' addresses in place of the layout's")
 	command.Flags().DurationVar(&fixed, "fixed-time", 0, "one service time for all stand-ins")
 	command.Flags().StringSliceVar(&wires, "wire", nil, "hosts whose node other nodes reach through a wire")
+	command.Flags().BoolVar(&allWires, "all-wires", false, "wires before all nodes, and between each region and the platform")
 	_ = command.MarkFlagRequired("firm")
 	_ = command.MarkFlagRequired("out")
 	return command
--- a/internal/lab/layout.go
+++ b/internal/lab/layout.go
@@ -24,6 +24,8 @@
 	controlPort
 	wirePort
 	wireControlPort
+	// platformWirePort is the first of the platform's wires, two for each region.
+	platformWirePort
 )
 
 // platformHost is the last part of the platform stand-in's address.
@@ -34,23 +36,28 @@
 	Layout struct {
 		Firm string `yaml:"firm"`
 		// Network is the first three parts of the hosts' addresses.
-		Network       string        `yaml:"network"`
-		BasePort      int           `yaml:"base_port"`
-		Region        string        `yaml:"region"`
-		DataCentres   []string      `yaml:"data_centres"`
-		OperatorToken string        `yaml:"operator_token"`
-		LogLevel      string        `yaml:"log_level"`
-		DrainTimeout  time.Duration `yaml:"drain_timeout"`
-		MemoryBytes   string        `yaml:"memory_bytes"`
-		Seed          uint64        `yaml:"seed"`
+		Network     string   `yaml:"network"`
+		BasePort    int      `yaml:"base_port"`
+		Region      string   `yaml:"region"`
+		DataCentres []string `yaml:"data_centres"`
+		// Regions holds the regions of data centres that are not in Region.
+		Regions       map[string]string `yaml:"regions"`
+		OperatorToken string            `yaml:"operator_token"`
+		LogLevel      string            `yaml:"log_level"`
+		DrainTimeout  time.Duration     `yaml:"drain_timeout"`
+		MemoryBytes   string            `yaml:"memory_bytes"`
+		Seed          uint64            `yaml:"seed"`
 		// Services holds one entry a service; each has a host in every data centre.
 		Services []LayoutService `yaml:"services"`
 		// CallsAfter names the calls that a kind makes after its own work, by
 		// kind. It makes all others before.
 		CallsAfter map[string][]string `yaml:"calls_after"`
-		// Wires names the hosts whose node others reach through a wire.
-		Wires []string   `yaml:"wires"`
-		Load  LayoutLoad `yaml:"load"`
+		// Wires names the hosts whose node others reach through a wire. With
+		// AllWires it is every host, and each region reaches the platform
+		// through a wire as well.
+		Wires    []string   `yaml:"wires"`
+		AllWires bool       `yaml:"all_wires"`
+		Load     LayoutLoad `yaml:"load"`
 	}
 
 	// LayoutService says how the stand-ins of one service behave.
@@ -75,10 +82,13 @@
 	Trace struct {
 		// Callers stands in place of the shared callers when it is given.
 		Callers *Callers `yaml:"callers"`
-		Phases  []Phase  `yaml:"phases"`
-		Faults  []Fault  `yaml:"faults"`
-		Trigger Trigger  `yaml:"trigger"`
-		Expect  Expect   `yaml:"expect"`
+		// EntryService names the service whose nodes callers ask; without it
+		// they ask all nodes.
+		EntryService string  `yaml:"entry_service"`
+		Phases       []Phase `yaml:"phases"`
+		Faults       []Fault `yaml:"faults"`
+		Trigger      Trigger `yaml:"trigger"`
+		Expect       Expect  `yaml:"expect"`
 	}
 
 	// Host is one host of a layout.
@@ -98,6 +108,7 @@
 		CallerListen    string        `yaml:"caller_listen"`
 		RelayListen     string        `yaml:"relay_listen"`
 		RelayAddress    string        `yaml:"relay_address,omitempty"`
+		RelayFrom       string        `yaml:"relay_from,omitempty"`
 		AdminListen     string        `yaml:"admin_listen"`
 		TargetAddress   string        `yaml:"target_address"`
 		PlatformAddress string        `yaml:"platform_address"`
@@ -165,15 +176,17 @@
 			"target-": target,
 			"naive-":  l.naive(host, meshDir),
 		}
-		if l.wired(host) {
-			files["wire-"] = l.wire(host)
-		}
 		for prefix, settings := range files {
 			if err := writeYAML(filepath.Join(out, prefix+host.Name+".yaml"), settings); err != nil {
 				return err
 			}
 		}
 	}
+	for _, wire := range l.wires() {
+		if err := writeYAML(filepath.Join(out, "wire-"+wire.Name+".yaml"), wire); err != nil {
+			return err
+		}
+	}
 	for name := range l.Load.Traces {
 		if err := writeYAML(filepath.Join(out, "load-"+name+".yaml"), l.load(name, mesh, meshDir)); err != nil {
 			return err
@@ -192,10 +205,10 @@
 }
 
 func (l *Layout) node(host Host) nodeSettings {
-	settings := nodeSettings{
+	return l.wiredNode(host, nodeSettings{
 		Name:            host.Name,
 		DataCentre:      host.DataCentre,
-		Region:          l.Region,
+		Region:          l.region(host),
 		Service:         host.Service,
 		CallerListen:    l.address(host.IP, callerPort),
 		RelayListen:     l.address(host.IP, relayPort),
@@ -206,24 +219,7 @@
 		LogLevel:        l.LogLevel,
 		DrainTimeout:    l.DrainTimeout,
 		MemoryBytes:     l.MemoryBytes,
-	}
-	if l.wired(host) {
-		settings.RelayAddress = l.wire(host).Listen
-	}
-	return settings
-}
-
-func (l *Layout) wired(host Host) bool {
-	return slices.Contains(l.Wires, host.Name)
-}
-
-func (l *Layout) wire(host Host) WireConfig {
-	return WireConfig{
-		Name:          host.Name,
-		Listen:        l.address(host.IP, wirePort),
-		To:            l.address(host.IP, relayPort),
-		ControlListen: l.address(host.IP, wireControlPort),
-	}
+	})
 }
 
 func (l *Layout) target(mesh *schema.Set, host Host) (TargetConfig, error) {
@@ -328,27 +324,31 @@
 	for _, service := range l.Services {
 		config.Capacity[service.Name] = l.capacity(mesh, service)
 	}
-	config.Entries = l.entries()
+	config.Entries = l.entries(trace.EntryService)
 	for _, host := range l.Hosts() {
 		config.Targets = append(config.Targets, LoadTarget{
 			Name:    host.Name,
 			Service: host.Service,
 			Address: l.address(host.IP, controlPort),
 		})
-		if l.wired(host) {
-			config.Wires = append(config.Wires, LoadTarget{Name: host.Name, Service: host.Service, Address: l.wire(host).ControlListen})
-		}
+	}
+	for _, wire := range l.wires() {
+		config.Wires = append(config.Wires, LoadTarget{Name: wire.Name, Address: wire.ControlListen})
 	}
 	return config
 }
 
-// entries returns the addresses for callers, ordered so that the next one is in
-// another data centre: a caller that repeats goes there.
-func (l *Layout) entries() []string {
+// entries returns the addresses for callers, at the nodes of one service or at
+// all, ordered so that the next one is in another data centre: a caller that
+// repeats goes there.
+func (l *Layout) entries(service string) []string {
 	hosts := l.Hosts()
 	entries := make([]string, 0, len(hosts))
 	for i := range l.Services {
 		for at := i; at < len(hosts); at += len(l.Services) {
+			if service != "" && hosts[at].Service != service {
+				continue
+			}
 			entries = append(entries, l.address(hosts[at].IP, callerPort))
 		}
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -379,7 +379,7 @@
 		}
 	}
 	for _, wire := range l.Config.Wires {
-		if slices.Contains(fault.Wires, wire.Name) || slices.Contains(fault.Wires, wire.Service) {
+		if slices.Contains(fault.Wires, wire.Name) {
 			addresses = append(addresses, wire.Address)
 		}
 	}
--- a/internal/lab/trace.go
+++ b/internal/lab/trace.go
@@ -25,7 +25,7 @@
 		At time.Duration `yaml:"at" json:"at_ns"`
 		// Targets holds names of targets or of services.
 		Targets []string `yaml:"targets,omitempty" json:"targets,omitempty"`
-		// Wires holds names of hosts or of services.
+		// Wires holds names of wires: those of their hosts, or platform-REGION.
 		Wires    []string       `yaml:"wires,omitempty" json:"wires,omitempty"`
 		Platform bool           `yaml:"platform,omitempty" json:"platform,omitempty"`
 		Switch   map[string]any `yaml:"switch" json:"switch"`
--- a/internal/lab/wire.go
+++ b/internal/lab/wire.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 		// To is the address that connections are forwarded to.
 		To            string `yaml:"to"`
 		ControlListen string `yaml:"control_listen"`
+		// Hosts names the hosts that connections come from, by IP number.
+		Hosts map[string]string `yaml:"hosts,omitempty"`
 	}
 
 	// WireFaults are the switches of a wire; without any, it passes all bytes.
@@ -30,6 +33,9 @@
 		OpenOnly bool `json:"open_only"`
 		// Cut resets all connections, and new ones at once.
 		Cut bool `json:"cut"`
+		// From limits the switches to connections from these hosts, by name;
+		// without any, they hold for all.
+		From []string `json:"from"`
 	}
 
 	// WireStats counts the connections of a wire.
@@ -54,6 +60,7 @@
 	// line is one connection through the wire, and its way in each direction.
 	line struct {
 		near, far net.Conn
+		host      string
 		to, from  hold
 	}
 
@@ -105,11 +112,12 @@
 	defer w.mu.Unlock()
 	w.faults = faults
 	for l := range w.lines {
-		if faults.Cut {
+		meant := faults.of(l.host)
+		if meant.Cut {
 			// What is held is lost with the connection.
 			l.reset()
 		}
-		l.set(faults)
+		l.set(meant)
 	}
 }
 
@@ -145,7 +153,8 @@
 
 // open connects the other side and copies both ways until either ends.
 func (w *Wire) open(ctx context.Context, near net.Conn) {
-	if w.cut() {
+	host := w.host(near)
+	if w.current().of(host).Cut {
 		reset(near)
 		return
 	}
@@ -155,7 +164,7 @@
 		reset(near)
 		return
 	}
-	l := &line{near: near, far: far}
+	l := &line{near: near, far: far, host: host}
 	if !w.add(l) {
 		l.reset()
 		return
@@ -173,21 +182,36 @@
 func (w *Wire) add(l *line) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.faults.Cut {
+	meant := w.faults.of(l.host)
+	if meant.Cut {
 		return false
 	}
-	if !w.faults.OpenOnly {
-		l.set(w.faults)
+	if !meant.OpenOnly {
+		l.set(meant)
 	}
 	w.opened++
 	w.lines[l] = true
 	return true
 }
 
-func (w *Wire) cut() bool {
+func (w *Wire) current() WireFaults {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.faults.Cut
+	return w.faults
+}
+
+// host names the host that a connection comes from, if it is known.
+func (w *Wire) host(near net.Conn) string {
+	ip, _, _ := net.SplitHostPort(near.RemoteAddr().String())
+	return w.config.Hosts[ip]
+}
+
+// of returns the switches that hold for connections from a host.
+func (f WireFaults) of(host string) WireFaults {
+	if len(f.From) > 0 && !slices.Contains(f.From, host) {
+		return WireFaults{}
+	}
+	return f
 }
 
 func (l *line) set(faults WireFaults) {
--- a/internal/lab/wire_test.go
+++ b/internal/lab/wire_test.go
@@ -34,7 +34,7 @@
 	near, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	p := &wirePair{
-		wire:    NewWire(WireConfig{To: far.Addr().String()}),
+		wire:    NewWire(WireConfig{To: far.Addr().String(), Hosts: map[string]string{"127.0.0.2": "orders-1"}}),
 		address: near.Addr().String(),
 		arrived: make(chan net.Conn, 1),
 	}
@@ -55,7 +55,13 @@
 // open dials through the wire and returns both ends.
 func (p *wirePair) open(t *testing.T) (near, far net.Conn) {
 	t.Helper()
-	near, err := net.Dial("tcp", p.address)
+	return p.openFrom(t, "127.0.0.1")
+}
+
+func (p *wirePair) openFrom(t *testing.T, ip string) (near, far net.Conn) {
+	t.Helper()
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	near, err := dialer.Dial("tcp", p.address)
 	is.New(t).NoErr(err)
 	far = <-p.arrived
 	t.Cleanup(func() {
@@ -133,6 +139,16 @@
 	is.Equal(p.wire.Stats(), WireStats{Opened: 2, Open: 2, Silenced: 1})
 }
 
+func TestWireTellsHostsApart(t *testing.T) {
+	p := newWirePair(t)
+	near, far := p.openFrom(t, "127.0.0.2")
+	otherNear, otherFar := p.open(t)
+	p.wire.Switch(WireFaults{SilentTo: true, From: []string{"orders-1"}})
+	holds(t, near, far)
+	passes(t, otherNear, otherFar)
+	p.open(t)
+}
+
 func TestWireHoldsTheEndOfAConnection(t *testing.T) {
 	is := is.New(t)
 	p := newWirePair(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,7 @@
 		client:      relay.NewClient(),
 		drain:       make(chan struct{}),
 	}
+	n.client.From = net.ParseIP(settings.RelayFrom)
 	n.platform.answered = n.started
 	n.store = n.platform.observed(plat.NewClient(settings.PlatformAddress, plat.Limits{}), clk.Now)
 	n.config = n.newConfig()
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -72,7 +72,7 @@
 }
 
 func TestTrials(t *testing.T) {
-	firm, err := filepath.Abs("testdata/small")
+	firms, err := filepath.Abs("testdata")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,7 +81,8 @@
 		Setup: func(env *testscript.Env) error {
 			m := &mesh{dir: filepath.Join(env.WorkDir, "run"), processes: map[string]*process{}}
 			env.Values[meshKey{}] = m
-			env.Setenv("FIRM", firm)
+			env.Setenv("FIRM", filepath.Join(firms, "small"))
+			env.Setenv("WIDE", filepath.Join(firms, "wide"))
 			return nil
 		},
 		// Statements about how much got through depend on how busy the host is.
@@ -105,8 +106,10 @@
 			"contend": contend,
 			"share":   share,
 			"spared":  spared,
+			"prompt":  prompt,
 			"owner":   owner,
 			"holds":   holds,
+			"level":   level,
 
 			"in_force":        inForce,
 			"watch_revisions": watchRevisions,
@@ -117,9 +120,10 @@
 	})
 }
 
-// startMesh [-naive] [-wire HOST]... starts the platform, the targets and the
-// nodes, and applies the declarations. With -naive, naive relays take the place
-// of nodes; with -wire, other nodes reach that of a host through a wire. NETWORK
+// startMesh [-naive] [-wire HOST]... [-all-wires] starts the platform, the
+// targets and the nodes, and applies the declarations. With -naive, naive relays
+// take the place of nodes. With -wire, other nodes reach that of a host through a
+// wire; with -all-wires all nodes and the platform are behind wires. NETWORK
 // becomes the first three parts of the addresses.
 func startMesh(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
@@ -140,7 +144,11 @@
 		layout = append(layout, "--wire", host)
 		return nil
 	})
+	allWires := flags.Bool("all-wires", false, "")
 	ts.Check(flags.Parse(args))
+	if *allWires {
+		layout = append(layout, "--all-wires")
+	}
 	ts.Check(ts.Exec("fieldlab", layout...))
 	platform := network + ".200:7104"
 	m.start(ts, "platform", "fieldlab", "platform", "--listen", platform)
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -190,6 +190,22 @@
 	ts.Setenv(args[1], most)
 }
 
+// level SERVICE SLOTS waits until every node that owns keys of a service, minted
+// now, owns this many slots of them.
+func level(ts *testscript.TestScript, neg bool, args []string) {
+	slots, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	await(ts, "level owners of "+args[0], func() bool {
+		held := holders(ts, args[0])
+		for _, count := range held {
+			if count != slots {
+				return false
+			}
+		}
+		return len(held) > 0
+	})
+}
+
 // holds SERVICE NAME requires that the node owns keys that are minted now.
 func holds(ts *testscript.TestScript, neg bool, args []string) {
 	held := holders(ts, args[0])
@@ -244,6 +260,25 @@
 	}
 }
 
+// prompt FILE PHASE MILLISECONDS requires that 99 of 100 good requests of each
+// kind in a phase were answered in less time.
+func prompt(ts *testscript.TestScript, neg bool, args []string) {
+	var report lab.Report
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &report))
+	bound, err := strconv.ParseFloat(args[2], 64)
+	ts.Check(err)
+	seen := false
+	for _, line := range report.Lines {
+		seen = seen || line.Phase == args[1]
+		if line.Phase == args[1] && line.P99MS >= bound {
+			ts.Fatalf("%s took %v ms in %s, and less than %v must hold", line.Kind, line.P99MS, line.Phase, bound)
+		}
+	}
+	if !seen {
+		ts.Fatalf("no phase %s", args[1])
+	}
+}
+
 func shareOf(ts *testscript.TestScript, file, phase, kind string) float64 {
 	var report lab.Report
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile(file)), &report))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,10 @@
 // Client speaks to all other nodes. It keeps a transport for each of them, so
 // that a silent connection to one can be dropped without touching the others.
 type Client struct {
+	// From is the IP number of this host that connections go out from; nil
+	// leaves the choice to the system.
+	From net.IP
+
 	mu sync.Mutex
 	// calls are pinged, so that a call on a silent connection is settled in
 	// time. Control traffic has connections of its own without pings: a node
@@ -67,7 +71,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.calls[address]
 	if !ok {
-		p = newPeer(address, pinged(), callIdleTimeout)
+		p = c.newPeer(address, pinged(), callIdleTimeout)
 		c.calls[address] = p
 	}
 	return p.client
@@ -80,7 +84,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.control[address]
 	if !ok {
-		p = newPeer(address, HTTP2(), controlIdleTimeout)
+		p = c.newPeer(address, HTTP2(), controlIdleTimeout)
 		c.control[address] = p
 	}
 	return p.client
@@ -140,9 +144,13 @@
 	return []connect.HandlerOption{connect.WithCompression(gzip, nil, nil)}
 }
 
-func newPeer(address string, settings *http.HTTP2Config, idleTimeout time.Duration) *peer {
+func (c *Client) newPeer(address string, settings *http.HTTP2Config, idleTimeout time.Duration) *peer {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if c.From != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.From}
+	}
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     dialer.DialContext,
 		Protocols:       Protocols(),
 		HTTP2:           settings,
 		IdleConnTimeout: idleTimeout,
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -2,6 +2,7 @@
 package setup
 
 import (
+	"net/netip"
 	"os"
 	"regexp"
 	"time"
@@ -24,6 +25,9 @@
 	// RelayAddress is where other nodes reach RelayListen. It is announced to
 	// them, and differs from it on a host behind a translated address.
 	RelayAddress string
+	// RelayFrom is the IP number that calls to other nodes go out from; empty
+	// leaves the choice to the system.
+	RelayFrom string
 	// AdminListen takes the resource API and the metrics.
 	AdminListen     string
 	TargetAddress   string
@@ -111,6 +115,7 @@
 		{Key: "target_address", Required: true, Read: place.Address(&n.TargetAddress)},
 		{Key: "platform_address", Required: true, Read: place.Address(&n.PlatformAddress)},
 		{Key: "relay_address", Read: place.Address(&n.RelayAddress)},
+		{Key: "relay_from", Read: ipNumber(&n.RelayFrom)},
 		{Key: "operator_token", Read: token(&n.OperatorToken)},
 		{Key: "log_level", Read: level(&n.LogLevel)},
 		{Key: "drain_timeout", Read: place.Duration(&n.DrainTimeout, 0, maxDrainTimeout)},
@@ -144,6 +149,18 @@
 	return place.Match(to, namePattern, namesExpectation)
 }
 
+// ipNumber reads an IP number of this host.
+func ipNumber(to *string) func(*place.Reader, place.Value) {
+	return func(r *place.Reader, value place.Value) {
+		address, err := netip.ParseAddr(value.Node.Value)
+		if err != nil || address.IsUnspecified() || address.Zone() != "" {
+			r.Report(value, "an IP number of this host (such as 10.0.0.7)")
+			return
+		}
+		*to = address.String()
+	}
+}
+
 // token reads the operators' token without repeating a wrong one in the error,
 // which may end in a log.
 func token(to *string) func(*place.Reader, place.Value) {
