--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -250,8 +250,9 @@
 }
 
 // mayRepeat says whether the service's allowance and the time left admit one
-// more repeat after a delay.
-func (s *Sender) mayRepeat(c *call.Call, delay time.Duration) bool {
+// more repeat after a delay. An attempt that reached no target was no load to
+// the service, so that the next one is not taken from its allowance.
+func (s *Sender) mayRepeat(c *call.Call, code result.Code, delay time.Duration) bool {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -261,7 +262,7 @@
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
 		return false
 	}
-	if !known.allowance.TryRepeat(now) {
+	if code != result.Unreachable && !known.allowance.TryRepeat(now) {
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "allowance").Inc()
 		return false
 	}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	delay := s.sender.Backoff.Delay(s.repeats)
-	if !s.sender.mayRepeat(s.call, delay) {
+	if !s.sender.mayRepeat(s.call, answer.Code, delay) {
 		return false
 	}
 	if !s.call.Tokens.Spend() {
@@ -172,6 +172,10 @@
 	took := s.sender.Clock.Now().Sub(began)
 	s.sender.Metrics.RelaySeconds.WithLabelValues(s.call.Kind.Service).Observe(took.Seconds())
 	if response == nil {
+		if code == result.Unreachable {
+			// It has not run and never will, so the loan was not touched.
+			s.call.Tokens.Return(loan, loan.Tokens)
+		}
 		s.sender.ended(s.call, target, route.Report{Outcome: lost, Latency: took})
 		return call.Refuse(code, "")
 	}
