Judge the line at the old server, whatever the speed of the host

The longest line at a stand-in depends on no speed: with the limit no more calls can wait there than the target has slots.

--- a/internal/entry/unreached_test.go
+++ b/internal/entry/unreached_test.go
@@ -21,11 +21,12 @@
 	c := order()
 	c.Kind.Repeat = schema.Safe
 	live := b.wire.listener.Addr().String()
-	targets := []route.Target{{Name: "z", Incarnation: "inc-1", Address: live}}
-	for _, name := range []string{"a", "b", "c"} {
-		targets = append(targets, route.Target{Name: name, Incarnation: name, Address: closedPort(t)})
-	}
-	b.sender.Update(c.Kind.Service, targets)
+	b.sender.Update(c.Kind.Service, []route.Target{
+		{Name: "a", Incarnation: "a", Address: closedPort(t)},
+		{Name: "b", Incarnation: "b", Address: closedPort(t)},
+		{Name: "c", Incarnation: "c", Address: closedPort(t)},
+		{Name: "z", Incarnation: "inc-1", Address: live},
+	})
 	one := &sending{sender: b.sender, call: c, tried: map[string]bool{"z": true}}
 	for range 3 {
 		answer := one.attempt(context.Background())
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -32,7 +32,9 @@
 		Cancelled  int            `json:"cancelled"`
 		Failed     int            `json:"failed"`
 		InFlight   int            `json:"in_flight"`
-		WastedMS   int64          `json:"wasted_ms"`
+		// MostWaiting is the longest line of calls that waited for a slot.
+		MostWaiting int   `json:"most_waiting"`
+		WastedMS    int64 `json:"wasted_ms"`
 	}
 )
 
--- a/internal/lab/target.go
+++ b/internal/lab/target.go
@@ -289,6 +289,7 @@
 		return false
 	}
 	t.waiting++
+	t.stats.MostWaiting = max(t.stats.MostWaiting, t.waiting)
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -107,6 +107,7 @@
 			"share":   share,
 			"spared":  spared,
 			"prompt":  prompt,
+			"stats":   stats,
 			"owner":   owner,
 			"holds":   holds,
 			"level":   level,
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -293,7 +293,18 @@
 	return map[string]bool{"==": found == bound, "<=": found <= bound, ">=": found >= bound}[operator]
 }
 
+// stats TARGET FILE keeps what a target did since its start.
+func stats(ts *testscript.TestScript, neg bool, args []string) {
+	body, err := json.Marshal(statsOf(ts, args[0]))
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), body, 0o644))
+}
+
 func arrived(ts *testscript.TestScript, target string) int {
+	return statsOf(ts, target).Arrived
+}
+
+func statsOf(ts *testscript.TestScript, target string) lab.Stats {
 	m := ts.Value(meshKey{}).(*mesh)
 	address := setting(ts, filepath.Join(m.dir, "target-"+target+".yaml"), "control_listen")
 	response, err := http.Get("http://" + address + "/-/stats")
@@ -301,7 +312,7 @@
 	defer response.Body.Close()
 	var stats lab.Stats
 	ts.Check(json.NewDecoder(response.Body).Decode(&stats))
-	return stats.Arrived
+	return stats
 }
 
 func adminAddresses(ts *testscript.TestScript) []string {
