--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -18,6 +18,9 @@
 		Drain         bool    `json:"drain"`
 		TruncateShare float64 `json:"truncate_share"`
 		Down          bool    `json:"down"`
+		// NoShed queues calls without bound and works off every one of them,
+		// also those whose caller has gone.
+		NoShed bool `json:"no_shed"`
 	}
 
 	// Stats is what a target did since its start.
@@ -29,7 +32,9 @@
 		Cancelled  int            `json:"cancelled"`
 		Failed     int            `json:"failed"`
 		InFlight   int            `json:"in_flight"`
-		WastedMS   int64          `json:"wasted_ms"`
+		// MostWaiting is the longest line of calls that waited for a slot.
+		MostWaiting int   `json:"most_waiting"`
+		WastedMS    int64 `json:"wasted_ms"`
 	}
 )
 
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -35,6 +35,7 @@
 		Mesh     string             `yaml:"mesh"`
 		Entries  []string           `yaml:"entries"`
 		Targets  []LoadTarget       `yaml:"targets"`
+		Wires    []LoadTarget       `yaml:"wires,omitempty"`
 		Platform string             `yaml:"platform"`
 		Callers  Callers            `yaml:"callers"`
 		Mix      map[string]float64 `yaml:"mix"`
--- a/internal/lab/switch.go
+++ b/internal/lab/switch.go
@@ -40,6 +40,11 @@
 			addresses = append(addresses, target.Address)
 		}
 	}
+	for _, wire := range l.Config.Wires {
+		if slices.Contains(fault.Wires, wire.Name) {
+			addresses = append(addresses, wire.Address)
+		}
+	}
 	return addresses
 }
 
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -44,6 +45,9 @@
 // timedVariable turns on the statements that depend on the speed of the host.
 const timedVariable = "TRIALS_TIMED"
 
+// seedVariable holds a seed in place of that of the layout.
+const seedVariable = "TRIALS_SEED"
+
 const (
 	// startTimeout bounds the start of a process on a busy host.
 	startTimeout = 20 * time.Second
@@ -68,7 +72,7 @@
 }
 
 func TestTrials(t *testing.T) {
-	firm, err := filepath.Abs("testdata/small")
+	firms, err := filepath.Abs("testdata")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +81,8 @@
 		Setup: func(env *testscript.Env) error {
 			m := &mesh{dir: filepath.Join(env.WorkDir, "run"), processes: map[string]*process{}}
 			env.Values[meshKey{}] = m
-			env.Setenv("FIRM", firm)
+			env.Setenv("FIRM", filepath.Join(firms, "small"))
+			env.Setenv("WIDE", filepath.Join(firms, "wide"))
 			return nil
 		},
 		// Statements about how much got through depend on how busy the host is.
@@ -101,8 +106,11 @@
 			"contend": contend,
 			"share":   share,
 			"spared":  spared,
+			"prompt":  prompt,
+			"stats":   stats,
 			"owner":   owner,
 			"holds":   holds,
+			"level":   level,
 
 			"in_force":        inForce,
 			"watch_revisions": watchRevisions,
@@ -113,8 +121,10 @@
 	})
 }
 
-// startMesh [-naive] starts the platform, the targets and the nodes, and applies
-// the declarations. With -naive, naive relays take the place of nodes. NETWORK
+// startMesh [-naive] [-wire HOST]... [-all-wires] starts the platform, the
+// targets and the nodes, and applies the declarations. With -naive, naive relays
+// take the place of nodes. With -wire, other nodes reach that of a host through a
+// wire; with -all-wires all nodes and the platform are behind wires. NETWORK
 // becomes the first three parts of the addresses.
 func startMesh(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
@@ -125,15 +135,31 @@
 	})
 	network := takeNetwork(ts)
 	ts.Setenv("NETWORK", network)
-	ts.Check(ts.Exec("fieldlab", "layout", "--firm", ts.Getenv("FIRM"), "--out", m.dir, "--network", network))
+	layout := []string{"layout", "--firm", ts.Getenv("FIRM"), "--out", m.dir, "--network", network}
+	if seed := os.Getenv(seedVariable); seed != "" {
+		layout = append(layout, "--seed", seed)
+	}
+	flags := flag.NewFlagSet("mesh", flag.ContinueOnError)
+	naive := flags.Bool("naive", false, "")
+	flags.Func("wire", "", func(host string) error {
+		layout = append(layout, "--wire", host)
+		return nil
+	})
+	allWires := flags.Bool("all-wires", false, "")
+	ts.Check(flags.Parse(args))
+	if *allWires {
+		layout = append(layout, "--all-wires")
+	}
+	ts.Check(ts.Exec("fieldlab", layout...))
 	platform := network + ".200:7104"
 	m.start(ts, "platform", "fieldlab", "platform", "--listen", platform)
 	waitPort(ts, platform)
 	m.startAll(ts, "fieldlab", "target", "listen")
-	if len(args) > 0 && args[0] == "-naive" {
+	if *naive {
 		m.startAll(ts, "fieldlab", "naive", "listen")
 		return
 	}
+	m.startAll(ts, "fieldlab", "wire", "control_listen")
 	m.startAll(ts, "dandelionfield", "node", "admin_listen")
 	ts.Setenv("ADMIN", network+".11:7102")
 	ts.Setenv("DANDELIONFIELD_TOKEN", "loopback-trial-only")
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -213,6 +213,22 @@
 	ts.Setenv(args[1], most)
 }
 
+// level SERVICE SLOTS waits until every node that owns keys of a service, minted
+// now, owns this many slots of them.
+func level(ts *testscript.TestScript, neg bool, args []string) {
+	slots, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	await(ts, "level owners of "+args[0], func() bool {
+		held := holders(ts, args[0])
+		for _, count := range held {
+			if count != slots {
+				return false
+			}
+		}
+		return len(held) > 0
+	})
+}
+
 // holds SERVICE NAME requires that the node owns keys that are minted now.
 func holds(ts *testscript.TestScript, neg bool, args []string) {
 	held := holders(ts, args[0])
@@ -267,6 +283,25 @@
 	}
 }
 
+// prompt FILE PHASE MILLISECONDS requires that 99 of 100 good requests of each
+// kind in a phase were answered in less time.
+func prompt(ts *testscript.TestScript, neg bool, args []string) {
+	var report lab.Report
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &report))
+	bound, err := strconv.ParseFloat(args[2], 64)
+	ts.Check(err)
+	seen := false
+	for _, line := range report.Lines {
+		seen = seen || line.Phase == args[1]
+		if line.Phase == args[1] && line.P99MS >= bound {
+			ts.Fatalf("%s took %v ms in %s, and less than %v must hold", line.Kind, line.P99MS, line.Phase, bound)
+		}
+	}
+	if !seen {
+		ts.Fatalf("no phase %s", args[1])
+	}
+}
+
 func shareOf(ts *testscript.TestScript, file, phase, kind string) float64 {
 	var report lab.Report
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile(file)), &report))
@@ -281,7 +316,18 @@
 	return map[string]bool{"==": found == bound, "<=": found <= bound, ">=": found >= bound}[operator]
 }
 
+// stats TARGET FILE keeps what a target did since its start.
+func stats(ts *testscript.TestScript, neg bool, args []string) {
+	body, err := json.Marshal(statsOf(ts, args[0]))
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), body, 0o644))
+}
+
 func arrived(ts *testscript.TestScript, target string) int {
+	return statsOf(ts, target).Arrived
+}
+
+func statsOf(ts *testscript.TestScript, target string) lab.Stats {
 	m := ts.Value(meshKey{}).(*mesh)
 	address := setting(ts, filepath.Join(m.dir, "target-"+target+".yaml"), "control_listen")
 	response, err := http.Get("http://" + address + "/-/stats")
@@ -289,7 +335,7 @@
 	defer response.Body.Close()
 	var stats lab.Stats
 	ts.Check(json.NewDecoder(response.Body).Decode(&stats))
-	return stats.Arrived
+	return stats
 }
 
 func adminAddresses(ts *testscript.TestScript) []string {
