Show in the status what the newest mechanisms know

Cause: a target that has stopped, a handover that waits for the plan, and the keys of a lost host stood in logs or nowhere; the age of the platform's silence had no condition, and a status of 530 nodes was longer than a screen.

A node now says in Load.stopped_ms for how long its target has been known to have stopped, and in its report how many handovers wait. The asked node finds in the owner plans which share of a service's fresh keys has no living owner, whose it was, and until when. Four conditions hold this, beside columns for services, members and targets; the JSON and YAML forms have the same.

Ruled out: degraded for one stopped target or for keys of a lost host. Others run what falls to the one, and the other ends with the lease. Only a service of which all targets have stopped for more than a minute is called out.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -211,6 +211,15 @@
 			s.Services = []Service{{Name: "s"}}
 			s.Members[0] = Member{Name: "a", Service: "s", State: "starting", Revision: 4, AgeMS: startGrace.Milliseconds()}
 		}, "start targets of s"},
+		{"one of two targets stopped", func(s *Status) { s.Services = stopped(true, false) }, ""},
+		{"all targets stopped a moment ago", func(s *Status) {
+			s.Services = stopped(true)
+			s.Services[0].Targets[0].StoppedMS = stopGrace.Milliseconds()
+		}, ""},
+		{"all targets stopped", func(s *Status) { s.Services = stopped(true, true) }, "restart targets of s"},
+		{"keys of a lost host", func(s *Status) { s.Services[0].Unowned = &Unowned{Slots: 1, Of: 12, Until: "later"} }, ""},
+		{"handover waits", func(s *Status) { s.Members[1].PendingHandovers = 1 }, ""},
+		{"two services without targets", func(s *Status) { s.Services = []Service{{Name: "s"}, {Name: "t"}} }, "start targets of s, t"},
 		{"nothing declared", func(s *Status) { s.Revision, s.Members = 0, nil }, "apply a configuration"},
 	}
 	for _, c := range cases {
@@ -218,6 +227,7 @@
 			is := is.New(t)
 			status := healthy
 			status.Members = append([]Member(nil), healthy.Members...)
+			status.Services = append([]Service(nil), healthy.Services...)
 			c.change(&status)
 			status.Complete()
 			degraded := status.Conditions[2]
@@ -227,3 +237,58 @@
 		})
 	}
 }
+
+// stopped returns a service whose targets are ready, and have stopped or not.
+func stopped(targets ...bool) []Service {
+	service := Service{Name: "s"}
+	for _, has := range targets {
+		target := Target{Node: "n", State: StateReady}
+		if has {
+			target.StoppedMS = stopGrace.Milliseconds() + 1
+		}
+		service.Targets = append(service.Targets, target)
+	}
+	return []Service{service}
+}
+
+// TestConditionsNameWhatPasses looks where a person looks for what heals by itself.
+func TestConditionsNameWhatPasses(t *testing.T) {
+	cases := []struct {
+		condition string
+		change    func(*Status)
+		message   string
+	}{
+		{PlatformAnswers, func(s *Status) { s.PlatformReachable = false }, "silent for 3m0s"},
+		{KeysOwned, func(s *Status) { s.Services[0].Unowned = &Unowned{Slots: 1, Of: 12, Until: "later"} }, "orders 9% until later"},
+		{HandedOver, func(s *Status) { s.Members[0].PendingHandovers = 1 }, "at orders-1"},
+		{TargetsGoOn, func(s *Status) { s.Services[0].Targets[0].StoppedMS = 1 }, "orders-1"},
+	}
+	for _, c := range cases {
+		t.Run(c.condition, func(t *testing.T) {
+			is := is.New(t)
+			status := Status{
+				Revision: 1, PlatformReachable: true, PlatformSilentMS: 180_000,
+				Members:  []Member{{Name: "orders-1", Revision: 1}},
+				Services: []Service{{Name: "orders", Targets: []Target{{Node: "orders-1", State: StateReady}}}},
+			}
+			is.True(holds(status, c.condition).Holds)
+			c.change(&status)
+			broken := holds(status, c.condition)
+			is.True(!broken.Holds)
+			is.True(strings.Contains(broken.Message, c.message))
+			is.True(!holds(status, Degraded).Holds) // nobody has to act
+		})
+	}
+}
+
+// holds returns a condition of the completed status.
+func holds(status Status, condition string) Condition {
+	status.Conditions = nil
+	status.Complete()
+	for _, c := range status.Conditions {
+		if c.Type == condition {
+			return c
+		}
+	}
+	return Condition{}
+}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"strings"
-	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/member"
 )
@@ -49,6 +47,9 @@
 		AdminAddress string `json:"admin_address"`
 		// AgeMS is the time since the member's incarnation started.
 		AgeMS int64 `json:"age_ms"`
+		// PendingHandovers counts the nodes whose records it has taken over,
+		// and which the plan still names as owners.
+		PendingHandovers int `json:"pending_handovers"`
 	}
 
 	// Rollout tells how far the highest known revision has come.
@@ -64,6 +65,21 @@
 	Service struct {
 		Name    string   `json:"name"`
 		Targets []Target `json:"targets"`
+		// Unowned is nil while every fresh idempotency key has a living owner.
+		Unowned *Unowned `json:"unowned"`
+	}
+
+	// Unowned is the part of a service's fresh idempotency keys that has no
+	// living owner. Calls with these keys are refused.
+	Unowned struct {
+		// Slots of Of have no living owner; each is the same share of the keys.
+		Slots int `json:"slots"`
+		Of    int `json:"of"`
+		// Until is when the last of them falls free, as RFC 3339 in UTC. It is
+		// empty where they are free, and wait for a node to claim them.
+		Until string `json:"until"`
+		// Lost names the nodes that hold them.
+		Lost []string `json:"lost"`
 	}
 
 	// Target is one target, named by the node beside it.
@@ -75,8 +91,11 @@
 		Limit    int    `json:"limit"`
 		Queued   int    `json:"queued"`
 		// Floor is the admission level: calls of a lower order are refused.
-		Floor   uint32 `json:"floor"`
-		Ejected bool   `json:"ejected"`
+		Floor uint32 `json:"floor"`
+		// Ejected is whether the asked node sends it no calls for now.
+		Ejected bool `json:"ejected"`
+		// StoppedMS is the time since it stopped working; 0 while it works.
+		StoppedMS int64 `json:"stopped_ms"`
 	}
 
 	// Count is a counter with its reason.
@@ -84,40 +103,11 @@
 		Reason string `json:"reason"`
 		Count  int64  `json:"count"`
 	}
-
-	// Condition is one statement about the mesh.
-	Condition struct {
-		Type    string `json:"type"`
-		Holds   bool   `json:"holds"`
-		Message string `json:"message"`
-		// Action is what a person needs to do; empty when nothing is needed.
-		Action string `json:"action"`
-	}
-)
-
-// The types of conditions.
-const (
-	// Accepted holds when the node has a configuration.
-	Accepted = "accepted"
-	// InForce holds when the highest known revision is in force everywhere.
-	InForce = "in_force"
-	// Degraded holds when only a person can help.
-	Degraded = "degraded"
 )
 
 // StateReady is the state of a target that takes work.
 const StateReady = "ready"
 
-const (
-	// startGrace is how long a member may start before a person is called.
-	startGrace = time.Minute
-	// rolloutGrace is how long members may lag before a person is called.
-	rolloutGrace = 30 * time.Second
-	// platformGrace is how long the platform may be silent before a person is
-	// called: calls are served meanwhile, only changes are not accepted.
-	platformGrace = 10 * time.Minute
-)
-
 // Complete fills what follows from the rest of the status. Lists that the node
 // left out become empty ones, so that readers of the JSON meet no null.
 func (s *Status) Complete() {
@@ -161,87 +151,22 @@
 	}
 }
 
-func (s *Status) judge() []Condition {
-	return []Condition{s.accepted(), s.inForce(), s.degraded()}
-}
-
-func (s *Status) accepted() Condition {
-	if s.Revision == 0 {
-		return Condition{Type: Accepted, Message: "no configuration has been accepted yet"}
-	}
-	return Condition{Type: Accepted, Holds: true, Message: fmt.Sprintf("revision %d is accepted", s.Revision)}
-}
-
-func (s *Status) inForce() Condition {
-	rollout := s.Rollout
-	message := fmt.Sprintf("revision %d is in force at %d of %d members", rollout.Revision, rollout.InForce, rollout.Members)
-	return Condition{
-		Type:    InForce,
-		Holds:   rollout.Revision > 0 && rollout.InForce > 0 && len(rollout.Lagging) == 0,
-		Message: message,
-	}
-}
-
-// degraded names only what does not heal by itself. Overload, ejected targets
-// and short outages of the platform are the system's own work.
-func (s *Status) degraded() Condition {
-	var messages, actions []string
-	add := func(message, action string) {
-		messages = append(messages, message)
-		actions = append(actions, action)
-	}
-	if s.Revision == 0 && s.PlatformReachable {
-		add("the node has no configuration", "apply a configuration")
-	}
-	for _, service := range s.Services {
-		if !service.takesWork() && !s.starting(service.Name) {
-			add("no target of "+service.Name+" takes work", "start targets of "+service.Name)
-		}
-	}
-	if !s.PlatformReachable && s.PlatformSilentMS > platformGrace.Milliseconds() {
-		silence := (time.Duration(s.PlatformSilentMS) * time.Millisecond).Round(time.Second)
-		add(fmt.Sprintf("the platform has been silent for %s; the configuration cannot be changed", silence), "bring the platform back")
-	}
-	if len(s.Rollout.Lagging) > 0 && s.RevisionAgeMS > rolloutGrace.Milliseconds() {
-		lagging := strings.Join(s.Rollout.Lagging, ", ")
-		add("members lag behind the revision: "+lagging, "look at the hosts of "+lagging)
-	}
-	if len(messages) == 0 {
-		return Condition{Type: Degraded, Message: "nothing needs a person"}
-	}
-	return Condition{
-		Type:    Degraded,
-		Holds:   true,
-		Message: strings.Join(messages, "; "),
-		Action:  strings.Join(actions, "; "),
-	}
-}
-
-// starting reports whether a member of the service is about to take work.
-func (s *Status) starting(service string) bool {
-	for _, m := range s.Members {
-		young := m.AgeMS < startGrace.Milliseconds()
-		if m.Service == service && m.State == member.Starting.String() && young {
-			return true
-		}
-	}
-	return false
-}
-
 // TakesWork reports whether the member's target takes work.
 func (m Member) TakesWork() bool {
 	return m.State == member.Active.String() || m.State == member.Cold.String()
 }
 
-// takesWork reports whether any target is ready. Ejected ones count: they are
-// probed and come back without a person.
-func (s Service) takesWork() bool {
-	for _, target := range s.Targets {
-		if target.State == StateReady {
-			return true
-		}
+// Percent is the share of the keys without an owner, rounded up.
+func (u *Unowned) Percent() int {
+	return (100*u.Slots + u.Of - 1) / u.Of
+}
+
+// String says what is lost and until when, on a part of a line.
+func (u *Unowned) String() string {
+	if u.Until == "" {
+		return fmt.Sprintf("%d%% until a node claims them", u.Percent())
 	}
-	return false
+	return fmt.Sprintf("%d%% until %s", u.Percent(), u.Until)
 }
 
 func orEmpty[T any](list []T) []T {
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -110,6 +110,9 @@
 		Limit    int
 		Queued   int
 		Cold     bool
+		// Stopped is how long the target has been known to have stopped, and 0
+		// while it works.
+		Stopped time.Duration
 	}
 )
 
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -178,6 +178,7 @@
 		Limit:    g.limit(now),
 		Queued:   g.queue.len(),
 		Cold:     g.limiter.cold(now),
+		Stopped:  g.stoppedFor(now),
 	}
 }
 
--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -94,7 +94,7 @@
 				return fmt.Sprintln(gate.Stopped())
 			case "load":
 				load := gate.Load(now)
-				return fmt.Sprintf("in_flight=%d limit=%d queued=%d cold=%v\n", load.InFlight, load.Limit, load.Queued, load.Cold)
+				return fmt.Sprintf("in_flight=%d limit=%d queued=%d cold=%v stopped=%v\n", load.InFlight, load.Limit, load.Queued, load.Cold, load.Stopped)
 			}
 			d.Fatalf(t, "unknown command %s", d.Cmd)
 			return ""
--- a/internal/admit/pulse.go
+++ b/internal/admit/pulse.go
@@ -31,6 +31,8 @@
 type pulse struct {
 	signAt  time.Time
 	stopped bool
+	// stoppedAt is when the target was found to have stopped.
+	stoppedAt time.Time
 }
 
 // Sign notes that the target has shown that it works.
@@ -44,6 +46,15 @@
 	return g.pulse.stopped
 }
 
+// stoppedFor returns for how long the target has been known to have stopped: 0
+// while it works, and at least a millisecond after that, which is what travels.
+func (g *Gate) stoppedFor(now time.Time) time.Duration {
+	if !g.pulse.stopped {
+		return 0
+	}
+	return max(now.Sub(g.pulse.stoppedAt), time.Millisecond)
+}
+
 // checkPulse looks whether the target has stopped, and then turns the queued
 // calls away while there is time to take them elsewhere.
 func (g *Gate) checkPulse(now time.Time) []Release {
@@ -51,6 +62,7 @@
 		return nil
 	}
 	g.pulse.stopped = true
+	g.pulse.stoppedAt = now
 	var released []Release
 	g.queue.remove(func(w waiter) bool {
 		released = append(released, Release{ID: w.call.ID, Code: result.TargetStopped})
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -15,9 +13,6 @@
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 )
 
-// shortDigest is how many letters of a digest are printed for people.
-const shortDigest = 12
-
 // codesIntro stands above the table of codes.
 const codesIntro = "| Code | Name | Family | HTTP status | Meaning | What the caller does |\n|---|---|---|---|---|---|\n"
 
@@ -44,118 +39,6 @@
 	return command
 }
 
-// printStatus writes what needs a person first, then the mesh.
-func printStatus(w io.Writer, status admin.Status, all bool) {
-	for _, condition := range status.Conditions {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", condition.Type, yes(condition.Holds), condition.Message)
-		if condition.Action != "" {
-			_, _ = fmt.Fprintf(w, "\tTO DO\t%s\n", condition.Action)
-		}
-	}
-	platform := "reachable"
-	if !status.PlatformReachable {
-		silence := time.Duration(status.PlatformSilentMS) * time.Millisecond
-		platform = "silent for " + silence.Round(time.Second).String()
-	}
-	_, _ = fmt.Fprintf(w, "\nnode\t%s (%s, %s)\nincarnation\t%s\nstate\t%s\nrevision\t%d (%s)\nplatform\t%s\n",
-		status.Node, status.Service, status.DataCentre, status.Incarnation, status.State, status.Revision, short(status.Digest), platform)
-	_, _ = fmt.Fprintf(w, "members\t%d\n", len(status.Members))
-	printMembers(w, status, all)
-	printServices(w, status.Services)
-	if all {
-		printTargets(w, status.Services)
-	}
-	printCounts(w, "REFUSALS", status.Refusals)
-	printCounts(w, "RETRIES", status.Retries)
-}
-
-// printMembers writes the members that lag or do not take work, or all.
-func printMembers(w io.Writer, status admin.Status, all bool) {
-	var rows []string
-	for _, member := range status.Members {
-		lags := member.Revision < status.Rollout.Revision
-		if !all && !lags && member.TakesWork() {
-			continue
-		}
-		revision := fmt.Sprint(member.Revision)
-		if lags {
-			revision += " (lags)"
-		}
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\n", member.Name, member.Service, member.DataCentre, member.State, revision))
-	}
-	if len(rows) > 0 {
-		_, _ = fmt.Fprintln(w, "\nMEMBER\tSERVICE\tDATA CENTRE\tSTATE\tREVISION")
-		_, _ = io.WriteString(w, strings.Join(rows, ""))
-	}
-}
-
-// printServices writes one line for each service: what its targets do together,
-// and the highest of their floors.
-func printServices(w io.Writer, services []admin.Service) {
-	_, _ = fmt.Fprintln(w, "\nSERVICE\tREADY\tEJECTED\tIN FLIGHT\tQUEUED\tFLOOR")
-	for _, service := range services {
-		var ready, ejected, inFlight, limit, queued int
-		var floor uint32
-		for _, target := range service.Targets {
-			ready += count(target.State == admin.StateReady)
-			ejected += count(target.Ejected)
-			inFlight += target.InFlight
-			limit += target.Limit
-			queued += target.Queued
-			floor = max(floor, target.Floor)
-		}
-		_, _ = fmt.Fprintf(w, "%s\t%d/%d\t%d\t%d/%d\t%d\t%d\n",
-			service.Name, ready, len(service.Targets), ejected, inFlight, limit, queued, floor)
-	}
-}
-
-// printTargets writes one line for each target.
-func printTargets(w io.Writer, services []admin.Service) {
-	_, _ = fmt.Fprintln(w, "\nTARGET\tSERVICE\tSTATE\tIN FLIGHT\tQUEUED\tFLOOR")
-	for _, service := range services {
-		for _, target := range service.Targets {
-			state := target.State
-			if target.Ejected {
-				state += ", ejected"
-			}
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%d\t%d\n",
-				target.Node, service.Name, state, target.InFlight, target.Limit, target.Queued, target.Floor)
-		}
-	}
-}
-
-// short cuts a digest to what is enough for telling revisions apart.
-func short(digest string) string {
-	return digest[:min(len(digest), shortDigest)]
-}
-
-func count(holds bool) int {
-	if holds {
-		return 1
-	}
-	return 0
-}
-
-// printCounts writes the counters in one line, and nothing when all are 0.
-func printCounts(w io.Writer, title string, counts []admin.Count) {
-	var texts []string
-	for _, count := range counts {
-		if count.Count > 0 {
-			texts = append(texts, fmt.Sprintf("%s %d", count.Reason, count.Count))
-		}
-	}
-	if len(texts) > 0 {
-		_, _ = fmt.Fprintf(w, "\n%s\t%s\n", title, strings.Join(texts, ", "))
-	}
-}
-
-func yes(holds bool) string {
-	if holds {
-		return "yes"
-	}
-	return "no"
-}
-
 func (a *app) drainCommand() *cobra.Command {
 	command := &cobra.Command{
 		Use:     "drain --node IP:PORT",
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -378,12 +378,18 @@
 		Node:    s.settings.Incarnation,
 		Floor:   s.settings.Gate.Floor(now),
 	})
-	answer.Load = &relaypb.Load{
-		InFlight: uint32(load.InFlight),
-		Limit:    uint32(load.Limit),
-		Queued:   uint32(load.Queued),
-		Cold:     load.Cold,
-		Leaving:  s.leaving,
-	}
+	answer.Load = PackLoad(load, s.leaving)
 	return answer
 }
+
+// PackLoad returns a load in the form that travels between nodes.
+func PackLoad(load admit.Load, leaving bool) *relaypb.Load {
+	return &relaypb.Load{
+		InFlight:  uint32(load.InFlight),
+		Limit:     uint32(load.Limit),
+		Queued:    uint32(load.Queued),
+		Cold:      load.Cold,
+		Leaving:   leaving,
+		StoppedMs: uint32(load.Stopped.Milliseconds()),
+	}
+}
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -165,6 +165,8 @@
 	is.Equal(len(onward), 1)
 	is.Equal(onward[0].Key, "") // the target that runs it owns no key
 	keyed.AttemptId = uuid.Must(uuid.NewV7()).String()
+	is.True(server.Load().Stopped > 0)                  // the status shows it
+	is.True(server.Refuse(keyed, 0).Load.StoppedMs > 0) // and it travels
 	again := server.Carry(ctx, keyed)
 	is.Equal(result.Code(again.Code), result.Replayed)
 	is.Equal(string(again.Body), "there")
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/dandelionfield/dandelionfield/internal/admin"
 	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/once"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -119,44 +121,93 @@
 	if current := n.config.Current(); current != nil {
 		status.Revision = current.Number
 		status.Digest = current.Digest
-		status.Services = n.describeServices(ctx, current.Set, now)
 	}
-	for _, m := range n.members.All() {
-		status.Members = append(status.Members, describeMember(m, now))
+	members := n.members.All()
+	reports := n.gatherReports(ctx, members)
+	if current := n.config.Current(); current != nil {
+		status.Services = n.describeServices(current.Set, reports, now)
+	}
+	for _, m := range members {
+		status.Members = append(status.Members, describeMember(m, reports[m.Incarnation], now))
 	}
 	status.Complete()
 	return status
 }
 
-func describeMember(m member.Member, now time.Time) admin.Member {
+func describeMember(m member.Member, report *relaypb.ReportResponse, now time.Time) admin.Member {
 	return admin.Member{
-		Name:         m.Name,
-		Incarnation:  m.Incarnation,
-		DataCentre:   m.DataCentre,
-		Service:      m.Service,
-		State:        m.State.String(),
-		Revision:     m.Revision,
-		AdminAddress: m.AdminAddress,
-		AgeMS:        max(now.UnixMilli()-m.StartedMS, 0),
+		Name:             m.Name,
+		Incarnation:      m.Incarnation,
+		DataCentre:       m.DataCentre,
+		Service:          m.Service,
+		State:            m.State.String(),
+		Revision:         m.Revision,
+		AdminAddress:     m.AdminAddress,
+		AgeMS:            max(now.UnixMilli()-m.StartedMS, 0),
+		PendingHandovers: int(report.GetPendingHandovers()),
 	}
 }
 
-// describeServices asks the node beside every target for its load, so that the
-// status does not depend on which targets this node has called itself.
-func (n *Node) describeServices(ctx context.Context, set *schema.Set, now time.Time) []admin.Service {
-	reports := n.gatherReports(ctx)
+// describeServices takes the load of every target from the report of the node
+// beside it, so that the status does not depend on which targets this node has
+// called itself.
+func (n *Node) describeServices(set *schema.Set, reports map[string]*relaypb.ReportResponse, now time.Time) []admin.Service {
 	services := make([]admin.Service, 0, len(set.Services))
 	for _, declared := range set.Services {
 		service := admin.Service{Name: declared.Name}
 		ejected := n.ejected(declared.Name, now)
+		living := map[string]bool{}
 		for _, m := range n.members.Service(declared.Name) {
+			living[m.Incarnation] = true
 			service.Targets = append(service.Targets, describeTarget(m, reports[m.Incarnation], ejected[m.Incarnation]))
 		}
+		service.Unowned = unowned(n.plans.get(declared.Name), living, now)
 		services = append(services, service)
 	}
 	return services
 }
 
+// unowned returns the part of the keys minted now whose keeper does not live, or
+// nil when there is none.
+func unowned(plan once.Plan, living map[string]bool, now time.Time) *admin.Unowned {
+	lost := &admin.Unowned{Of: len(plan.Slots), Lost: []string{}}
+	var last int64
+	for _, slot := range plan.Slots {
+		untilMS, owned := ownedFrom(slot, living, now.UnixMilli(), &lost.Lost)
+		if owned {
+			continue
+		}
+		lost.Slots++
+		last = max(last, untilMS)
+	}
+	if lost.Slots == 0 {
+		return nil
+	}
+	if last > now.UnixMilli() {
+		lost.Until = time.UnixMilli(last).UTC().Format(time.RFC3339)
+	}
+	return lost
+}
+
+// ownedFrom says whether a slot's keys of this time have a living keeper, and
+// otherwise until when they have none. It adds the holders that do not live.
+func ownedFrom(slot once.Slot, living map[string]bool, nowMS int64, lost *[]string) (untilMS int64, owned bool) {
+	untilMS = nowMS
+	for _, holding := range slot.Holdings {
+		if holding.UntilMS <= untilMS || holding.FromMS > untilMS {
+			continue
+		}
+		if living[holding.Keeper()] {
+			return untilMS, untilMS == nowMS
+		}
+		untilMS = holding.UntilMS
+		if !slices.Contains(*lost, holding.Name) {
+			*lost = append(*lost, holding.Name)
+		}
+	}
+	return untilMS, false
+}
+
 func describeTarget(m member.Member, report *relaypb.ReportResponse, ejected bool) admin.Target {
 	target := admin.Target{Node: m.Name, State: targetState(m.State), Ejected: ejected}
 	if report == nil {
@@ -167,6 +218,7 @@
 	target.Limit = int(report.Load.Limit)
 	target.Queued = int(report.Load.Queued)
 	target.Floor = report.Floor
+	target.StoppedMS = int64(report.Load.StoppedMs)
 	return target
 }
 
@@ -181,14 +233,14 @@
 
 // gatherReports asks all members for their reports at the same time; one that
 // does not answer has none.
-func (n *Node) gatherReports(ctx context.Context) map[string]*relaypb.ReportResponse {
+func (n *Node) gatherReports(ctx context.Context, members []member.Member) map[string]*relaypb.ReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	reports := map[string]*relaypb.ReportResponse{}
 	var group errgroup.Group
 	group.SetLimit(reportsAtOnce)
-	for _, m := range n.members.All() {
+	for _, m := range members {
 		group.Go(func() error {
 			response, err := n.client.Control(m.RelayAddress).Report(ctx, connect.NewRequest(&relaypb.ReportRequest{}))
 			if err != nil {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/dandelionfield/dandelionfield/internal/local"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
@@ -56,14 +57,9 @@
 func (r *relayService) Report(context.Context, *connect.Request[relaypb.ReportRequest]) (*connect.Response[relaypb.ReportResponse], error) {
 	load := r.node.local.Load()
 	return connect.NewResponse(&relaypb.ReportResponse{
-		Load: &relaypb.Load{
-			InFlight: uint32(load.InFlight),
-			Limit:    uint32(load.Limit),
-			Queued:   uint32(load.Queued),
-			Cold:     load.Cold,
-			Leaving:  r.node.leaving.Load(),
-		},
-		Floor: r.node.local.Floor(),
+		Load:             local.PackLoad(load, r.node.leaving.Load()),
+		Floor:            r.node.local.Floor(),
+		PendingHandovers: uint32(len(r.node.takeovers.due(r.node.clock.Now()))),
 	}), nil
 }
 
