--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -105,8 +105,12 @@
 	}
 )
 
-// StateReady is the state of a target that takes work.
-const StateReady = "ready"
+const (
+	// StateReady is the state of a target that takes work.
+	StateReady = "ready"
+	// StateSilent is the state of a target whose node did not answer.
+	StateSilent = "silent"
+)
 
 // Complete fills what follows from the rest of the status. Lists that the node
 // left out become empty ones, so that readers of the JSON meet no null.
@@ -137,6 +141,19 @@
 	return lagging
 }
 
+// Silent names the nodes beside targets that did not answer the asked node.
+func (s *Status) Silent() []string {
+	var silent []string
+	for _, service := range s.Services {
+		for _, target := range service.Targets {
+			if target.State == StateSilent {
+				silent = append(silent, target.Node)
+			}
+		}
+	}
+	return silent
+}
+
 func (s *Status) rollout() Rollout {
 	highest := s.Revision
 	for _, m := range s.Members {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -215,7 +215,7 @@
 		Node: "orders-1", Incarnation: "i1", DataCentre: "tartu-1", Service: "orders", State: admin.StateReady,
 		Revision: number, Digest: "0011223344556677", PlatformReachable: !m.offline, PlatformSilentMS: 700_000,
 		Members: []admin.Member{
-			{Name: "orders-1", DataCentre: "tartu-1", Service: "orders", State: "active", Revision: number},
+			{Name: "orders-1", Incarnation: "i1", DataCentre: "tartu-1", Service: "orders", State: "active", Revision: number},
 			{Name: "stock-1", DataCentre: "tartu-2", Service: "stock", State: "active", Revision: other},
 		},
 		Services: []admin.Service{
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -282,40 +282,6 @@
 	return admin.Applied{}, lost
 }
 
-// waitInForce looks at the status until no member lags behind the revision.
-func (a *app) waitInForce(ctx context.Context, revision int64, timeout time.Duration) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	expired := a.Clock.After(timeout)
-	var why string
-	for {
-		var status admin.Status
-		err := a.client.get(ctx, "/v1/status", &status)
-		lagging := status.Lagging(revision)
-		switch {
-		case err != nil:
-			why = message(err)
-		case len(lagging) > 0:
-			why = "it lags at " + strings.Join(lagging, ", ")
-		case status.Revision < revision:
-			why = "it lags at " + status.Node
-		default:
-			if a.output == outputTable {
-				_, _ = fmt.Fprintf(a.stdout, "revision %d is in force at all %d members\n", revision, len(status.Members))
-			}
-			return nil
-		}
-		select {
-		case <-expired:
-			return NotInForce.New("revision %d is accepted, but not in force everywhere after %s: %s; see `dandelionfield status`",
-				revision, timeout, why)
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-a.Clock.After(pollInterval):
-		}
-	}
-}
-
 func addFileFlag(command *cobra.Command, files *[]string) {
 	command.Flags().StringSliceVarP(files, "file", "f", nil, fileHelp)
 	_ = command.MarkFlagRequired("file")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -17,24 +17,33 @@
 const codesIntro = "| Code | Name | Family | HTTP status | Meaning | What the caller does |\n|---|---|---|---|---|---|\n"
 
 func (a *app) statusCommand() *cobra.Command {
-	var all bool
+	var options statusOptions
 	command := &cobra.Command{
 		Use:   "status --node IP:PORT",
 		Short: "Show the mesh as one node sees it",
 		Long: `Show the mesh as one node sees it: what needs a person first, then the members
-that lag or take no work, and one line for each service.`,
+that lag or take no work, one line for each service, and the targets that are
+ejected, silent or have stopped. It fits on a screen of 50 lines; --all lists all.
+With --watch it is drawn anew each second, or where the output is not a terminal,
+written as one line.`,
 		Example: `  dandelionfield status --node 10.0.0.7:7102
+  dandelionfield status --watch --node 10.0.0.7:7102
   dandelionfield status --all --node 10.0.0.7:7102`,
 		Args: cobra.NoArgs,
 		RunE: work(func(command *cobra.Command, _ []string) error {
+			if options.watch {
+				return a.watchStatus(command.Context(), options, isTerminal(a.stdout))
+			}
 			var status admin.Status
 			if err := a.client.get(command.Context(), "/v1/status", &status); err != nil {
 				return err
 			}
-			return a.print(status, func(w io.Writer) { printStatus(w, status, all) })
+			return a.print(status, func(w io.Writer) { printStatus(w, status, options.all) })
 		}),
 	}
-	command.Flags().BoolVar(&all, "all", false, "list every member and every target")
+	command.Flags().BoolVar(&options.all, "all", false, "list every member and every target")
+	command.Flags().BoolVar(&options.watch, "watch", false, "show it again each second")
+	command.Flags().IntVar(&options.count, "count", 0, "end --watch after so many times; 0 for never")
 	a.client.addFlags(command)
 	return command
 }
--- a/internal/cli/table_test.go
+++ b/internal/cli/table_test.go
@@ -17,6 +17,8 @@
 	// screenLines and screenColumns are the screen that a status has to fit on.
 	screenLines   = 50
 	screenColumns = 160
+	// watchHead is what --watch writes above a status.
+	watchHead = 1
 	// aimNodes and aimServices are the aim's size.
 	aimNodes    = 530
 	aimServices = 54
@@ -65,7 +67,7 @@
 	a := &app{stdout: &out, output: outputTable}
 	is.NoErr(a.print(status, func(w io.Writer) { printStatus(w, status, false) }))
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	is.True(len(lines) <= screenLines) // lines of a screen
+	is.True(len(lines)+watchHead <= screenLines) // lines of a screen, also with --watch
 	for _, line := range lines {
 		if utf8.RuneCountInString(line) > screenColumns {
 			t.Errorf("%d columns: %s", utf8.RuneCountInString(line), line)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -23,8 +23,6 @@
 	reportTimeout = time.Second
 	// reportsAtOnce is how many members a status asks at the same time.
 	reportsAtOnce = 64
-	// stateSilent is the state of a target whose node did not answer.
-	stateSilent = "silent"
 )
 
 func (n *Node) adminServer() *admin.Server {
@@ -211,7 +209,7 @@
 func describeTarget(m member.Member, report *relaypb.ReportResponse, ejected bool) admin.Target {
 	target := admin.Target{Node: m.Name, State: targetState(m.State), Ejected: ejected}
 	if report == nil {
-		target.State = stateSilent
+		target.State = admin.StateSilent
 		return target
 	}
 	target.InFlight = int(report.Load.InFlight)
