--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -28,6 +28,11 @@
 	HeldBytes     prometheus.Gauge
 	TargetHealth  prometheus.Gauge
 	RecordBytes   prometheus.Gauge
+	// These follow what a status shows of this node.
+	TargetStopped    *prometheus.GaugeVec
+	UnownedKeyShare  *prometheus.GaugeVec
+	PendingHandovers prometheus.Gauge
+	PlatformSilent   prometheus.Gauge
 }
 
 const namespace = "dandelionfield"
@@ -59,6 +64,10 @@
 	s.HeldBytes = gauge("held_bytes", "Bytes of answers held until whole.")
 	s.TargetHealth = gauge("target_health", "1 when the target's health endpoint says so; decides nothing.")
 	s.RecordBytes = gauge("record_bytes", "Bytes of idempotency and attempt records.")
+	s.TargetStopped = gauges("target_stopped", "1 while the target has stopped, by its service.", "service")
+	s.UnownedKeyShare = gauges("unowned_key_share", "Share of fresh idempotency keys without a living owner, of the node's own service.", "service")
+	s.PendingHandovers = gauge("pending_handovers", "Handovers taken over that the owner plan does not show yet.")
+	s.PlatformSilent = gauge("platform_silent_seconds", "Time since the platform last answered; 0 while it answers.")
 	s.register()
 	return s
 }
@@ -70,6 +79,7 @@
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Attempts, s.FateAsked,
 		s.Replayed, s.TargetStops, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
 		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
+		s.TargetStopped, s.UnownedKeyShare, s.PendingHandovers, s.PlatformSilent,
 	)
 }
 
@@ -84,3 +94,7 @@
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
+
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -146,6 +146,33 @@
 	}
 }
 
+// showState sets the metrics of what a status shows of this node and its service.
+func (n *Node) showState(now time.Time) {
+	service := n.settings.Service
+	stopped := 0.0
+	if n.local.Load().Stopped > 0 {
+		stopped = 1
+	}
+	n.metrics.TargetStopped.WithLabelValues(service).Set(stopped)
+	share := 0.0
+	if lost := unowned(n.plans.get(service), n.living(service), now); lost != nil {
+		share = float64(lost.Slots) / float64(lost.Of)
+	}
+	n.metrics.UnownedKeyShare.WithLabelValues(service).Set(share)
+	n.metrics.PendingHandovers.Set(float64(len(n.takeovers.due(now))))
+	_, silent := n.platform.state(now)
+	n.metrics.PlatformSilent.Set(silent.Seconds())
+}
+
+// living returns the incarnations of the service that are members.
+func (n *Node) living(service string) map[string]bool {
+	living := map[string]bool{}
+	for _, m := range n.members.Service(service) {
+		living[m.Incarnation] = true
+	}
+	return living
+}
+
 // describeServices takes the load of every target from the report of the node
 // beside it, so that the status does not depend on which targets this node has
 // called itself.
@@ -154,12 +181,10 @@
 	for _, declared := range set.Services {
 		service := admin.Service{Name: declared.Name}
 		ejected := n.ejected(declared.Name, now)
-		living := map[string]bool{}
 		for _, m := range n.members.Service(declared.Name) {
-			living[m.Incarnation] = true
 			service.Targets = append(service.Targets, describeTarget(m, reports[m.Incarnation], ejected[m.Incarnation]))
 		}
-		service.Unowned = unowned(n.plans.get(declared.Name), living, now)
+		service.Unowned = unowned(n.plans.get(declared.Name), n.living(declared.Name), now)
 		services = append(services, service)
 	}
 	return services
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// healthPeriod is how often the target's health endpoint is read.
+	// healthPeriod is how often the target's health endpoint is read, and the
+	// metrics of what a status shows are set.
 	healthPeriod = 2 * time.Second
 	// healthTimeout bounds one reading; a probe takes about 6 ms.
 	healthTimeout = 500 * time.Millisecond
@@ -24,6 +25,7 @@
 			return
 		case <-n.clock.After(healthPeriod):
 		}
+		n.showState(n.clock.Now())
 		if path := n.declared(n.settings.Service).HealthPath; path != "" {
 			n.metrics.TargetHealth.Set(readHealth(ctx, client, "http://"+n.settings.TargetAddress+path))
 		}
--- a/internal/node/status_test.go
+++ b/internal/node/status_test.go
@@ -8,11 +8,13 @@
 	"connectrpc.com/connect"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/dandelionfield/dandelionfield/internal/admin"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/plat"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/setup"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
@@ -74,4 +76,11 @@
 	is.Equal(services[0].Unowned.Lost, []string{"b"})
 	stopped := &relaypb.ReportResponse{Load: &relaypb.Load{StoppedMs: 1500}}
 	is.Equal(describeTarget(member.Member{Name: "a"}, stopped, true).StoppedMS, int64(1500))
+	n.settings.Service = "s"
+	n.platform.note(now, plat.Unavailable.New("down"))
+	n.showState(now.Add(time.Minute / 2))
+	is.Equal(testutil.ToFloat64(n.metrics.PendingHandovers), 1.0)
+	is.Equal(testutil.ToFloat64(n.metrics.UnownedKeyShare), 1.0)
+	is.Equal(testutil.ToFloat64(n.metrics.TargetStopped), 0.0)
+	is.True(testutil.ToFloat64(n.metrics.PlatformSilent) >= 30)
 }
