List every log event, checked against the source

Cause: whoever reads a log had to search the source for what an event means and which keys it has. Two events were put together from a name and an ending, so that no search for them found the place.

docs/events.md has one row for each event and package; a test reads all log calls of the program from its source and compares both ways. An event or key that is no literal is an error. The results of apply and rollback are now change_accepted and change_refused with the key change.

Ruled out: making the page from the source alone; what an event means to an operator does not stand there.

--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -89,7 +89,7 @@
 	remote := ctx.Request().RemoteAddr
 	applied, err := c.make(ctx.Request().Context())
 	if err != nil {
-		s.Log.Warn(c.name+"_refused", "remote", remote, "expected", c.expected, "error", err)
+		s.Log.Warn("change_refused", "change", c.name, "remote", remote, "expected", c.expected, "error", err)
 		s.failCommit(ctx, err, c)
 		return
 	}
@@ -99,7 +99,7 @@
 		applied.Changes = []schema.Change{}
 	}
 	if !c.dryRun {
-		s.Log.Info(c.name+"_accepted", "remote", remote, "revision", applied.Revision, "changes", len(applied.Changes))
+		s.Log.Info("change_accepted", "change", c.name, "remote", remote, "revision", applied.Revision, "changes", len(applied.Changes))
 	}
 	_ = ctx.JSON(applied)
 }
--- /dev/null
+++ b/internal/cli/events_test.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// eventRow finds a row of the table of events, up to its meaning.
+var eventRow = regexp.MustCompile("(?m)^(\\| `\\w+` \\| \\w+ \\| \\w+ \\| [^|]* \\|) ([^|]+) \\|$")
+
+// logged returns the head of a table row for each event in a file, and what in
+// its log calls is not a literal.
+func logged(fset *token.FileSet, file *ast.File) (rows, unclear []string) {
+	ast.Inspect(file, func(node ast.Node) bool {
+		called, ok := node.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		level, ok := levelOf(called)
+		if !ok {
+			return true
+		}
+		where := fset.Position(called.Pos()).String()
+		event := literal(called.Args[0])
+		if event == "" || len(called.Args)%2 == 0 {
+			unclear = append(unclear, where+": the event is no literal, or a key has no value")
+			return true
+		}
+		var keys []string
+		for i := 1; i < len(called.Args); i += 2 {
+			key := literal(called.Args[i])
+			if key == "" {
+				unclear = append(unclear, where+": a key is no literal")
+			}
+			keys = append(keys, "`"+key+"`")
+		}
+		rows = append(rows, fmt.Sprintf("| `%s` | %s | %s | %s |", event, level, file.Name.Name, strings.Join(keys, ", ")))
+		return true
+	})
+	return rows, unclear
+}
+
+// levelOf returns the level of a call of a logger, which is a variable or field
+// that is named log.
+func levelOf(called *ast.CallExpr) (string, bool) {
+	method, ok := called.Fun.(*ast.SelectorExpr)
+	if !ok || !slices.Contains([]string{"Trace", "Debug", "Info", "Warn", "Error"}, method.Sel.Name) {
+		return "", false
+	}
+	name := ""
+	switch logger := method.X.(type) {
+	case *ast.SelectorExpr:
+		name = logger.Sel.Name
+	case *ast.Ident:
+		name = logger.Name
+	}
+	return strings.ToLower(method.Sel.Name), strings.EqualFold(name, "log") && len(called.Args) > 0
+}
+
+func literal(expression ast.Expr) string {
+	basic, ok := expression.(*ast.BasicLit)
+	if !ok || basic.Kind != token.STRING {
+		return ""
+	}
+	text, _ := strconv.Unquote(basic.Value)
+	return text
+}
+
+// TestEventsPageHoldsEveryEvent reads all log calls of the program from its source
+// and compares them with the page, both ways.
+func TestEventsPageHoldsEveryEvent(t *testing.T) {
+	is := is.New(t)
+	fset := token.NewFileSet()
+	inSource := map[string]bool{}
+	for _, root := range []string{"../../internal", "../../pkg", "../../cmd"} {
+		is.NoErr(filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			file, err := parser.ParseFile(fset, path, nil, parser.SkipObjectResolution)
+			if err != nil {
+				return err
+			}
+			rows, unclear := logged(fset, file)
+			for _, row := range rows {
+				inSource[row] = true
+			}
+			for _, what := range unclear {
+				t.Error(what)
+			}
+			return nil
+		}))
+	}
+	page, err := os.ReadFile("../../docs/events.md")
+	is.NoErr(err)
+	onPage := map[string]bool{}
+	for _, row := range eventRow.FindAllStringSubmatch(string(page), -1) {
+		onPage[row[1]] = true
+	}
+	is.True(len(inSource) > 0)
+	for row := range inSource {
+		if !onPage[row] {
+			t.Errorf("docs/events.md lacks %s MEANING |", row)
+		}
+	}
+	for row := range onPage {
+		if !inSource[row] {
+			t.Errorf("no log call for %s", row)
+		}
+	}
+}
+
+// TestUnclearEventsAreFound reads calls whose event or key is not a literal.
+func TestUnclearEventsAreFound(t *testing.T) {
+	is := is.New(t)
+	source := "package p\nfunc f() {\n s.Log.Info(name)\n s.log.Warn(`b`, k, 1)\n log.Error(`c`, `k`)\n log.Debug(`d`, `k`, 1)\n}"
+	fset := token.NewFileSet()
+	file, err := parser.ParseFile(fset, "f.go", source, parser.SkipObjectResolution)
+	is.NoErr(err)
+	rows, unclear := logged(fset, file)
+	is.Equal(len(unclear), 3)
+	is.Equal(rows[len(rows)-1], "| `d` | debug | p | `k` |")
+}
