--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,8 +27,14 @@
 	make     func(ctx context.Context) (Applied, error)
 }
 
-// documentName stands for the file in the problems of a request body.
-const documentName = "document"
+const (
+	// documentName stands for the file in the problems of a request body.
+	documentName = "document"
+	// maxProblemBytes bounds the problems of an answer: some 200 of them.
+	maxProblemBytes = 32 << 10
+	// maxPathLetters bounds the path of a problem, which has the document's own keys.
+	maxPathLetters = 200
+)
 
 func (s *Server) apply(ctx iris.Context) {
 	body := http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxDocumentBytes)
@@ -237,7 +244,37 @@
 func failInvalid(ctx iris.Context, message string, err error) {
 	var problems place.Problems
 	errors.As(err, &problems)
-	fail(ctx, http.StatusUnprocessableEntity, Failure{Error: message, Problems: problems})
+	listed := bounded(problems)
+	if len(listed) < len(problems) {
+		message = fmt.Sprintf("%s; these are the first %d of %d", message, len(listed), len(problems))
+	}
+	fail(ctx, http.StatusUnprocessableEntity, Failure{Error: message, Problems: listed})
+}
+
+// bounded returns the first problems, with long paths cut short. A document of
+// 4 MiB may have a problem in every line, and more than fits into a node's memory
+// would be answered.
+func bounded(problems place.Problems) place.Problems {
+	var listed place.Problems
+	size := 0
+	for _, problem := range problems {
+		problem.Path = cut(problem.Path)
+		encoded, _ := json.Marshal(problem)
+		size += len(encoded)
+		if size > maxProblemBytes {
+			break
+		}
+		listed = append(listed, problem)
+	}
+	return listed
+}
+
+func cut(text string) string {
+	letters := []rune(text)
+	if len(letters) <= maxPathLetters {
+		return text
+	}
+	return string(letters[:maxPathLetters-1]) + "…"
 }
 
 // failCommit answers a change that the node did not accept.
