Let the scripts count all members that a status names

Cause: scripts/common.sh counts the rows of members before it applies a firm's declarations. The table of a status has five of them now, so that mesh.sh ended with "6 of 12 nodes are known after 10 s".

The keys of a lost host were not seen there: allowances has no kind that needs an owner.

--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -108,7 +108,7 @@
   local want known try
   want=$(ls "$out"/node-*.yaml | wc -l)
   for try in $(seq 100); do
-    known=$(bin/dandelionfield status --node "$1" --token "$2" |
+    known=$(bin/dandelionfield status --all --node "$1" --token "$2" |
       awk '/^MEMBER/ { on = 1; next } /^$/ { on = 0 } on' | wc -l)
     if [ "$known" -eq "$want" ]; then
       return 0
