--- a/internal/admit/pulse.go
+++ b/internal/admit/pulse.go
@@ -41,6 +41,8 @@
 	// lookedAt is the last look. After a longer break the node itself stood
 	// still, and cannot know what its target showed meanwhile.
 	lookedAt time.Time
+	// stoppedAt is when the target was found to have stopped.
+	stoppedAt time.Time
 }
 
 // Sign notes that the target has shown that it works.
@@ -55,6 +57,15 @@
 	return g.pulse.stopped
 }
 
+// stoppedFor returns for how long the target has been known to have stopped: 0
+// while it works, and at least a millisecond after that, which is what travels.
+func (g *Gate) stoppedFor(now time.Time) time.Duration {
+	if !g.pulse.stopped {
+		return 0
+	}
+	return max(now.Sub(g.pulse.stoppedAt), time.Millisecond)
+}
+
 // checkPulse looks whether the target has stopped, and then turns the queued
 // calls away while there is time to take them elsewhere.
 func (g *Gate) checkPulse(now time.Time) []Release {
@@ -67,6 +78,7 @@
 		return nil
 	}
 	g.pulse.stopped = true
+	g.pulse.stoppedAt = now
 	var released []Release
 	g.queue.remove(func(w waiter) bool {
 		released = append(released, Release{ID: w.call.ID, Code: result.TargetStopped})
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -120,7 +120,7 @@
   local want known
   want=$(ls "$out"/node-*.yaml | wc -l)
   for _ in $(seq 100); do
-    known=$("$node_program" status --node "$1" --token "$2" |
+    known=$("$node_program" status --all --node "$1" --token "$2" |
       awk '/^MEMBER/ { on = 1; next } /^$/ { on = 0 } on' | wc -l)
     if [ "$known" -eq "$want" ]; then
       return 0
