Measure the control cost of real nodes by size

`make scale` runs it.

The moment at which a node hears of a leave was nowhere to be seen: a status asks every member, which is N times N calls, and the metrics count a leaving node as present. The nodes now log member_changed at level debug. At other levels nothing is added but one look at the level.

Ruled out: waiting for the members in the metrics before the first apply; the gauge stays at 0 until there is a configuration (a run with 6 nodes ended there).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 PACKAGES := ./...
 
-.PHONY: setup build test prove vet lint format generate check demo mesh bench clean
+.PHONY: setup build test prove vet lint format generate check demo mesh bench scale clean
 
 setup: $(TOOLS)/golangci-lint
 	go mod download
@@ -49,5 +49,10 @@
 bench: build
 	scripts/bench.sh
 
+# The control cost of nodes without calls; larger sizes need a quiet host.
+SIZES := 24 60 120
+scale: build
+	scripts/scale.sh $(SIZES)
+
 clean:
 	rm -rf bin run
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -115,12 +115,23 @@
 
 // take merges what a node sent, and returns whether the view changed.
 func (c *Controller) take(now time.Time, from string, revision int64, rows []Member) bool {
-	changed := len(c.view.Merge(now, rows)) > 0
-	if changed {
+	changed := c.view.Merge(now, rows)
+	c.logChanged(changed)
+	if len(changed) > 0 {
 		c.changedAt = now
 	}
 	ended := c.view.Heard(now, from, revision)
-	return changed || ended
+	return len(changed) > 0 || ended
+}
+
+// logChanged tells when news reached this node, for finding out how it spread.
+func (c *Controller) logChanged(rows []Member) {
+	if !c.Log.IsDebug() {
+		return
+	}
+	for _, row := range rows {
+		c.Log.Debug("member_changed", "member", row.Name, "state", row.State.String())
+	}
 }
 
 // after calls the hooks, without the lock held.
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -135,12 +135,13 @@
 	if member.Name == c.view.name {
 		c.lease.version = max(c.lease.version, row.Version)
 	}
-	changed := len(c.view.Merge(now, []Member{member})) > 0
-	if changed {
+	changed := c.view.Merge(now, []Member{member})
+	c.logChanged(changed)
+	if len(changed) > 0 {
 		c.changedAt = now
 	}
 	ended := c.view.Renewed(now, member, row.Version)
-	return changed || ended
+	return len(changed) > 0 || ended
 }
 
 func (c *Controller) writeLease(ctx context.Context, remove bool) error {
