Let a measurement fail when a node ends

A run that began while the one before it was still stopping found its addresses taken, and waited for a node that had ended until its patience was over. The script now looks whether its processes live while it waits, prints its line only when all have ended, and lets a failure inside a substitution end it.

Seen without: the second of two runs printed nothing for two minutes, with "bind: address already in use" in the log of node-0.

--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -19,6 +19,7 @@
 # Then it ends every process by its id. SCALE_NETWORK holds the first two parts
 # of the addresses.
 set -euo pipefail
+shopt -s inherit_errexit
 cd "$(dirname "$0")/.."
 source scripts/common.sh
 
@@ -126,11 +127,25 @@
   { grep -lF -- "$2" "$out"/node-*.log || true; } | wc -l
 }
 
+# check_alive: fails when a process has ended that should not have, as one does
+# whose address another run has taken.
+check_alive() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    if ! kill -0 "${pid_of[$name]}" 2>/dev/null; then
+      echo "$name ended:" >&2
+      tail -n 1 "$out/$name.log" >&2
+      return 1
+    fi
+  done
+}
+
 # wait_until COUNT WHAT COMMAND...: waits until the command prints the count.
 wait_until() {
   local count=$1 what=$2 seen end=$((SECONDS + converge_timeout))
   shift 2
   until seen=$("$@") && [ "$seen" = "$count" ]; do
+    check_alive
     if [ "$SECONDS" -ge "$end" ]; then
       echo "$what: $seen of $count after $converge_timeout s" >&2
       return 1
@@ -191,6 +206,7 @@
   local name=node-$(($1 - 1)) from
   local news="event=member_changed member=$name state=leaving"
   kill -TERM "${pid_of[$name]}"
+  unset "pid_of[$name]" # it is to end now
   wait_until $(($1 - 1)) "news of the leave" logged "$1" "$news"
   from=$(seconds_of "event=leaving node=$name")
   seconds_of "$news" | awk -v from="$from" 'END { printf "%.2f", $1 - from }'
@@ -198,7 +214,7 @@
 
 # measure N: prints one line of figures.
 measure() {
-  local n=$1 idle resident peak begun changed="" left i
+  local n=$1 idle resident peak begun changed="" left load i
   platform=$network.250.1:7104
   out=run/scale-$n
   node_pids=()
@@ -220,8 +236,9 @@
     changed+="${changed:+,}$(measure_change "$n" "$i")"
   done
   left=$(measure_leave "$n")
-  row "$n" $idle "$resident" "$peak" "$changed" "$left" "$(cut -d ' ' -f 1-2 /proc/loadavg | tr ' ' ,)"
-  stop_all
+  load=$(cut -d ' ' -f 1-2 /proc/loadavg | tr ' ' ,)
+  stop_all # before the row, after which another run may begin
+  row "$n" $idle "$resident" "$peak" "$changed" "$left" "$load"
 }
 
 # row FIELD...: prints one line of the table.
