--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -24,7 +24,7 @@
 source scripts/common.sh
 
 network=${SCALE_NETWORK:-127.53}
-settle=${SETTLE:-35} # a connection for control closes after 30 s without use
+settle=${SETTLE:-35} # a connection for control closes after 10 s without use
 window=${WINDOW:-40}
 changes=${CHANGES:-3}
 readonly services=54 kinds=5 stand_ins=4 token=loopback-scale-only
