--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -76,8 +76,9 @@
 
 // TestMemoryBytesHoldTheTwoYearLoad: the default refuses no call and drops no
 // answer until all records are as old as they get, and fits what the budget of
-// 64 MB leaves beside an idle node's 43 MB (docs/CAPACITY.md). The least that
-// can be set still refuses no call.
+// 64 MB leaves beside 43 MB, what an idle node of a mesh of 120 holds. At 530
+// nodes it is more (docs/CAPACITY.md). The least that can be set still refuses
+// no call.
 func TestMemoryBytesHoldTheTwoYearLoad(t *testing.T) {
 	const leftBytes = 64_000_000 - 43_000_000
 	is := is.New(t)
