--- a/cmd/dandelionfield/main.go
+++ b/cmd/dandelionfield/main.go
@@ -6,8 +6,9 @@
 
 	"github.com/dandelionfield/dandelionfield/internal/cli"
 	"github.com/dandelionfield/dandelionfield/internal/node"
+	"github.com/dandelionfield/dandelionfield/platform"
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{RunNode: node.Run}))
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{RunNode: node.Run, RunSide: platform.Run}))
 }
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -211,6 +211,17 @@
 	g.limiter.settings = s
 }
 
+// Restart takes on a new process of the target. What was learned of the former
+// one is forgotten; its calls that have not ended still count until they do.
+func (g *Gate) Restart(now time.Time, s Settings) {
+	g.settings = s
+	g.limiter = newLimiter(s)
+	g.limiter.grownAt = now
+	g.times = newTimes()
+	g.pulse = pulse{signAt: now, lookedAt: now}
+	g.reopen = 1
+}
+
 func (g *Gate) start(now time.Time, c Call) {
 	if len(g.running) == 0 {
 		g.epoch = now
--- /dev/null
+++ b/internal/beat/beat_test.go
@@ -0,0 +1,73 @@
+package beat_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/beat"
+)
+
+// TestScripts plays heartbeats from data files and prints the target after each.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var book beat.Book
+		start := time.Unix(0, 0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var atMS int
+			d.ScanArgs(t, "at", &atMS)
+			now := start.Add(time.Duration(atMS) * time.Millisecond)
+			var id string
+			var born int
+			d.ScanArgs(t, "id", &id)
+			d.MaybeScanArgs(t, "born", &born)
+			var verdict string
+			switch d.Cmd {
+			case "beat":
+				verdict = play(t, d, &book, now, id, int64(born))
+			case "depart":
+				verdict = fmt.Sprint(book.Depart(now, id, int64(born)))
+			}
+			target, known := book.Target()
+			if !known {
+				return verdict + ": no target"
+			}
+			line := fmt.Sprintf("%s: %s %s slots=%d", verdict, target.ID, target.State, target.Slots)
+			if !target.Left.IsZero() {
+				line += fmt.Sprintf(" left=%d", target.Left.Sub(start).Milliseconds())
+			}
+			if target.ColdUntil.After(now) {
+				line += fmt.Sprintf(" cold_until=%d", target.ColdUntil.Sub(start).Milliseconds())
+			}
+			return line
+		})
+	})
+}
+
+func play(t *testing.T, d *datadriven.TestData, book *beat.Book, now time.Time, id string, born int64) string {
+	t.Helper()
+	sequence, slots, warmup := 0, 10, 0
+	state := "ready"
+	d.ScanArgs(t, "seq", &sequence)
+	d.MaybeScanArgs(t, "slots", &slots)
+	d.MaybeScanArgs(t, "state", &state)
+	d.MaybeScanArgs(t, "warmup", &warmup)
+	states := map[string]beat.State{"ready": beat.Ready, "draining": beat.Draining}
+	verdict := book.Take(now, beat.Beat{
+		ID: id, Service: "stock", Slots: slots, State: states[state], Sequence: int64(sequence), BornMS: born,
+		Warmup: time.Duration(warmup) * time.Millisecond,
+	})
+	return [...]string{"taken", "changed", "late"}[verdict]
+}
+
+func TestNothingKnown(t *testing.T) {
+	is := is.New(t)
+	var book beat.Book
+	_, known := book.Target()
+	is.True(!known)
+	is.True(strings.Contains(beat.Draining.String(), "draining"))
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,6 +31,8 @@
 	Parent *Serving
 
 	Method string
+	// Host is the Host header of the request; empty leaves it to the target.
+	Host string
 	// Path holds the path and the query.
 	Path     string
 	Header   http.Header
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,8 @@
 		// RunNode runs a node until the context ends, which asks for a planned
 		// stop, and returns once the stop is done.
 		RunNode func(ctx context.Context, node *setup.Node, log hclog.Logger) error
+		// RunSide is RunNode for a node on the users' platform.
+		RunSide func(ctx context.Context, node *setup.Node, log hclog.Logger) error
 		// Clock is the host's when nil.
 		Clock clock.Clock
 		// Version is taken from the build when empty.
@@ -122,26 +124,35 @@
 	root.PersistentFlags().VarP(&a.output, "output", "o", "form of the output: table, yaml or json")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(outputNames, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
-		a.nodeCommand(), a.checkCommand(), a.diffCommand(), a.applyCommand(), a.getCommand(),
+		a.nodeCommand(), a.sideCommand(), a.checkCommand(), a.diffCommand(), a.applyCommand(), a.getCommand(),
 		a.historyCommand(), a.rollbackCommand(), a.watchCommand(), a.statusCommand(), a.drainCommand(), a.explainCommand(), a.versionCommand(),
 	)
 	return root
 }
 
 func (a *app) nodeCommand() *cobra.Command {
+	return a.runCommand("node", "Run the node beside a target", a.RunNode)
+}
+
+func (a *app) sideCommand() *cobra.Command {
+	return a.runCommand("side", "Run the node beside a target of the users' platform", a.RunSide)
+}
+
+// runCommand returns a command that runs a node by one of the seams.
+func (a *app) runCommand(name, short string, run func(context.Context, *setup.Node, hclog.Logger) error) *cobra.Command {
 	var config string
 	command := &cobra.Command{
-		Use:     "node --config FILE",
-		Short:   "Run the node beside a target",
-		Long:    "Run the node beside a target until SIGTERM or SIGINT, which begin a planned stop:\nthe node takes no new work and ends once the calls in flight have their answers.",
-		Example: "  dandelionfield node --config /etc/dandelionfield/node.yaml",
+		Use:     name + " --config FILE",
+		Short:   short,
+		Long:    short + " until SIGTERM or SIGINT, which begin a planned stop:\nthe node takes no new work and ends once the calls in flight have their answers.",
+		Example: "  dandelionfield " + name + " --config /etc/dandelionfield/node.yaml",
 		Args:    cobra.NoArgs,
 		RunE: work(func(command *cobra.Command, _ []string) error {
 			node, err := setup.Load(config)
 			if err != nil {
 				return badFile(err)
 			}
-			return a.RunNode(command.Context(), node, newLogger(node.LogLevel, a.stderr, a.Clock))
+			return run(command.Context(), node, newLogger(node.LogLevel, a.stderr, a.Clock))
 		}),
 	}
 	command.Flags().StringVar(&config, "config", "", "settings of the node")
--- a/internal/config/commit.go
+++ b/internal/config/commit.go
@@ -30,6 +30,9 @@
 
 // accept is Commit, and notes which revision it restores, if any.
 func (c *Controller) accept(ctx context.Context, document []byte, expected, restores int64) (Revision, error) {
+	if c.Source != nil {
+		return Revision{}, ReadOnly.New("operators write the configuration on the platform")
+	}
 	accepted := Revision{Number: expected + 1, Digest: Digest(document), Document: document}
 	set, err := c.verify(accepted)
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,11 @@
 	bootInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation on the platform while nodes follow it.
 	storeTimeout = 3 * time.Second
+	// followWait is how long one question to a source waits for news. A source
+	// that has become silent is noticed after that.
+	followWait = 2 * time.Second
+	// followRetry is the mean wait before a source that failed is asked again.
+	followRetry = 400 * time.Millisecond
 	// fetchTimeout bounds one fetch from a peer.
 	fetchTimeout = 2 * time.Second
 
@@ -67,6 +72,8 @@
 	// Invalid means that the document cannot be read as declarations, or is
 	// not the one that its digest names.
 	Invalid = namespace.NewType("invalid")
+	// ReadOnly means that the configuration is written elsewhere.
+	ReadOnly = namespace.NewType("read_only")
 	// NoRevision means that neither the platform nor enough peers could say
 	// which revision is in force.
 	NoRevision = namespace.NewType("no_revision")
@@ -94,6 +101,10 @@
 		Name string
 		// Service is the node's own service, whose plan it polls; may be empty.
 		Service string
+		// Source follows the configuration of a platform whose operators write it
+		// there themselves. It returns the newest revision, or nil when none came
+		// in the time. Nil stands for revisions that nodes accept.
+		Source func(ctx context.Context, wait time.Duration) (*Revision, error)
 		// OnRevision is called after a revision came into force; may be nil.
 		OnRevision func(revision *Revision)
 		// OnPlan is called after a newer owner plan was taken; may be nil.
@@ -247,8 +258,13 @@
 	return NoRevision.Wrap(storeErr, "%d of %d peers gave a revision", heard, len(peers))
 }
 
-// Run polls the version row until the context ends, and less often the plan.
+// Run polls the version row until the context ends, and less often the plan. A
+// source is followed instead.
 func (c *Controller) Run(ctx context.Context) {
+	if c.Source != nil {
+		c.follow(ctx)
+		return
+	}
 	for polls := 0; ; polls++ {
 		select {
 		case <-c.clock.After(c.jitter(pollInterval)):
@@ -267,10 +283,52 @@
 	}
 }
 
+// follow waits for one revision after the other. A lost and a regained source
+// are logged once each.
+func (c *Controller) follow(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		err := c.pull(ctx, followWait)
+		if err != nil && !lost {
+			c.log.Warn("source_lost", "revision", c.Number(), "error", err)
+		}
+		if err == nil && lost {
+			c.log.Info("source_regained", "revision", c.Number())
+		}
+		lost = err != nil
+		if !lost {
+			continue
+		}
+		select {
+		case <-c.clock.After(c.jitter(followRetry)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// pull takes what the source has or brings within the wait.
+func (c *Controller) pull(ctx context.Context, wait time.Duration) error {
+	revision, err := c.Source(ctx, wait)
+	if err != nil {
+		return err
+	}
+	if revision == nil || revision.Number <= c.Number() {
+		return nil
+	}
+	c.noteNumber(revision.Number)
+	if !c.Offer(*revision) && c.Number() < revision.Number {
+		return Invalid.New("revision %d of the source was refused", revision.Number)
+	}
+	return nil
+}
+
 // Poll reads the version row and takes the revision it names, if higher.
 func (c *Controller) Poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	if c.Source != nil {
+		return c.pull(ctx, 0)
+	}
 	_, head, err := c.readHead(ctx)
 	if err != nil {
 		return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,8 +30,9 @@
 
 // Sender sends calls for one node.
 type Sender struct {
-	// DataCentre is where this node is.
+	// DataCentre is where this node is, and Service that of the target beside it.
 	DataCentre string
+	Service    string
 	Clock      clock.Clock
 	Metrics    *metric.Set
 	Log        hclog.Logger
@@ -292,6 +293,9 @@
 		Key:              c.Key,
 		Method:           c.Method,
 		Path:             c.Path,
+		Host:             c.Host,
+		CallerService:    s.Service,
+		Repeatable:       c.Kind.Repeat == schema.Safe,
 		Headers:          local.Pack(c.Header),
 		Body:             c.Body,
 		OriginDataCentre: s.DataCentre,
@@ -302,7 +306,7 @@
 // carry hands an attempt to the node beside its target. When that is this node
 // itself, the attempt takes the same way without a socket.
 func (s *Sender) carry(ctx context.Context, target route.Target, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
-	if target.Incarnation == s.Self {
+	if node, _ := relay.SplitIncarnation(target.Incarnation); node == s.Self {
 		response := s.Beside(ctx, request)
 		if response == nil {
 			return nil, ctx.Err()
--- a/internal/fate/classify.go
+++ b/internal/fate/classify.go
@@ -16,6 +16,14 @@
 		// ShedStatus is the declared status by which the target says that it
 		// did not run the call; 0 stands for 503.
 		ShedStatus int
+		// Marks is set where targets mark the calls that they did not run, and
+		// NotRun when this one is marked. The status tells nothing then.
+		Marks  bool
+		NotRun bool
+		// Moved is set when another process than the one meant refused the call.
+		Moved bool
+		// Foreign is set when the answer is not that of the call.
+		Foreign bool
 		// BodyWhole is set when the answer's body came to its declared end.
 		BodyWhole bool
 		// TooLarge is set when the answer is longer than the declared size.
@@ -67,10 +75,13 @@
 	if !f.Sent && !f.ChildrenRan {
 		return notRun(f.TimedOut, f.Cancelled, result.Unreachable)
 	}
-	if f.Status == 0 {
+	if f.Status == 0 || f.Foreign {
 		return mayHaveRun(f.TimedOut, f.Cancelled, result.Lost)
 	}
-	if f.Status == shedStatus(f.ShedStatus) {
+	if f.Moved {
+		return result.OtherIncarnation
+	}
+	if f.shed() {
 		return classifyShed(f.ChildrenRan)
 	}
 	if f.TooLarge {
@@ -107,6 +118,13 @@
 	}
 }
 
+func (f Facts) shed() bool {
+	if f.Marks {
+		return f.NotRun
+	}
+	return f.Status == shedStatus(f.ShedStatus)
+}
+
 func shedStatus(declared int) int {
 	if declared == 0 {
 		return http.StatusServiceUnavailable
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -25,6 +25,11 @@
 	Revision int64
 	Limits   schema.Limits
 	Match    func(method, path string) (*schema.Kind, bool)
+	// Prefix finds the kind by the host and the start of the path as it was
+	// sent; may be nil.
+	Prefix func(host, path string) (*schema.Kind, bool)
+	// Part returns the part of a split kind that the next request goes to; may be nil.
+	Part func(kind *schema.Kind) *schema.Kind
 	// Chain returns the services that a kind is known to call, its own first.
 	Chain func(kind string) []string
 }
@@ -114,10 +119,13 @@
 		return call.Refuse(result.NoConfiguration, "")
 	}
 	request := exchange.Request
-	kind, ok := kindOf(rules, request.Method, request.URL)
+	kind, ok := kindOf(rules, request)
 	if !ok {
 		return call.Refuse(result.UnknownKind, request.Method+" "+request.URL.EscapedPath())
 	}
+	if rules.Part != nil {
+		kind = rules.Part(kind)
+	}
 	deadline, err := f.deadline(request, kind)
 	if err != nil {
 		return call.Refuse(result.BadRequest, DeadlineHeader+": "+err.Error())
@@ -127,6 +135,7 @@
 	c.Limits = rules.Limits
 	c.Revision = rules.Revision
 	c.Method = request.Method
+	c.Host = request.Host
 	c.Path = request.URL.RequestURI()
 	c.Header = request.Header
 	c.Deadline = deadline
@@ -155,7 +164,9 @@
 	handle := exchange.Request.Header.Get(local.ContextHeader)
 	parent, ok := f.Serving(handle)
 	if handle == "" || !ok || exchange.Remote != f.TargetHost {
-		c.RequestID = uuid.NewString()
+		if c.RequestID == "" {
+			c.RequestID = uuid.NewString()
+		}
 		c.Position = admit.Position(f.positionSeed(exchange), f.Clock.Now())
 		c.Tokens = call.NewTokens(c.Kind.Retries)
 		return next(ctx, exchange)
--- a/internal/filter/path.go
+++ b/internal/filter/path.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"net/http"
 	"net/url"
 	"strings"
 
@@ -18,7 +19,15 @@
 //	/orders/7%2Fnotes   decoded /orders/7/notes, for many targets /orders/{order}
 //	/ord%65rs/7         decoded /orders/7, for a target that never decodes not
 //	/orders/caf%C3%A9   /orders/{order} for all of them
-func kindOf(rules *Rules, method string, address *url.URL) (*schema.Kind, bool) {
+//
+// A prefix is compared with the path as it was sent, which a target sees too.
+func kindOf(rules *Rules, request *http.Request) (*schema.Kind, bool) {
+	method, address := request.Method, request.URL
+	if rules.Prefix != nil {
+		if kind, ok := rules.Prefix(request.Host, address.EscapedPath()); ok {
+			return kind, true
+		}
+	}
 	kind, ok := rules.Match(method, address.Path)
 	if !ok {
 		return nil, false
--- a/internal/filter/repeated_test.go
+++ b/internal/filter/repeated_test.go
@@ -54,7 +54,7 @@
 		var rules *Rules
 		inward := newPlain(time.Unix(1_800_000_000, 0), func() *Rules { return rules })
 		inward.Allows = func([]string, uint32) (string, bool) { return "orders", rapid.Bool().Draw(t, "open") }
-		handler := Handler(Chain(inward.Filters(), play.end))
+		door := Door(Chain(inward.Filters(), play.end))
 		method, path := http.MethodPost, "/orders"
 		if rapid.Bool().Draw(t, "safe") {
 			method, path = http.MethodGet, "/stock/rope"
@@ -70,11 +70,10 @@
 			if i == 0 {
 				request.Header.Set(FreshHeader, "true")
 			}
-			answer := httptest.NewRecorder()
-			handler.ServeHTTP(answer, request)
-			code, _ := result.Parse(answer.Header().Get(CodeHeader))
+			answer := door(context.Background(), request)
+			code, _ := result.Parse(answer.Header.Get(CodeHeader))
 			toldNotRun = code.Family() == result.NotRun
-			is.Equal(answer.Header().Get(RefusalHeader) != "", code == result.RepeatRefused)
+			is.Equal(answer.Header.Get(RefusalHeader) != "", code == result.RepeatRefused)
 		}
 		if toldNotRun { // by the last answer
 			is.Equal(play.runs+play.late, 0)
@@ -89,10 +88,9 @@
 	for _, name := range []string{CodeHeader, ResultHeader, RequestHeader, RefusalHeader} {
 		forged.Set(name, "forged")
 	}
-	answer := httptest.NewRecorder()
-	Write(answer, "", &call.Answer{Code: result.TargetFailed, Status: http.StatusInternalServerError, Header: forged})
-	is.Equal(answer.Header().Get(CodeHeader), "302")
-	is.Equal(answer.Header().Get(ResultHeader), "target_failed")
-	is.Equal(answer.Header().Get(RequestHeader), "")
-	is.Equal(answer.Header().Get(RefusalHeader), "")
+	answer := Reply("", &call.Answer{Code: result.TargetFailed, Status: http.StatusInternalServerError, Header: forged})
+	is.Equal(answer.Header.Get(CodeHeader), "302")
+	is.Equal(answer.Header.Get(ResultHeader), "target_failed")
+	is.Equal(answer.Header.Get(RequestHeader), "")
+	is.Equal(answer.Header.Get(RefusalHeader), "")
 }
--- a/internal/filter/serve.go
+++ b/internal/filter/serve.go
@@ -1,34 +1,42 @@
 package filter
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
 
+	"github.com/dandelionfield/dandelionfield/internal/ahead"
 	"github.com/dandelionfield/dandelionfield/internal/call"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
 )
 
 // retryAfterSeconds is what callers are told to wait after a refusal for load.
 const retryAfterSeconds = "1"
 
-// Handler serves callers and targets over HTTP with a chain.
-func Handler(chain Next) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		remote, _, err := net.SplitHostPort(r.RemoteAddr)
-		if err != nil {
-			remote = ""
-		}
-		exchange := &Exchange{Request: r, Call: &call.Call{}, Remote: remote}
-		answer := chain(r.Context(), exchange)
-		Write(w, exchange.Call.RequestID, answer)
-	})
+// Door answers the requests of callers and targets with a chain.
+func Door(chain Next) func(ctx context.Context, request *http.Request) *ahead.Answer {
+	return func(ctx context.Context, request *http.Request) *ahead.Answer {
+		exchange := NewExchange(request)
+		answer := chain(ctx, exchange)
+		return Reply(exchange.Call.RequestID, answer)
+	}
+}
+
+// NewExchange returns the exchange for a request.
+func NewExchange(request *http.Request) *Exchange {
+	remote, _, err := net.SplitHostPort(request.RemoteAddr)
+	if err != nil {
+		remote = ""
+	}
+	return &Exchange{Request: request, Call: &call.Call{}, Remote: remote}
 }
 
-// Write sends an answer whole: the target's own where there is one, otherwise
-// a short JSON body that names the result.
-func Write(w http.ResponseWriter, requestID string, answer *call.Answer) {
-	header := w.Header()
+// Reply makes an answer for the wire: the target's own where there is one,
+// otherwise a short JSON body that names the result.
+func Reply(requestID string, answer *call.Answer) *ahead.Answer {
+	header := make(http.Header, len(answer.Header)+4)
 	for name, values := range answer.Header {
 		header[name] = values
 	}
@@ -51,9 +59,18 @@
 			header.Set("Retry-After", retryAfterSeconds)
 		}
 	}
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	return &ahead.Answer{Status: status, Header: header, Body: body}
+}
+
+// Unreadable answers a request that could not be read.
+func Unreadable(status int, reason string) *ahead.Answer {
+	code := result.BadRequest
+	if status == http.StatusRequestEntityTooLarge {
+		code = result.BodyTooLarge
+	}
+	answer := Reply("", call.Refuse(code, reason))
+	answer.Status = status
+	return answer
 }
 
 func describe(answer *call.Answer) (int, []byte) {
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
 	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
@@ -217,9 +218,17 @@
 	return release.Code
 }
 
-// serve calls the target in the slot that the attempt holds.
+// serve calls the target in the slot that the attempt holds, unless the process
+// that it is meant for stopped taking work while the attempt was queued.
 func (a *attempt) serve(ctx context.Context) *relaypb.CarryResponse {
 	s := a.server
+	_, targetID := relay.SplitIncarnation(a.request.Incarnation)
+	if code := s.admits(targetID); code != result.OK {
+		s.mu.Lock()
+		s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, admit.Abandoned))
+		s.mu.Unlock()
+		return a.refusal(code)
+	}
 	s.mu.Lock()
 	s.serving[a.handle] = a.serving
 	s.mu.Unlock()
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/fate"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
@@ -50,6 +51,10 @@
 	Onward func(ctx context.Context, c *call.Call, refused result.Code) *call.Answer
 	// Revision returns the configuration revision in force here.
 	Revision func() int64
+	// Admits says whether the process of the target with that id takes work: OK,
+	// or the code of the refusal. Nil stands for targets that do not announce
+	// themselves.
+	Admits func(targetID string) result.Code
 }
 
 // Server runs attempts at the target beside this node. One lock guards the
@@ -118,9 +123,13 @@
 // Carry takes an attempt that a node addressed to this one and waits for its
 // answer. An attempt that came before is joined, never run again.
 func (s *Server) Carry(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
-	if request.Incarnation != s.settings.Incarnation {
+	node, targetID := relay.SplitIncarnation(request.Incarnation)
+	if node != s.settings.Incarnation {
 		return s.Refuse(request, result.OtherIncarnation)
 	}
+	if code := s.admits(targetID); code != result.OK {
+		return s.Refuse(request, code)
+	}
 	now := s.settings.Clock.Now()
 	s.mu.Lock()
 	verdict, recorded := s.settings.Book.Begin(now, request.AttemptId)
@@ -149,7 +158,7 @@
 
 // Fate says what became of an attempt, and waits for one that is running.
 func (s *Server) Fate(ctx context.Context, request *relaypb.FateRequest) *relaypb.FateResponse {
-	if request.Incarnation != s.settings.Incarnation {
+	if node, _ := relay.SplitIncarnation(request.Incarnation); node != s.settings.Incarnation {
 		return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_OTHER_INCARNATION}
 	}
 	s.mu.Lock()
@@ -173,6 +182,21 @@
 	return &relaypb.FateResponse{State: relaypb.FateState_FATE_STATE_RUNNING}
 }
 
+func (s *Server) admits(targetID string) result.Code {
+	if s.settings.Admits == nil {
+		return result.OK
+	}
+	return s.settings.Admits(targetID)
+}
+
+// Restart puts the declaration of a new process of the target in force.
+func (s *Server) Restart(settings admit.Settings, connections int) {
+	s.settings.Target.Restart(connections)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings.Gate.Restart(s.settings.Clock.Now(), settings)
+}
+
 // Serving returns the attempt that a handle of the target stands for.
 func (s *Server) Serving(handle string) (*call.Serving, bool) {
 	s.mu.Lock()
@@ -313,7 +337,7 @@
 	a := &attempt{
 		server:  s,
 		request: request,
-		kind:    s.settings.Kind(request.Kind),
+		kind:    s.kindOf(request),
 		handle:  uuid.NewString(),
 		done:    make(chan struct{}),
 		admit:   make(chan admit.Release, 1),
@@ -332,6 +356,19 @@
 	return a
 }
 
+// kindOf returns the declared kind of an attempt, or what the attempt itself says
+// of it: its sender may have a newer revision.
+func (s *Server) kindOf(request *relaypb.CarryRequest) *schema.Kind {
+	if kind := s.settings.Kind(request.Kind); kind != nil {
+		return kind
+	}
+	kind := &schema.Kind{Name: request.Kind, Service: s.settings.Service, Repeat: schema.Never}
+	if request.Repeatable {
+		kind.Repeat = schema.Safe
+	}
+	return kind
+}
+
 // release passes on the gate's decisions about queued calls. The lock is held.
 func (s *Server) release(releases []admit.Release) {
 	for _, release := range releases {
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -12,17 +12,58 @@
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
-// Target is the door to the target beside this node.
-type Target struct {
-	address     string
-	connections int
-	transport   atomic.Pointer[http.Transport]
-	held        *Held
-}
+type (
+	// Target is the door to the target beside this node.
+	Target struct {
+		address     string
+		connections int
+		transport   atomic.Pointer[http.Transport]
+		held        *Held
+		// Wire is set before the first call.
+		Wire Wire
+	}
+
+	// Wire is how a node and its target speak about a call. The zero value is
+	// the project's own way.
+	Wire struct {
+		// Dress adds what the target has to know of a call to its headers.
+		Dress func(header http.Header, about About)
+		// Judge says what the head of an answer tells of the call; nil takes the
+		// status for it.
+		Judge func(requestID string, status int, header http.Header) Mark
+	}
+
+	// About is what a target has to know of a call.
+	About struct {
+		RequestID string
+		// CallerService is the service whose host the request comes from.
+		CallerService string
+		// TargetID is the process of the target that the call is meant for.
+		TargetID string
+		// Left is the time left for the call.
+		Left time.Duration
+	}
+
+	// Mark is what the head of an answer tells of a call.
+	Mark uint8
+)
+
+// The marks.
+const (
+	// Answered means that the target answered the call.
+	Answered Mark = iota
+	// NotRun means that the target says that it did not run the call.
+	NotRun
+	// Moved means that another process than the one meant refused the call.
+	Moved
+	// Foreign means that the answer is not that of the call.
+	Foreign
+)
 
 // Held bounds the memory for answers that are held until they are whole.
 type Held struct {
@@ -72,6 +113,17 @@
 		return
 	}
 	t.connections = connections
+	t.renew()
+}
+
+// Restart lets go of the connections to a former process of the target.
+func (t *Target) Restart(connections int) {
+	t.connections = connections
+	t.renew()
+}
+
+func (t *Target) renew() {
+	connections := t.connections
 	former := t.transport.Swap(&http.Transport{
 		DialContext:         dialer(targetDialTimeout),
 		MaxConnsPerHost:     connections,
@@ -124,10 +176,32 @@
 	reply.Status = response.StatusCode
 	reply.Facts.Status = response.StatusCode
 	reply.Headers = pack(response.Header)
+	if t.Wire.Judge != nil {
+		t.judge(attempt, response, &reply.Facts)
+	}
+	if reply.Facts.Foreign {
+		reply.Detail = "the answer bears the id of another request"
+		return reply
+	}
 	t.read(ctx, reply, response.Body, limits.MaxAnswerBytes)
 	return reply
 }
 
+// judge takes in what the head of an answer says. A connection that brought a
+// foreign answer is not used again.
+func (t *Target) judge(attempt *relaypb.CarryRequest, response *http.Response, facts *fate.Facts) {
+	facts.Marks = true
+	switch t.Wire.Judge(attempt.RequestId, response.StatusCode, response.Header) {
+	case NotRun:
+		facts.NotRun = true
+	case Moved:
+		facts.Moved = true
+	case Foreign:
+		facts.Foreign = true
+	case Answered:
+	}
+}
+
 // read takes the body whole, or says in the facts why it could not.
 func (t *Target) read(ctx context.Context, reply *Reply, body io.Reader, most int64) {
 	var buffer bytes.Buffer
@@ -184,11 +258,23 @@
 	for _, header := range attempt.Headers {
 		request.Header.Add(header.Name, header.Value)
 	}
-	request.Header.Set(ContextHeader, handle)
+	request.Host = attempt.Host
+	left := time.Duration(0)
 	if deadline, ok := ctx.Deadline(); ok {
-		left := time.Until(deadline).Milliseconds()
-		request.Header.Set(TimeLeftHeader, strconv.FormatInt(left, 10))
+		left = time.Until(deadline)
+	}
+	if t.Wire.Dress != nil {
+		_, targetID := relay.SplitIncarnation(attempt.Incarnation)
+		t.Wire.Dress(request.Header, About{
+			RequestID:     attempt.RequestId,
+			CallerService: attempt.CallerService,
+			TargetID:      targetID,
+			Left:          left,
+		})
+		return request, nil
 	}
+	request.Header.Set(ContextHeader, handle)
+	request.Header.Set(TimeLeftHeader, strconv.FormatInt(left.Milliseconds(), 10))
 	return request, nil
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -45,7 +45,11 @@
 		DataCentre    string
 		Region        string
 		Service       string
-		State         State
+		// TargetID names the process of the target, where targets announce
+		// themselves, and TargetSlots the slots that it announced.
+		TargetID    string
+		TargetSlots int
+		State       State
 		// Revision is the configuration revision in force at the node.
 		Revision int64
 	}
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -38,6 +38,8 @@
 		Service:       row.Service,
 		State:         uint32(row.State),
 		Revision:      row.Revision,
+		TargetId:      row.TargetID,
+		TargetSlots:   uint32(row.TargetSlots),
 	}
 }
 
@@ -55,6 +57,8 @@
 		Service:       message.GetService(),
 		State:         State(min(message.GetState(), uint32(Gone))),
 		Revision:      message.GetRevision(),
+		TargetID:      message.GetTargetId(),
+		TargetSlots:   int(message.GetTargetSlots()),
 	}
 }
 
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -24,6 +24,7 @@
 // idempotency keys move to a successor, and only then do the listeners close.
 func (n *Node) leave(ctx context.Context) {
 	n.leaving.Store(true)
+	n.callers.Leave()
 	n.log.Info("leaving", "node", n.settings.Name)
 	n.local.Leave()
 	n.members.SetSelf(func(self *member.Member) { self.State = member.Leaving })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dandelionfield/dandelionfield/internal/ahead"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/internal/entry"
@@ -31,6 +32,7 @@
 // Node is one process beside one target.
 type Node struct {
 	settings *setup.Node
+	doors    Doors
 	log      hclog.Logger
 	clock    clock.Clock
 	metrics  *metric.Set
@@ -50,7 +52,8 @@
 	status      tracker
 	platform    health
 
-	callers sync.WaitGroup
+	presence presence
+	callers  *ahead.Server
 	// active is set once the node has announced itself, and stays set.
 	active  atomic.Bool
 	leaving atomic.Bool
@@ -64,6 +67,9 @@
 	caller net.Listener
 	relay  net.Listener
 	admin  net.Listener
+	// ready and control are nil unless the settings have an address for them.
+	ready   net.Listener
+	control net.Listener
 }
 
 const (
@@ -78,19 +84,25 @@
 
 // Run runs a node until the context ends, and then drains it.
 func Run(ctx context.Context, settings *setup.Node, log hclog.Logger) error {
+	return RunWith(ctx, settings, log, Doors{})
+}
+
+// RunWith is Run with other doors than the project's own.
+func RunWith(ctx context.Context, settings *setup.Node, log hclog.Logger, doors Doors) error {
 	debug.SetGCPercent(gcPercent)
 	bound, err := listen(settings)
 	if err != nil {
 		return err
 	}
-	n := New(settings, log, clock.System{})
+	n := New(settings, log, clock.System{}, doors)
 	return n.run(ctx, bound)
 }
 
 // New puts a node together without starting anything.
-func New(settings *setup.Node, log hclog.Logger, clk clock.Clock) *Node {
+func New(settings *setup.Node, log hclog.Logger, clk clock.Clock, doors Doors) *Node {
 	n := &Node{
 		settings:    settings,
+		doors:       doors.orOwn(),
 		log:         log,
 		clock:       clk,
 		metrics:     metric.New(),
@@ -101,11 +113,16 @@
 	}
 	n.client.From = net.ParseIP(settings.RelayFrom)
 	n.platform.answered = n.started
-	n.store = n.platform.observed(plat.NewClient(settings.PlatformAddress, plat.Limits{}), clk.Now)
+	store := plat.NewClient(settings.PlatformAddress, plat.Limits{})
+	if doors.Store != nil {
+		store = *doors.Store
+	}
+	n.store = n.platform.observed(store, clk.Now)
 	n.config = n.newConfig()
 	n.members = n.newMembers()
 	n.sender = n.newSender()
 	n.local = n.newLocal()
+	n.callers = n.callerServer()
 	return n
 }
 
@@ -148,10 +165,14 @@
 		n.log.Error("boot_failed", "error", err)
 	}
 	go n.config.Run(ctx)
-	go n.config.RunCleaner(ctx)
 	go n.becomeActive(ctx)
 	go n.watchHealth(ctx)
-	go n.keepPlan(ctx)
+	if n.doors.Source == nil {
+		go n.config.RunCleaner(ctx)
+	}
+	if !n.announced() {
+		go n.keepPlan(ctx)
+	}
 }
 
 // peers returns the relay addresses of all other nodes.
@@ -165,22 +186,30 @@
 	return addresses
 }
 
-// servers are the three HTTP servers of a node.
+// servers are the servers of a node.
 type servers struct {
-	all    []*http.Server
-	failed chan error
+	callers *ahead.Server
+	all     []*http.Server
+	failed  chan error
 }
 
+// serverCount is how many servers a node has at most.
+const serverCount = 5
+
 func (n *Node) serve(bound *listeners) *servers {
-	s := &servers{failed: make(chan error, 3)}
-	chain := filter.Chain(n.inward().Filters(), n.end)
-	s.start(bound.caller, &http.Server{Handler: n.counted(filter.Handler(chain))})
+	s := &servers{callers: n.callers, failed: make(chan error, serverCount)}
+	go func() {
+		if err := n.callers.Serve(bound.caller); !errors.Is(err, ahead.ErrClosed) {
+			s.failed <- err
+		}
+	}()
 	s.start(bound.relay, &http.Server{
 		Handler:   n.relayHandler(),
 		Protocols: relay.Protocols(),
 		HTTP2:     relay.HTTP2(),
 	})
 	s.start(bound.admin, &http.Server{Handler: n.adminServer().Handler()})
+	n.serveDoors(s, bound)
 	return s
 }
 
@@ -198,23 +227,12 @@
 func (s *servers) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	s.callers.Close()
 	for _, server := range s.all {
 		_ = server.Shutdown(ctx)
 	}
 }
 
-// counted keeps count of the requests under way, so that a stop waits for them.
-func (n *Node) counted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.callers.Add(1)
-		defer n.callers.Done()
-		if n.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (n *Node) limits() schema.Limits {
 	rules := n.rules.Load()
 	if rules == nil {
@@ -239,5 +257,11 @@
 		}
 		*one.into = listener
 	}
+	if err := listenOptional(settings.ReadyListen, &bound.ready); err != nil {
+		return nil, err
+	}
+	if err := listenOptional(settings.ControlListen, &bound.control); err != nil {
+		return nil, err
+	}
 	return bound, nil
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -144,7 +144,7 @@
 // needsPlan says whether the node's service runs kinds that never repeat.
 func (n *Node) needsPlan() bool {
 	current := n.config.Current()
-	if current == nil || !n.members.Ready() {
+	if current == nil || !n.members.Ready() || n.announced() {
 		return false
 	}
 	for _, kind := range current.Set.Kinds {
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/once"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
@@ -34,9 +35,10 @@
 )
 
 func (n *Node) newConfig() *config.Controller {
-	c := config.New(n.store, parseDocument, n.clock, n.log.Named("config"))
+	c := config.New(n.store, n.doors.Parse, n.clock, n.log.Named("config"))
 	c.Name = n.settings.Name
 	c.Service = n.settings.Service
+	c.Source = n.doors.Source
 	c.Fetch = n.fetch
 	c.OnRevision = n.enforce
 	c.OnPlan = n.learnPlan
@@ -74,6 +76,7 @@
 func (n *Node) newSender() *entry.Sender {
 	s := &entry.Sender{
 		DataCentre: n.settings.DataCentre,
+		Service:    n.settings.Service,
 		Clock:      n.clock,
 		Metrics:    n.metrics,
 		Log:        n.log.Named("entry"),
@@ -102,10 +105,17 @@
 	n.held = local.NewHeld(func() int64 { return n.limits().HeldBytes })
 	service := schema.DefaultService()
 	bookBytes := n.settings.MemoryBytes / bookShare
+	target := local.NewTarget(n.settings.TargetAddress, service.Connections, n.held)
+	target.Wire = n.doors.Target
+	var admits func(targetID string) result.Code
+	if n.announced() {
+		admits = n.admits
+	}
 	return local.New(local.Settings{
 		Incarnation: n.incarnation,
 		Service:     n.settings.Service,
-		Target:      local.NewTarget(n.settings.TargetAddress, service.Connections, n.held),
+		Target:      target,
+		Admits:      admits,
 		Clock:       n.clock,
 		Metrics:     n.metrics,
 		Log:         n.log.Named("local"),
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/internal/filter"
 	"github.com/dandelionfield/dandelionfield/internal/member"
+	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/route"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -38,10 +40,13 @@
 	for _, kind := range set.Kinds {
 		chains[kind.Name] = set.Chain(kind.Name)
 	}
+	splits := route.NewSplits(set.Kinds, rand.Float64)
 	n.rules.Store(&filter.Rules{
 		Revision: revision.Number,
 		Limits:   set.Limits,
 		Match:    matcher.Match,
+		Prefix:   matcher.MatchPrefix,
+		Part:     splits.Next,
 		Chain:    func(kind string) []string { return chains[kind] },
 	})
 	for _, centre := range set.DataCentres {
@@ -53,7 +58,7 @@
 	if document, version := n.config.Plan(n.settings.Service); version > 0 {
 		n.learnPlan(n.settings.Service, document, version)
 	}
-	if service := set.Service(n.settings.Service); service != nil {
+	if service := set.Service(n.settings.Service); service != nil && !n.announced() {
 		n.local.Resize(n.gateSettings(*service), service.Connections)
 	}
 	n.members.SetSelf(func(self *member.Member) { self.Revision = revision.Number })
@@ -67,7 +72,7 @@
 // view of the others, and the owners of idempotency keys. It does not wait for
 // owners for ever: a service without living targets has none.
 func (n *Node) becomeActive(ctx context.Context) {
-	for waited := time.Duration(0); !n.prepared() || (!n.plansKnown() && waited < plansWait); {
+	for waited := time.Duration(0); !n.prepared() || (!n.announced() && !n.plansKnown() && waited < plansWait); {
 		select {
 		case <-ctx.Done():
 			return
@@ -132,9 +137,13 @@
 		if m.State != member.Active && m.State != member.Cold && m.State != member.Leaving {
 			continue
 		}
+		if n.announced() && m.TargetID == "" {
+			continue
+		}
 		byService[m.Service] = append(byService[m.Service], route.Target{
 			Name:        m.Name,
-			Incarnation: m.Incarnation,
+			Incarnation: relay.JoinIncarnation(m.Incarnation, m.TargetID),
+			Slots:       m.TargetSlots,
 			Address:     m.RelayAddress,
 			DataCentre:  m.DataCentre,
 			Region:      m.Region,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,6 +122,20 @@
 	return errors.As(err, &dial) && dial.Op == "dial"
 }
 
+// JoinIncarnation names a process of a target together with the node beside it.
+func JoinIncarnation(node, target string) string {
+	if target == "" {
+		return node
+	}
+	return node + "/" + target
+}
+
+// SplitIncarnation is the reverse of JoinIncarnation.
+func SplitIncarnation(incarnation string) (node, target string) {
+	node, target, _ = strings.Cut(incarnation, "/")
+	return node, target
+}
+
 // HTTP2 returns the settings of a server, and of connections without pings.
 func HTTP2() *http.HTTP2Config {
 	return &http.HTTP2Config{MaxConcurrentStreams: streamsPerConnection}
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -172,10 +172,14 @@
 	if e.limitGiven > 0 {
 		return float64(e.limitGiven)
 	}
+	limit := float64(defaultLimit)
+	if e.target.Slots > 0 {
+		limit = float64(e.target.Slots)
+	}
 	if e.target.Cold {
-		return coldShare * defaultLimit
+		return coldShare * limit
 	}
-	return defaultLimit
+	return limit
 }
 
 // load estimates how many calls the target has: those of this node, or what
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -47,6 +47,9 @@
 		Region      string
 		Leaving     bool
 		Cold        bool
+		// Slots is how many calls the target says that it takes at the same time;
+		// 0 when it does not say.
+		Slots int
 	}
 
 	// Report is what the end of a call shows of its target.
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -28,6 +28,10 @@
 	// RelayFrom is the IP number that calls to other nodes go out from; empty
 	// leaves the choice to the system.
 	RelayFrom string
+	// ReadyListen answers whether the node takes requests, and ControlListen the
+	// heartbeats of the target beside it; empty for neither.
+	ReadyListen   string
+	ControlListen string
 	// AdminListen takes the resource API and the metrics.
 	AdminListen     string
 	TargetAddress   string
@@ -39,6 +43,9 @@
 	LogLevel string
 	// DrainTimeout is how long a planned stop waits for calls in flight.
 	DrainTimeout time.Duration
+	// RetryShare is the most that repeats may add to the calls of a service where
+	// its declaration does not say; 0 stands for the declaration's default.
+	RetryShare float64
 	// MemoryBytes bounds what the node holds for calls and records together.
 	MemoryBytes int64
 }
@@ -118,10 +125,13 @@
 		{Key: "admin_listen", Required: true, Read: place.Listen(&n.AdminListen)},
 		{Key: "target_address", Required: true, Read: place.Address(&n.TargetAddress)},
 		{Key: "platform_address", Required: true, Read: place.Address(&n.PlatformAddress)},
+		{Key: "ready_listen", Read: place.Listen(&n.ReadyListen)},
+		{Key: "control_listen", Read: place.Listen(&n.ControlListen)},
 		{Key: "relay_address", Read: place.Address(&n.RelayAddress)},
 		{Key: "relay_from", Read: ipNumber(&n.RelayFrom)},
 		{Key: "operator_token", Read: token(&n.OperatorToken)},
 		{Key: "log_level", Read: level(&n.LogLevel)},
+		{Key: "retry_share", Read: place.Float(&n.RetryShare, 0, 1)},
 		{Key: "drain_timeout", Read: place.Duration(&n.DrainTimeout, 0, maxDrainTimeout)},
 		{Key: "memory_bytes", Read: place.Size(&n.MemoryBytes, minMemoryBytes, maxMemoryBytes)},
 	}
@@ -132,7 +142,7 @@
 // relay listener, so it may not be that of another one.
 func checkListen(reader *place.Reader, object place.Object) {
 	taken := map[string]string{}
-	for _, key := range []string{"caller_listen", "relay_listen", "admin_listen", "target_address", "relay_address"} {
+	for _, key := range []string{"caller_listen", "relay_listen", "admin_listen", "ready_listen", "control_listen", "target_address", "relay_address"} {
 		value, present := object.Fields[key]
 		if !present || anyPort.MatchString(value.Node.Value) {
 			continue
--- a/pkg/schema/check.go
+++ b/pkg/schema/check.go
@@ -16,6 +16,7 @@
 		kind := &p.set.Kinds[i]
 		at := p.places[TypeKind][kind.Name]
 		p.checkService(kind, at)
+		p.checkSplit(kind, at)
 		p.checkCalls(kind, at)
 	}
 	p.checkCycles()
@@ -36,6 +37,24 @@
 	at.reader.Report(field, "a declared service"+suggest(kind.Service, known))
 }
 
+// checkSplit judges the services of a split, and whether any of them has a weight.
+func (p *parser) checkSplit(kind *Kind, at declared) {
+	field, present := at.Fields["split"]
+	if !present {
+		return
+	}
+	total := 0
+	for _, share := range kind.Split {
+		total += share.Weight
+		if p.set.Service(share.Service) == nil {
+			at.reader.Reportf(field, "declared services, which %s is not", share.Service)
+		}
+	}
+	if total == 0 {
+		at.reader.Report(field, "a weight above 0")
+	}
+}
+
 // checkCalls judges each call of a kind. A safe kind may not call one that must
 // never be repeated: a repeat of the outer request would repeat the inner one.
 func (p *parser) checkCalls(kind *Kind, at declared) {
@@ -89,8 +108,17 @@
 // different services, because a request names no service.
 func (p *parser) checkPaths() {
 	routes := http.NewServeMux()
+	prefixes := map[prefixKey]string{}
 	for i := range p.set.Kinds {
 		kind := &p.set.Kinds[i]
+		if kind.Prefix != "" {
+			key := prefixKey{kind.Host, kind.Prefix}
+			if first, taken := prefixes[key]; taken {
+				at := p.places[TypeKind][kind.Name]
+				at.reader.Reportf(at.Fields["prefix"], "another prefix than that of %s", first)
+			}
+			prefixes[key] = kind.Name
+		}
 		if kind.Path == "" || register(routes, kind) == nil {
 			continue
 		}
--- a/pkg/schema/defaults.go
+++ b/pkg/schema/defaults.go
@@ -11,7 +11,9 @@
 	maxConnections  = 1_000_000
 	maxQueue        = 100_000
 	maxRetries      = 100
+	maxWeight       = 1_000_000
 	maxMessageBytes = 64 << 20
+	minHeaderBytes  = 256
 	maxMemoryBytes  = 1 << 40
 	maxWait         = time.Hour
 	// maxKeptRevisions keeps the row that names them below some 200 KB.
@@ -59,6 +61,9 @@
 	return Limits{
 		MaxRequestBytes: 1 << 20,
 		MaxAnswerBytes:  4 << 20,
+		MaxHeaderBytes:  64 << 10,
+		HeaderTimeout:   5 * time.Second,
+		IdleTimeout:     time.Minute,
 		HeldBytes:       64 << 20,
 		RecordBytes:     64 << 20,
 		KeyAge:          15 * time.Minute,
@@ -68,9 +73,13 @@
 	}
 }
 
-// defaultRepeat returns the rule for a kind that declares none.
-func defaultRepeat(method string) Repeat {
-	switch method {
+// defaultRepeat returns the rule for a kind that declares none. A prefix takes
+// requests of any method.
+func defaultRepeat(kind Kind) Repeat {
+	if kind.Prefix != "" {
+		return Never
+	}
+	switch kind.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		return Safe
 	}
--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -232,17 +232,39 @@
 	for _, name := range k.Calls {
 		calls.Content = append(calls.Content, text(name))
 	}
-	return Resource{Type: TypeKind, Name: k.Name, Fields: []FieldValue{
-		{"name", text(k.Name)},
-		{"service", text(k.Service)},
-		{"method", text(k.Method)},
-		{"path", text(k.Path)},
-		{"importance", text(k.Importance.String())},
-		{"repeat", text(k.Repeat.String())},
-		{"deadline", text(k.Deadline.String())},
-		{"retries", integer(k.Retries)},
-		{"calls", calls},
-	}}
+	fields := []FieldValue{{"name", text(k.Name)}}
+	fields = append(fields, k.selection()...)
+	fields = append(fields,
+		FieldValue{"importance", text(k.Importance.String())},
+		FieldValue{"repeat", text(k.Repeat.String())},
+		FieldValue{"deadline", text(k.Deadline.String())},
+		FieldValue{"retries", integer(k.Retries)},
+		FieldValue{"calls", calls},
+	)
+	if k.Objective > 0 {
+		fields = append(fields, FieldValue{"objective", text(k.Objective.String())})
+	}
+	return Resource{Type: TypeKind, Name: k.Name, Fields: fields}
+}
+
+// selection returns the fields that say which requests are of the kind, and
+// where they go.
+func (k Kind) selection() []FieldValue {
+	fields := []FieldValue{{"service", text(k.Service)}}
+	if len(k.Split) > 0 {
+		split := &yaml.Node{Kind: yaml.MappingNode}
+		for _, share := range k.Split {
+			split.Content = append(split.Content, text(share.Service), integer(share.Weight))
+		}
+		fields = []FieldValue{{"split", split}}
+	}
+	if k.Prefix == "" {
+		return append(fields, FieldValue{"method", text(k.Method)}, FieldValue{"path", text(k.Path)})
+	}
+	if k.Host != "" {
+		fields = append(fields, FieldValue{"host", text(k.Host)})
+	}
+	return append(fields, FieldValue{"prefix", text(k.Prefix)})
 }
 
 func (d DataCentre) resource() Resource {
@@ -266,6 +288,9 @@
 	return Resource{Type: TypeLimits, Name: LimitsName, Fields: []FieldValue{
 		{"max_request_bytes", text(place.FormatSize(l.MaxRequestBytes))},
 		{"max_answer_bytes", text(place.FormatSize(l.MaxAnswerBytes))},
+		{"max_header_bytes", text(place.FormatSize(l.MaxHeaderBytes))},
+		{"header_timeout", text(l.HeaderTimeout.String())},
+		{"idle_timeout", text(l.IdleTimeout.String())},
 		{"held_bytes", text(place.FormatSize(l.HeldBytes))},
 		{"record_bytes", text(place.FormatSize(l.RecordBytes))},
 		{"key_age", text(l.KeyAge.String())},
--- a/pkg/schema/match.go
+++ b/pkg/schema/match.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"path"
@@ -17,6 +18,14 @@
 	// used from several goroutines.
 	Matcher struct {
 		routes *http.ServeMux
+		// prefixes holds the kinds with a prefix, by host and prefix.
+		prefixes map[prefixKey]*Kind
+		hosts    map[string]bool
+	}
+
+	prefixKey struct {
+		host   string
+		prefix string
 	}
 
 	// route carries a kind through the router of net/http, which is used only
@@ -40,13 +49,61 @@
 // net/http: {name} stands for one segment, {name...} for the rest, and the more
 // specific pattern wins. Kinds that conflict with an earlier one are left out.
 func NewMatcher(s *Set) *Matcher {
-	m := &Matcher{routes: http.NewServeMux()}
+	m := &Matcher{
+		routes:   http.NewServeMux(),
+		prefixes: map[prefixKey]*Kind{},
+		hosts:    map[string]bool{},
+	}
 	for i := range s.Kinds {
-		_ = register(m.routes, &s.Kinds[i])
+		kind := &s.Kinds[i]
+		if kind.Prefix != "" {
+			m.prefixes[prefixKey{kind.Host, kind.Prefix}] = kind
+			m.hosts[kind.Host] = true
+			continue
+		}
+		_ = register(m.routes, kind)
 	}
 	return m
 }
 
+// MatchPrefix returns the kind with the longest prefix of a path, as it was
+// sent, among those of the host and then among those of all hosts. The path is
+// not decoded: a target sees the same bytes.
+func (m *Matcher) MatchPrefix(host, path string) (*Kind, bool) {
+	if len(m.prefixes) == 0 {
+		return nil, false
+	}
+	host = hostName(host)
+	if m.hosts[host] {
+		if kind, ok := m.longest(host, path); ok {
+			return kind, true
+		}
+	}
+	return m.longest("", path)
+}
+
+// longest looks the starts of the path up that end with a slash.
+func (m *Matcher) longest(host, path string) (*Kind, bool) {
+	for end := len(path); end > 0; {
+		end = strings.LastIndexByte(path[:end], '/')
+		if end < 0 {
+			break
+		}
+		if kind, ok := m.prefixes[prefixKey{host, path[:end+1]}]; ok {
+			return kind, true
+		}
+	}
+	return nil, false
+}
+
+// hostName returns the host of a Host header in lower case, without its port.
+func hostName(header string) string {
+	if host, _, err := net.SplitHostPort(header); err == nil {
+		header = host
+	}
+	return strings.ToLower(header)
+}
+
 // Match returns the kind for a method and the decoded path of a URL. A path
 // that is not clean, such as //stock or /a/../stock, matches nothing.
 func (m *Matcher) Match(method, urlPath string) (*Kind, bool) {
@@ -77,9 +134,11 @@
 			continue
 		}
 		seenKinds[name] = true
-		if !seenServices[next.Service] {
-			seenServices[next.Service] = true
-			services = append(services, next.Service)
+		for _, service := range next.Services() {
+			if !seenServices[service] {
+				seenServices[service] = true
+				services = append(services, service)
+			}
 		}
 		queue = append(queue, next.Calls...)
 	}
--- a/pkg/schema/parse.go
+++ b/pkg/schema/parse.go
@@ -10,6 +10,8 @@
 	"sort"
 	"strings"
 
+	"go.yaml.in/yaml/v3"
+
 	"github.com/dandelionfield/dandelionfield/internal/place"
 )
 
@@ -50,6 +52,8 @@
 	namePattern = regexp.MustCompile(`^[a-z][a-z0-9_]{0,62}$`)
 	// dataCentreName also takes dashes, which host names have.
 	dataCentreName = regexp.MustCompile(`^[a-z][a-z0-9_-]{0,62}$`)
+	hostPattern    = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
+	prefixPattern  = regexp.MustCompile(`^/([!-~]*/)?$`)
 	healthPattern  = regexp.MustCompile(`^/[!-~]{0,255}$`)
 
 	resourceTypes = []string{TypeService, TypeKind, TypeDataCentre, TypeLimits}
@@ -217,18 +221,23 @@
 	object := reader.Object(document, []place.Field{
 		typeField(),
 		{Key: "name", Required: true, Read: name(&kind.Name)},
-		{Key: "service", Required: true, Read: name(&kind.Service)},
+		{Key: "service", Read: name(&kind.Service)},
+		{Key: "split", Read: split(&kind.Split)},
 		{Key: "method", Read: method(&kind.Method)},
-		{Key: "path", Required: true, Read: pathPattern(&kind.Path)},
+		{Key: "path", Read: pathPattern(&kind.Path)},
+		{Key: "host", Read: place.Match(&kind.Host, hostPattern, "a host name in lower case")},
+		{Key: "prefix", Read: place.Match(&kind.Prefix, prefixPattern, "a path that begins and ends with /")},
 		{Key: "importance", Read: place.Enum(&kind.Importance, Low.String(), Normal.String(), High.String(), Critical.String())},
 		{Key: "repeat", Read: place.Enum(&repeat, Safe.String(), Never.String())},
 		{Key: "deadline", Read: place.Duration(&kind.Deadline, minDeadline, maxDeadline)},
 		{Key: "retries", Read: place.Int(&kind.Retries, 0, maxRetries)},
 		{Key: "calls", Read: names(&kind.Calls)},
+		{Key: "objective", Read: place.Duration(&kind.Objective, 0, maxDeadline)},
 	})
+	checkSelection(reader, object)
 	kind.Repeat = repeat
 	if repeat > Never {
-		kind.Repeat = defaultRepeat(kind.Method)
+		kind.Repeat = defaultRepeat(kind)
 	}
 	if p.declare(reader, object, TypeKind, kind.Name) {
 		p.set.Kinds = append(p.set.Kinds, kind)
@@ -254,6 +263,9 @@
 		typeField(),
 		{Key: "max_request_bytes", Read: place.Size(&limits.MaxRequestBytes, 1, maxMessageBytes)},
 		{Key: "max_answer_bytes", Read: place.Size(&limits.MaxAnswerBytes, 1, maxMessageBytes)},
+		{Key: "max_header_bytes", Read: place.Size(&limits.MaxHeaderBytes, minHeaderBytes, maxMessageBytes)},
+		{Key: "header_timeout", Read: place.Duration(&limits.HeaderTimeout, minDeadline, maxWait)},
+		{Key: "idle_timeout", Read: place.Duration(&limits.IdleTimeout, minDeadline, maxWait)},
 		{Key: "held_bytes", Read: place.Size(&limits.HeldBytes, 1, maxMemoryBytes)},
 		{Key: "record_bytes", Read: place.Size(&limits.RecordBytes, 1, maxMemoryBytes)},
 		{Key: "key_age", Read: place.Duration(&limits.KeyAge, minOwnerLease, maxKeyAge)},
@@ -322,6 +334,45 @@
 	}
 }
 
+// checkSelection reports a kind that says not at all, or twice, which requests
+// are of it or where they go.
+func checkSelection(reader *place.Reader, object place.Object) {
+	for _, pair := range [][2]string{{"path", "prefix"}, {"service", "split"}} {
+		_, first := object.Fields[pair[0]]
+		second, both := object.Fields[pair[1]]
+		switch {
+		case first && both:
+			reader.Reportf(second, "either %s or %s", pair[0], pair[1])
+		case !first && !both:
+			reader.Reportf(object.Value, "the key %s or %s", pair[0], pair[1])
+		}
+	}
+	_, prefixed := object.Fields["prefix"]
+	if host, present := object.Fields["host"]; present && !prefixed {
+		reader.Reportf(host, "a host only beside a prefix")
+	}
+	if method, present := object.Fields["method"]; present && prefixed {
+		reader.Reportf(method, "no method beside a prefix, which takes all of them")
+	}
+}
+
+// split reads a mapping from services to their weights.
+func split(to *[]Share) func(*place.Reader, place.Value) {
+	return func(r *place.Reader, value place.Value) {
+		if value.Node.Kind != yaml.MappingNode || len(value.Node.Content) == 0 {
+			r.Report(value, "a mapping from services to weights")
+			return
+		}
+		r.Each(value, func(key *yaml.Node, child place.Value) {
+			share := Share{Service: key.Value, Weight: -1}
+			place.Int(&share.Weight, 0, maxWeight)(r, child)
+			if share.Weight >= 0 {
+				*to = append(*to, share)
+			}
+		})
+	}
+}
+
 // names reads a list of names without duplicates.
 func names(to *[]string) func(*place.Reader, place.Value) {
 	return place.List(func(r *place.Reader, value place.Value, text string) {
--- a/pkg/schema/schema.go
+++ b/pkg/schema/schema.go
@@ -60,6 +60,22 @@
 	Retries int
 	// Calls names the kinds that the target calls while it serves this one.
 	Calls []string
+	// Host and Prefix select requests by their Host header and the start of
+	// their path, in place of Method and Path. Of several prefixes of one host
+	// the longest wins. An empty Host stands for all hosts.
+	Host   string
+	Prefix string
+	// Split distributes the requests among several services, in place of Service.
+	Split []Share
+	// Objective is the time within which an answer is of full use to its
+	// caller; 0 when none is declared.
+	Objective time.Duration
+}
+
+// Share is one part of a split: the weight of a service among the others.
+type Share struct {
+	Service string
+	Weight  int
 }
 
 // DataCentre declares one data centre and how far the others are.
@@ -74,6 +90,11 @@
 type Limits struct {
 	MaxRequestBytes int64
 	MaxAnswerBytes  int64
+	// MaxHeaderBytes bounds the head of a request, HeaderTimeout the time that it
+	// may take, and IdleTimeout that of a connection without a request.
+	MaxHeaderBytes int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 	// HeldBytes bounds the memory for answers that are held until whole.
 	HeldBytes int64
 	// RecordBytes bounds the memory for idempotency records.
@@ -122,6 +143,18 @@
 	return [...]string{"safe", "never"}[r&1]
 }
 
+// Services returns the services that a kind's requests may go to.
+func (k *Kind) Services() []string {
+	if len(k.Split) == 0 {
+		return []string{k.Service}
+	}
+	services := make([]string, len(k.Split))
+	for i, share := range k.Split {
+		services[i] = share.Service
+	}
+	return services
+}
+
 // Kind returns the declared kind of that name, or nil.
 func (s *Set) Kind(name string) *Kind {
 	for i := range s.Kinds {
