--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -16,6 +16,10 @@
 const (
 	renewInterval = 10 * time.Second
 	listInterval  = 15 * time.Second
+	// firstListInterval is how soon a node that has just started lists again.
+	// The interval grows with the node's age, since nodes that start together
+	// find each other's rows missing at first.
+	firstListInterval = 500 * time.Millisecond
 	// retryInterval is the wait after the platform failed. It is jittered, so
 	// that nodes do not greet a returning platform together.
 	retryInterval = 4 * time.Second
@@ -84,10 +88,12 @@
 
 func (c *Controller) runLease(ctx context.Context) {
 	var nextList, nextRenew time.Time
+	started := c.Clock.Now()
 	for ctx.Err() == nil {
 		now := c.Clock.Now()
 		if !now.Before(nextList) {
-			nextList = now.Add(c.pause(c.Refresh(ctx), listInterval))
+			interval := min(max(firstListInterval, now.Sub(started)), listInterval)
+			nextList = now.Add(c.pause(c.Refresh(ctx), interval))
 		}
 		if !now.Before(nextRenew) {
 			nextRenew = now.Add(c.pause(c.Renew(ctx), renewInterval))
