--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -84,6 +84,10 @@
 		// ColdStart is the time after Started over which the limit rises to Slots.
 		ColdStart time.Duration
 		Started   time.Time
+		// Opaque is set where it is not seen which calls the target makes for
+		// which call. Silence and failures may be due to those then, and say
+		// nothing of the target; a shed does only near the slots that it announced.
+		Opaque bool
 	}
 
 	// Decision is the answer to an offered call.
--- a/internal/admit/limit.go
+++ b/internal/admit/limit.go
@@ -13,6 +13,9 @@
 	collapseGrowth    = 0.5 // of the slots, per second, right after a collapse
 	maxGrowthShare    = 1.0
 	coldStartingShare = 0.1
+	// nearSlots is the share of the slots in use above which a shed of an opaque
+	// target speaks of its slots.
+	nearSlots = 0.8
 )
 
 // limiter adapts the number of calls in flight to what the target takes.
@@ -69,7 +72,9 @@
 	case Completed:
 		l.completed++
 	case Failed, TimedOut:
-		l.lost++
+		if !l.settings.Opaque {
+			l.lost++
+		}
 	case Shed:
 		l.shed(others)
 	case Abandoned:
@@ -102,6 +107,9 @@
 	if float64(others) >= l.limit {
 		return
 	}
+	if l.settings.Opaque && float64(others) < nearSlots*float64(l.settings.Slots) {
+		return
+	}
 	same := others >= l.shedAt-1 && others <= l.shedAt+1
 	l.shedAt = others
 	if same {
--- a/internal/admit/pulse.go
+++ b/internal/admit/pulse.go
@@ -73,6 +73,9 @@
 		g.pulse.signAt = now
 	}
 	g.pulse.lookedAt = now
+	if g.settings.Opaque {
+		return nil
+	}
 	g.pulse.suspect = g.quiet(now)
 	if g.pulse.stopped || now.Sub(g.pulse.signAt) < minSilence || g.overdue(now) < minOverdue {
 		return nil
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -96,7 +96,7 @@
 // Return ends the loan with what the answer brought back. Further answers of
 // the same attempt change nothing.
 func (l *Loan) Return(n int) {
-	if l.ended {
+	if l.ended || l.purse == nil {
 		return
 	}
 	l.ended = true
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -48,6 +48,9 @@
 	// Refusal is why a sending was refused that the code calls a refused repeat,
 	// else 0.
 	Refusal result.Code
+	// Admitted is the share of such requests that is let in, where the refusal
+	// goes by a share; else 0.
+	Admitted float64
 	// Status, Header and Body are the target's, whole, or zero when the code
 	// says that there is no such answer.
 	Status int
@@ -94,10 +97,14 @@
 	return t.purse.Spend()
 }
 
-// Lend takes the tokens that go with an attempt.
-func (t *Tokens) Lend() *budget.Loan {
+// Lend takes the tokens that go with an attempt: none where the target is not
+// known to make calls that could spend them.
+func (t *Tokens) Lend(spendable bool) *budget.Loan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !spendable {
+		return &budget.Loan{}
+	}
 	return t.purse.LendTo()
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -152,7 +152,9 @@
 			if err != nil {
 				return badFile(err)
 			}
-			return run(command.Context(), node, newLogger(node.LogLevel, a.stderr, a.Clock))
+			log := newLogger(node.LogLevel, a.stdout, a.Clock)
+			node.Reloads = reloads(command.Context(), config, log)
+			return run(command.Context(), node, log)
 		}),
 	}
 	command.Flags().StringVar(&config, "config", "", "settings of the node")
--- a/internal/entry/below_test.go
+++ b/internal/entry/below_test.go
@@ -58,7 +58,7 @@
 			request := s.request(c, node, 0)
 			response := target.server.Carry(context.Background(), request)
 			one := &sending{sender: s, call: c}
-			answer := one.take(node, request, response, time.Millisecond, c.Tokens.Lend())
+			answer := one.take(node, request, response, time.Millisecond, c.Tokens.Lend(true))
 			is.Equal(answer.Code, result.TargetFailed)
 			for name, values := range target.header {
 				is.Equal(answer.Header[name], values)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -51,6 +52,12 @@
 	Settling func(service string, key once.Key) bool
 	// Covered says whether the plan known here names an owner for the key.
 	Covered func(service string, key once.Key) bool
+	// Opaque is set where it is not seen which calls a target makes for which
+	// call. No retry tokens are lent then, because nobody could spend them.
+	Opaque bool
+	// RetryBurst is how many repeats a service allows before any call of it has
+	// completed.
+	RetryBurst int
 	// RetryShare returns the declared share of repeats at a service.
 	RetryShare func(service string) float64
 	// Moved is called when an attempt shows that the view of members or plans
@@ -60,6 +67,9 @@
 	mu       sync.Mutex
 	services map[string]*service
 	door     *admit.Door
+	throttle *admit.Throttle
+	// inner holds the kinds that targets call and callers do not.
+	inner map[string]bool
 }
 
 // service is what a sender knows of one service.
@@ -73,9 +83,9 @@
 }
 
 const (
-	// retryBurst is how many repeats a service allows before any call of it
-	// has completed.
-	retryBurst = 10
+	// RetryBurst is what Sender.RetryBurst is where no budget is set for all
+	// nodes together.
+	RetryBurst = 10
 	// latencyWeight is the weight of a new reading in the smoothed latency.
 	latencyWeight = 0.2
 )
@@ -84,6 +94,51 @@
 func (s *Sender) Init(door *admit.Door) {
 	s.services = map[string]*service{}
 	s.door = door
+	s.throttle = admit.NewThrottle()
+	s.RetryBurst = cmp.Or(s.RetryBurst, RetryBurst)
+	s.inner = map[string]bool{}
+}
+
+// Admits says whether a new request of a kind is let in, going by how the ones
+// before ended. A call of another call always is: work has been done for it. It
+// also returns the share of the kind's requests that are let in.
+func (s *Sender) Admits(kind *schema.Kind) (share float64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inner[kind.Name] {
+		return 1, true
+	}
+	ok = s.throttle.Offer(s.Clock.Now(), kind.Name, kind.Importance, s.Route.Random())
+	return s.throttle.Share(kind.Name), ok
+}
+
+// Inner says whether a kind is known to be called by targets and not by callers.
+func (s *Sender) Inner(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inner[kind]
+}
+
+// Ended takes in how a request that was let in ended, for the throttle.
+func (s *Sender) Ended(kind *schema.Kind, code result.Code, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.throttle.Ended(s.Clock.Now(), kind.Name, endOf(kind, code, took))
+}
+
+// endOf says what the end of a request tells of load.
+func endOf(kind *schema.Kind, code result.Code, took time.Duration) admit.End {
+	switch code {
+	case result.OK, result.Replayed:
+		if kind.Objective > 0 && took > kind.Objective {
+			return admit.TooLate
+		}
+		return admit.Good
+	case result.TimedOut, result.TargetFailed, result.PartlyRun, result.DeadlinePassed, result.Overloaded,
+		result.QueueExpired, result.Evicted, result.TargetShed, result.TargetStopped:
+		return admit.Overrun
+	}
+	return admit.Other
 }
 
 // Update puts the targets of a service in place.
@@ -163,19 +218,19 @@
 			table:   route.New(s.Route),
 			targets: map[string]route.Target{},
 		}
-		known.declare(s.RetryShare(name))
+		known.declare(s.RetryShare(name), s.RetryBurst)
 		s.services[name] = known
 	}
 	return known
 }
 
 // declare makes a new allowance when another share of repeats is declared.
-func (s *service) declare(share float64) {
+func (s *service) declare(share float64, burst int) {
 	if s.allowance != nil && s.share == share {
 		return
 	}
 	s.share = share
-	s.allowance = budget.NewAllowance(share, retryBurst)
+	s.allowance = budget.NewAllowance(share, burst)
 }
 
 // choose picks the target of the next attempt. A keyed call of a kind that may
@@ -249,6 +304,23 @@
 	s.door.Learn(s.Clock.Now(), service, node, floor, 0)
 }
 
+func (s *Sender) learnInner(kind string, inner bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if inner {
+		s.inner[kind] = true
+		return
+	}
+	delete(s.inner, kind)
+}
+
+// calm says whether the requests of a kind mostly end well.
+func (s *Sender) calm(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.throttle.Calm(kind)
+}
+
 func (s *Sender) learn(levels []*relaypb.Level) {
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -267,7 +339,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.service(c.Kind.Service)
-	known.declare(s.RetryShare(c.Kind.Service))
+	known.declare(s.RetryShare(c.Kind.Service), s.RetryBurst)
 	if !budget.Worthwhile(now, c.Deadline, delay, known.latency) {
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
 		return false
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -30,6 +30,7 @@
 	// there is one, no later refusal may say "not run".
 	unknown *call.Answer
 	repeats int
+	moves   int
 }
 
 const (
@@ -48,6 +49,9 @@
 	// ownerQuestions is how often it is looked for another owner of a key
 	// while the owner is being replaced.
 	ownerQuestions = 15
+	// maxMoves is how often a call goes on to another target that it has not
+	// reached yet.
+	maxMoves = 3
 	// fatePause is the time between two such questions.
 	fatePause = 100 * time.Millisecond
 )
@@ -81,6 +85,9 @@
 	if ctx.Err() != nil || !s.repeatable(ctx, answer.Code) {
 		return false
 	}
+	if s.sender.Opaque && unsent(answer.Code) {
+		return s.move()
+	}
 	delay := s.sender.Backoff.Delay(s.repeats)
 	if !s.sender.mayRepeat(s.call, answer.Code, delay) {
 		return false
@@ -99,6 +106,28 @@
 	}
 }
 
+// move goes on to another target at once after one that the call did not reach.
+// That is no repeat, as nothing was sent to a target, but it is bounded: each
+// move costs the nodes a message.
+func (s *sending) move() bool {
+	s.moves++
+	if s.moves > maxMoves {
+		return false
+	}
+	s.sender.Metrics.Moves.WithLabelValues(s.call.Kind.Service).Inc()
+	return true
+}
+
+// unsent says whether a code means that the call was not sent to any target.
+func unsent(code result.Code) bool {
+	switch code {
+	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetStopped, result.MemoryBound,
+		result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned, result.NoConfiguration:
+		return true
+	}
+	return false
+}
+
 // repeatable says whether a call that ended with a code may be sent again.
 func (s *sending) repeatable(ctx context.Context, code result.Code) bool {
 	switch code {
@@ -111,7 +140,10 @@
 		return true
 	case result.NoOwner, result.OwnerGone, result.OwnerUnclear:
 		return s.reowned(ctx)
-	case result.Lost, result.AnswerTruncated, result.TargetFailed, result.PartlyRun:
+	case result.TargetFailed:
+		// Where many fail together, load is the likely cause, and repeats add to it.
+		return s.call.Kind.Repeat == schema.Safe && s.sender.calm(s.call.Kind.Name)
+	case result.Lost, result.AnswerTruncated, result.PartlyRun:
 		return s.call.Kind.Repeat == schema.Safe
 	}
 	return false
@@ -165,7 +197,7 @@
 	}
 	s.tried[target.Name] = true
 	s.asked = target.Incarnation
-	loan := s.call.Tokens.Lend()
+	loan := s.call.Tokens.Lend(!s.sender.Opaque)
 	request := s.sender.request(s.call, target, loan.Tokens)
 	s.sender.Metrics.Attempts.WithLabelValues(s.call.Kind.Service).Inc()
 	began := s.sender.Clock.Now()
@@ -190,6 +222,7 @@
 // take checks an answer and learns from it.
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
+	s.sender.learnInner(s.call.Kind.Name, response.Inner)
 	code := s.entryCode(result.Code(response.Code))
 	report := route.Report{Outcome: outcome(code), Latency: took}
 	if response.Below {
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -47,6 +47,13 @@
 	TargetHost string
 	// Allows asks the door about all services of a chain.
 	Allows func(services []string, order uint32) (string, bool)
+	// Admits says whether a new request of a kind is let in, and which share of
+	// them is; Ended is told how one that was let in ended. Nil lets all in.
+	Admits func(kind *schema.Kind) (share float64, ok bool)
+	Ended  func(kind *schema.Kind, code result.Code, took time.Duration)
+	// Inner says whether a kind is called by targets and not by callers, so that
+	// work has been done for it already; may be nil.
+	Inner func(kind string) bool
 }
 
 // Headers of callers' requests and of the answers to them.
@@ -238,7 +245,13 @@
 // refused here: work has been done for it, and the target's node decides.
 func (f *Inward) door(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	c := exchange.Call
-	if c.Parent == nil {
+	if share, ok := f.admits(c); !ok {
+		f.Metrics.Refusals.WithLabelValues(c.Kind.Service, "throttled").Inc()
+		refused := call.Refuse(result.DoorClosed, "throttled")
+		refused.Admitted = share
+		return refused
+	}
+	if c.Parent == nil && (f.Inner == nil || !f.Inner(c.Kind.Name)) {
 		services := f.Rules().Chain(c.Kind.Name)
 		order := admit.Order(c.Importance, c.Position)
 		if service, ok := f.Allows(services, order); !ok {
@@ -248,5 +261,18 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	return next(ctx, exchange)
+	began := f.Clock.Now()
+	answer := next(ctx, exchange)
+	if f.Ended != nil && c.Parent == nil {
+		f.Ended(c.Kind, answer.Code, f.Clock.Now().Sub(began))
+	}
+	return answer
+}
+
+// admits asks the throttle about a new request.
+func (f *Inward) admits(c *call.Call) (share float64, ok bool) {
+	if f.Admits == nil || c.Parent != nil {
+		return 1, true
+	}
+	return f.Admits(c.Kind)
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -70,6 +70,7 @@
 	// refusing is set once a leaving node takes no new work.
 	refusing bool
 	leaving  bool
+	origins  origins
 	// regulated is set once the ledger has the declared rules.
 	regulated bool
 	// stopped is whether the target was last seen to have stopped.
@@ -87,8 +88,9 @@
 	// forgetPeriod is how often old records are dropped.
 	forgetPeriod = time.Second
 	// abandonAfter is how long a safe call goes on with nobody waiting for
-	// it: long enough for a sender whose connection went silent to ask for it.
-	abandonAfter = 1500 * time.Millisecond
+	// it: long enough for a sender whose connection broke to ask for it, and short
+	// enough that the target stops work soon after a caller has left.
+	abandonAfter = 250 * time.Millisecond
 )
 
 // New returns a server that admits work from the start.
@@ -99,6 +101,7 @@
 		waiting:  map[string]*attempt{},
 		serving:  map[string]*call.Serving{},
 		byKey:    map[string]*attempt{},
+		origins:  newOrigins(),
 	}
 }
 
@@ -325,6 +328,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.settings.Clock.Now()
+	s.origins.fade()
 	s.settings.Book.Forget(now)
 	s.settings.Ledger.Forget(now)
 	bytes := s.settings.Book.Stats().Bytes + s.settings.Ledger.Stats().Bytes
@@ -351,6 +355,7 @@
 		},
 	}
 	s.attempts[request.AttemptId] = a
+	s.origins.count(request.Kind, request.CallerService)
 	s.running.Add(1)
 	go a.run()
 	return a
@@ -408,6 +413,7 @@
 	defer s.mu.Unlock()
 	load := s.settings.Gate.Load(now)
 	answer.AttemptId = request.AttemptId
+	answer.Inner = s.settings.Admits != nil && s.origins.inner(request.Kind)
 	answer.Revision = s.settings.Revision()
 	answer.Levels = levels
 	answer.Levels = append(answer.Levels, &relaypb.Level{
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -14,6 +14,7 @@
 	Refusals      *prometheus.CounterVec
 	Retries       *prometheus.CounterVec
 	RetriesDenied *prometheus.CounterVec
+	Moves         *prometheus.CounterVec
 	Attempts      *prometheus.CounterVec
 	FateAsked     *prometheus.CounterVec
 	Replayed      prometheus.Counter
@@ -45,6 +46,7 @@
 	s.Refusals = counters("refusals_total", "Calls refused, by service and reason.", "service", "reason")
 	s.Retries = counters("retries_total", "Repeated attempts sent, by service and the reason of the repeat.", "service", "reason")
 	s.RetriesDenied = counters("retries_denied_total", "Repeats that were not sent, by service and what forbade them.", "service", "reason")
+	s.Moves = counters("moves_total", "Attempts sent on to another target after one that was not reached, by service.", "service")
 	s.Attempts = counters("attempts_total", "Attempts sent to nodes, by service.", "service")
 	s.FateAsked = counters("fate_asked_total", "Attempts whose connection was lost, by what the other node said.", "answer")
 	s.Replayed = prometheus.NewCounter(options("replayed_total", "Answers taken from the record of an idempotency key."))
@@ -76,7 +78,7 @@
 	s.Registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Attempts, s.FateAsked,
+		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Moves, s.Attempts, s.FateAsked,
 		s.Replayed, s.TargetStops, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
 		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
 		s.TargetStopped, s.UnownedKeyShare, s.PendingHandovers, s.PlatformSilent,
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -117,6 +117,7 @@
 		settings.Slots = target.Slots
 		settings.Queue = target.Slots
 	}
+	settings.Opaque = true
 	settings.Started = target.Heard
 	settings.ColdStart = max(target.ColdUntil.Sub(target.Heard), 0)
 	return settings
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -16,6 +16,20 @@
 	// handoverGrace is how long a node that has handed over its records still
 	// answers, while the others learn who keeps them now.
 	handoverGrace = time.Second
+	// noticeTime is how long callers take to notice that a node is not ready: they
+	// ask once a second and go after two answers.
+	noticeTime = 2200 * time.Millisecond
+	// lullTime without a request means that callers have gone.
+	lullTime = 400 * time.Millisecond
+	// doorShare is the share of the drain timeout after which requests that still
+	// come are refused unsent, so that those before them can end.
+	doorShare = 0.5
+	// lullPeriod is how often it is looked for a lull.
+	lullPeriod = 50 * time.Millisecond
+	// stopMargin is kept back of the drain timeout for the end of the process.
+	stopMargin = 500 * time.Millisecond
+	// departTimeout bounds the last news of a node.
+	departTimeout = 300 * time.Millisecond
 )
 
 // leave takes the node out of service without cutting anything off. The news
@@ -23,27 +37,51 @@
 // it takes what still comes. Then what is under way ends, the records of
 // idempotency keys move to a successor, and only then do the listeners close.
 func (n *Node) leave(ctx context.Context) {
+	started := n.clock.Now()
+	timeout := time.Duration(n.drainTimeout.Load())
+	end := started.Add(timeout - stopMargin)
 	n.leaving.Store(true)
 	n.callers.Leave()
 	n.log.Info("leaving", "node", n.settings.Name)
 	n.local.Leave()
 	n.members.SetSelf(func(self *member.Member) { self.State = member.Leaving })
-	n.members.Leave(ctx)
+	go n.members.Leave(ctx)
 	if n.needsPlan() {
 		n.changePlan(ctx, n.nextPlan)
 		n.members.Kick()
 	}
-	n.pause(ctx, n.leaveGrace())
+	n.pause(ctx, n.leaveGrace()-n.clock.Now().Sub(started))
 	n.local.RefuseNew()
-	if !n.quiet() {
-		n.log.Warn("drain_timed_out", "after", n.settings.DrainTimeout)
+	n.awaitLull(ctx, started, timeout)
+	n.closed.Store(true)
+	if !n.quiet(end.Sub(n.clock.Now())) {
+		n.log.Warn("drain_timed_out", "after", timeout)
 	}
 	if n.handOver(ctx) {
 		n.members.Kick()
 		n.pause(ctx, handoverGrace)
 	}
+	departing, cancel := context.WithTimeout(ctx, departTimeout)
+	defer cancel()
 	n.members.SetSelf(func(self *member.Member) { self.State = member.Gone })
-	n.members.Depart(ctx)
+	n.members.Depart(departing)
+}
+
+// awaitLull goes on taking requests while callers cannot know yet that the node
+// is not ready. Where they never ask that, there is nothing to wait for.
+func (n *Node) awaitLull(ctx context.Context, started time.Time, timeout time.Duration) {
+	if n.settings.ReadyListen == "" {
+		return
+	}
+	latest := started.Add(time.Duration(doorShare * float64(timeout)))
+	for {
+		now := n.clock.Now()
+		noticed := now.Sub(started) >= noticeTime && now.Sub(n.callers.LastRequest()) >= lullTime
+		if noticed || !now.Before(latest) || ctx.Err() != nil {
+			return
+		}
+		n.pause(ctx, lullPeriod)
+	}
 }
 
 // leaveGrace is how long a leaving node still takes work: until the news has
@@ -52,14 +90,14 @@
 	return max(once.CutLead(ownerRules(n.limits()))+newsTime, minLeaveGrace)
 }
 
-// quiet waits until no call is under way, within the drain timeout.
-func (n *Node) quiet() bool {
+// quiet waits until no call is under way, within the time.
+func (n *Node) quiet(within time.Duration) bool {
 	callers := make(chan struct{})
 	go func() {
 		n.callers.Wait()
 		close(callers)
 	}()
-	timeout := n.clock.After(n.settings.DrainTimeout)
+	timeout := n.clock.After(within)
 	for _, ended := range []<-chan struct{}{callers, n.local.Drained()} {
 		select {
 		case <-ended:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,8 +57,12 @@
 	// active is set once the node has announced itself, and stays set.
 	active  atomic.Bool
 	leaving atomic.Bool
-	drain   chan struct{}
-	once    sync.Once
+	// closed is set once a leaving node takes no more requests of callers.
+	closed atomic.Bool
+	// drainTimeout is that of the settings, in nanoseconds.
+	drainTimeout atomic.Int64
+	drain        chan struct{}
+	once         sync.Once
 }
 
 // listeners are bound before anything else: on one host, binding proves that
@@ -76,7 +80,7 @@
 	// readHeaderTimeout bounds how long a caller may take to send its headers.
 	readHeaderTimeout = 5 * time.Second
 	// closeTimeout bounds the closing of the listeners after the drain.
-	closeTimeout = 2 * time.Second
+	closeTimeout = 200 * time.Millisecond
 	// gcPercent lets the heap grow by half before it is collected. A node has a
 	// tight budget of memory and uses little of its processor time.
 	gcPercent = 50
@@ -111,6 +115,7 @@
 		client:      relay.NewClient(),
 		drain:       make(chan struct{}),
 	}
+	n.drainTimeout.Store(int64(settings.DrainTimeout))
 	n.client.From = net.ParseIP(settings.RelayFrom)
 	n.platform.answered = n.started
 	store := plat.NewClient(settings.PlatformAddress, plat.Limits{})
@@ -147,10 +152,7 @@
 		"relay", n.settings.RelayListen,
 		"admin", n.settings.AdminListen,
 	)
-	select {
-	case <-ctx.Done():
-	case <-n.drain:
-	case err := <-servers.failed:
+	if err := n.await(ctx, servers.failed); err != nil {
 		return err
 	}
 	n.leave(work)
@@ -159,6 +161,22 @@
 	return nil
 }
 
+// await returns when the node is to leave, or with the error of a server.
+func (n *Node) await(ctx context.Context, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.drain:
+			return nil
+		case err := <-failed:
+			return err
+		case settings := <-n.settings.Reloads:
+			n.reload(settings)
+		}
+	}
+}
+
 // start takes the node from its binding to its first call.
 func (n *Node) start(ctx context.Context) {
 	if err := n.config.Boot(ctx, n.peers); err != nil {
@@ -229,7 +247,9 @@
 	defer cancel()
 	s.callers.Close()
 	for _, server := range s.all {
-		_ = server.Shutdown(ctx)
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
 	}
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -94,6 +94,8 @@
 		Owner:      n.keeper,
 		Settling:   n.settling,
 		Covered:    n.covered,
+		Opaque:     n.announced(),
+		RetryBurst: n.settings.RetryBurst,
 		RetryShare: n.retryShare,
 		Moved:      n.members.Kick,
 	}
@@ -137,7 +139,7 @@
 
 func (n *Node) inward() *filter.Inward {
 	host, _, _ := net.SplitHostPort(n.settings.TargetAddress)
-	return &filter.Inward{
+	inward := &filter.Inward{
 		Clock:      n.clock,
 		Metrics:    n.metrics,
 		Log:        n.log.Named("filter"),
@@ -146,6 +148,14 @@
 		TargetHost: host,
 		Allows:     n.sender.Allows,
 	}
+	if n.announced() {
+		// Where calls do not name the request that they are made for, their floors
+		// say nothing at the entry of it; the throttle goes by how requests end.
+		inward.Admits = n.sender.Admits
+		inward.Ended = n.sender.Ended
+		inward.Inner = n.sender.Inner
+	}
+	return inward
 }
 
 // levels returns the known floors along the chain of a kind.
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -100,7 +100,7 @@
 // active, because before that it may not know the owners of keys, and none after
 // a freeze that outlasted its lease, until it has learned what is in force now.
 func (n *Node) inForce() *filter.Rules {
-	if !n.active.Load() || !n.members.Ready() {
+	if !n.active.Load() || n.closed.Load() || !n.members.Ready() {
 		return nil
 	}
 	return n.rules.Load()
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -46,8 +46,14 @@
 	// RetryShare is the most that repeats may add to the calls of a service where
 	// its declaration does not say; 0 stands for the declaration's default.
 	RetryShare float64
+	// RetryBurst is how many repeats to a service the node saves up at most; 0
+	// stands for the default.
+	RetryBurst int
 	// MemoryBytes bounds what the node holds for calls and records together.
 	MemoryBytes int64
+	// Reloads brings the settings anew each time the file was read again; nil when
+	// nobody reads it again. It is no key of the file.
+	Reloads <-chan *Node
 }
 
 // logLevel is the index of a level in logLevels.
@@ -57,6 +63,7 @@
 const (
 	minTokenLetters = "16"
 	maxDrainTimeout = time.Hour
+	maxRetryBurst   = 1000
 	// minMemoryBytes and defaultMemory follow from 121 calls/s with answers of
 	// 512 bytes, one in ten with a key, see docs/CAPACITY.md: the default holds
 	// all records inside 64 MB a node, and the least refuses no call, though it
@@ -132,6 +139,7 @@
 		{Key: "operator_token", Read: token(&n.OperatorToken)},
 		{Key: "log_level", Read: level(&n.LogLevel)},
 		{Key: "retry_share", Read: place.Float(&n.RetryShare, 0, 1)},
+		{Key: "retry_burst", Read: place.Int(&n.RetryBurst, 1, maxRetryBurst)},
 		{Key: "drain_timeout", Read: place.Duration(&n.DrainTimeout, 0, maxDrainTimeout)},
 		{Key: "memory_bytes", Read: place.Size(&n.MemoryBytes, minMemoryBytes, maxMemoryBytes)},
 	}
