--- a/internal/admit/throttle.go
+++ b/internal/admit/throttle.go
@@ -24,20 +24,32 @@
 	lateWeight = 0.5
 	// spareGoodput lets in a little more than what ends well, to see whether more does.
 	spareGoodput = 1.1
-	// maxCut bounds how far a share falls in one period.
-	maxCut = 0.5
+	// maxCut bounds how far a share falls at a time, and cutHold is how long it then
+	// stays, because what was let in before ends up to a second later.
+	maxCut  = 0.6
+	cutHold = 600 * time.Millisecond
 	// shieldCut is the cut of a less important kind that fails together with a
 	// more important one.
 	shieldCut = 0.7
 	// togetherFor is how long a kind that failed counts as sharing a bottleneck
 	// with one that fails.
 	togetherFor = 4 * time.Second
+	// A cut to helpShare of what it was has to raise the share of good ends by
+	// helpGain. If it does not, the failures have another cause than load, and the
+	// kind is not cut for helplessFor.
+	helpShare   = 0.5
+	helpGain    = 0.1
+	helplessFor = 3 * time.Second
+	// shieldTrial is the time in which less important kinds have to help.
+	shieldTrial = 2 * time.Second
 	// minShare keeps a few requests going, which show when the bottleneck is gone.
 	minShare = 0.05
-	// A share grows by shareGrowth and shareStep with each period, from the least
+	// A share grows by growStep with each period in which the kind does well, twice
+	// as much after each growPeriods of them, and by maxGrow at most: from the least
 	// to all in three seconds.
-	shareGrowth = 0.15
-	shareStep   = 0.02
+	growStep    = 0.01
+	growPeriods = 4
+	maxGrow     = 0.1
 )
 
 type (
@@ -68,6 +80,24 @@
 		good       float64
 		bad        float64
 		failedAt   time.Time
+		cutAt      time.Time
+		// before is how the kind did when its cuts began.
+		before trial
+		// shield is how the kind did when others began to be cut for it.
+		shield trial
+		// well counts the periods in a row in which the kind did well.
+		well int
+	}
+
+	// trial is a measure that has to help.
+	trial struct {
+		since time.Time
+		// good is the share of good ends, and share that of the requests let in, at
+		// its beginning.
+		good  float64
+		share float64
+		// helplessUntil is set when the measure did not help.
+		helplessUntil time.Time
 	}
 )
 
@@ -163,74 +193,109 @@
 // set sets the share of every kind, the least important first.
 func (t *Throttle) set(now time.Time) {
 	kinds := make([]*throttled, 0, len(t.kinds))
-	failing := 0
 	for _, k := range t.kinds {
 		kinds = append(kinds, k)
-		if k.failing() {
-			k.failedAt = now
-			failing++
-		}
-	}
-	if failing == 0 {
-		for _, k := range kinds {
-			k.grow()
-		}
-		return
+		k.look(now)
 	}
 	slices.SortFunc(kinds, func(a, b *throttled) int { return cmp.Compare(a.importance, b.importance) })
 	for i, k := range kinds {
 		switch {
-		case shields(now, kinds[i+1:], k):
+		case givesWay(now, kinds[i+1:], k):
 			k.share = max(minShare, k.share*shieldCut)
+			k.well = 0
 		case !k.failing():
 			k.grow()
-		case shielded(now, kinds[:i], k):
-			// A less important kind is cut for this one.
+		case hasShield(now, kinds[:i], k):
+			// Less important kinds are cut for this one.
 		default:
-			k.cut()
+			k.cut(now)
 		}
 	}
 }
 
-// shields says whether a kind is to give way to a more important one that fails
+// look notes whether the kind fails, and whether what is done about it helps.
+func (k *throttled) look(now time.Time) {
+	if !k.failing() {
+		if k.well >= growPeriods {
+			k.before.since = time.Time{}
+			k.shield.since = time.Time{}
+		}
+		return
+	}
+	k.failedAt = now
+	if k.shield.since.IsZero() {
+		k.shield = trial{since: now, good: k.goodShare(), helplessUntil: k.shield.helplessUntil}
+	}
+	if now.Sub(k.shield.since) >= shieldTrial && k.goodShare() < k.shield.good+helpGain {
+		k.shield = trial{helplessUntil: now.Add(helplessFor)}
+	}
+}
+
+// givesWay says whether a kind is cut for a more important one that fails
 // together with it.
-func shields(now time.Time, above []*throttled, k *throttled) bool {
-	if k.failedAt.IsZero() || now.Sub(k.failedAt) > togetherFor {
+func givesWay(now time.Time, above []*throttled, k *throttled) bool {
+	if !k.failedLately(now) {
 		return false
 	}
 	for _, other := range above {
-		if other.importance > k.importance && other.failing() {
+		if other.importance > k.importance && other.failing() && now.After(other.shield.helplessUntil) {
 			return true
 		}
 	}
 	return false
 }
 
-// shielded says whether a less important kind can still give way.
-func shielded(now time.Time, below []*throttled, k *throttled) bool {
+// hasShield says whether a less important kind can still give way.
+func hasShield(now time.Time, below []*throttled, k *throttled) bool {
+	if !now.After(k.shield.helplessUntil) {
+		return false
+	}
 	for _, other := range below {
-		together := !other.failedAt.IsZero() && now.Sub(other.failedAt) <= togetherFor
-		if other.importance < k.importance && together && other.share > minShare {
+		if other.importance < k.importance && other.failedLately(now) && other.share > minShare {
 			return true
 		}
 	}
 	return false
 }
 
+func (k *throttled) failedLately(now time.Time) bool {
+	return !k.failedAt.IsZero() && now.Sub(k.failedAt) <= togetherFor
+}
+
 func (k *throttled) failing() bool {
 	ends := k.good + k.bad
 	return ends >= minEnds && k.bad > failAbove*ends
 }
 
-// cut lets in what ends well and a little more.
-func (k *throttled) cut() {
+func (k *throttled) goodShare() float64 {
+	return k.good / max(k.good+k.bad, 1)
+}
+
+// cut lets in what ends well and a little more, as long as that helps.
+func (k *throttled) cut(now time.Time) {
+	k.well = 0
+	if !now.After(k.before.helplessUntil) || now.Sub(k.cutAt) < cutHold {
+		return
+	}
+	if k.before.since.IsZero() {
+		k.before = trial{since: now, good: k.goodShare(), share: k.share}
+	}
+	if k.share <= helpShare*k.before.share && k.goodShare() < k.before.good+helpGain {
+		k.share = k.before.share
+		k.before = trial{helplessUntil: now.Add(helplessFor)}
+		return
+	}
+	k.cutAt = now
 	wanted := spareGoodput * k.good / max(k.offered, 1)
 	k.share = max(minShare, k.share*maxCut, min(k.share, wanted))
 }
 
 func (k *throttled) grow() {
 	if ends := k.good + k.bad; ends >= minEnds && k.bad > wellBelow*ends {
+		k.well = 0
 		return
 	}
-	k.share = min(1, k.share*(1+shareGrowth)+shareStep)
+	step := growStep * math.Exp2(float64(k.well/growPeriods))
+	k.well++
+	k.share = min(1, k.share+min(step, maxGrow))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -55,9 +54,9 @@
 	// Opaque is set where it is not seen which calls a target makes for which
 	// call. No retry tokens are lent then, because nobody could spend them.
 	Opaque bool
-	// RetryBurst is how many repeats a service allows before any call of it has
-	// completed.
-	RetryBurst int
+	// RetryRule bounds the repeats of this node to each service where all nodes
+	// share one budget; nil stands for the allowance by completed calls.
+	RetryRule func() budget.Rule
 	// RetryShare returns the declared share of repeats at a service.
 	RetryShare func(service string) float64
 	// Moved is called when an attempt shows that the view of members or plans
@@ -76,6 +75,8 @@
 type service struct {
 	table     *route.Table
 	allowance *budget.Allowance
+	// window takes the place of the allowance where the sender has a RetryRule.
+	window *budget.Window
 	// share is the declared share that the allowance was made with.
 	share   float64
 	targets map[string]route.Target
@@ -83,9 +84,9 @@
 }
 
 const (
-	// RetryBurst is what Sender.RetryBurst is where no budget is set for all
-	// nodes together.
-	RetryBurst = 10
+	// retryBurst is how many repeats a service allows before any call of it
+	// has completed.
+	retryBurst = 10
 	// latencyWeight is the weight of a new reading in the smoothed latency.
 	latencyWeight = 0.2
 )
@@ -95,7 +96,6 @@
 	s.services = map[string]*service{}
 	s.door = door
 	s.throttle = admit.NewThrottle()
-	s.RetryBurst = cmp.Or(s.RetryBurst, RetryBurst)
 	s.inner = map[string]bool{}
 }
 
@@ -112,13 +112,6 @@
 	return s.throttle.Share(kind.Name), ok
 }
 
-// Inner says whether a kind is known to be called by targets and not by callers.
-func (s *Sender) Inner(kind string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.inner[kind]
-}
-
 // Ended takes in how a request that was let in ended, for the throttle.
 func (s *Sender) Ended(kind *schema.Kind, code result.Code, took time.Duration) {
 	s.mu.Lock()
@@ -206,6 +199,7 @@
 
 // Send carries a call to its end: complete, not run, or unknown.
 func (s *Sender) Send(ctx context.Context, c *call.Call) *call.Answer {
+	s.requested(c)
 	sending := &sending{sender: s, call: c, tried: map[string]bool{}}
 	return sending.run(ctx)
 }
@@ -218,19 +212,22 @@
 			table:   route.New(s.Route),
 			targets: map[string]route.Target{},
 		}
-		known.declare(s.RetryShare(name), s.RetryBurst)
+		known.declare(s.RetryShare(name))
+		if s.RetryRule != nil {
+			known.window = budget.NewWindow(s.RetryRule())
+		}
 		s.services[name] = known
 	}
 	return known
 }
 
 // declare makes a new allowance when another share of repeats is declared.
-func (s *service) declare(share float64, burst int) {
+func (s *service) declare(share float64) {
 	if s.allowance != nil && s.share == share {
 		return
 	}
 	s.share = share
-	s.allowance = budget.NewAllowance(share, burst)
+	s.allowance = budget.NewAllowance(share, retryBurst)
 }
 
 // choose picks the target of the next attempt. A keyed call of a kind that may
@@ -331,6 +328,33 @@
 	}
 }
 
+// requested counts a request for its service.
+func (s *Sender) requested(c *call.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.service(c.Kind.Service); known.window != nil {
+		known.window.Request(s.Clock.Now())
+	}
+}
+
+// mayRepeatShared is mayRepeat where all nodes share one budget of repeats.
+func (s *Sender) mayRepeatShared(c *call.Call, mayHaveRun bool, delay time.Duration) bool {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.service(c.Kind.Service)
+	known.window.SetRule(s.RetryRule())
+	if !budget.Worthwhile(now, c.Deadline, delay, known.latency) {
+		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
+		return false
+	}
+	if !known.window.TryRepeat(now, mayHaveRun) {
+		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "budget").Inc()
+		return false
+	}
+	return true
+}
+
 // mayRepeat says whether the service's allowance and the time left admit one
 // more repeat after a delay. An attempt that reached no target was no load to
 // the service, so that the next one is not taken from its allowance.
@@ -339,7 +363,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.service(c.Kind.Service)
-	known.declare(s.RetryShare(c.Kind.Service), s.RetryBurst)
+	known.declare(s.RetryShare(c.Kind.Service))
 	if !budget.Worthwhile(now, c.Deadline, delay, known.latency) {
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
 		return false
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -49,6 +49,8 @@
 	// ownerQuestions is how often it is looked for another owner of a key
 	// while the owner is being replaced.
 	ownerQuestions = 15
+	// maxShedRepeats is how often a call is tried again after a target shed it.
+	maxShedRepeats = 4
 	// maxMoves is how often a call goes on to another target that it has not
 	// reached yet.
 	maxMoves = 3
@@ -85,8 +87,8 @@
 	if ctx.Err() != nil || !s.repeatable(ctx, answer.Code) {
 		return false
 	}
-	if s.sender.Opaque && unsent(answer.Code) {
-		return s.move()
+	if s.sender.RetryRule != nil {
+		return s.againShared(ctx, answer.Code)
 	}
 	delay := s.sender.Backoff.Delay(s.repeats)
 	if !s.sender.mayRepeat(s.call, answer.Code, delay) {
@@ -98,6 +100,10 @@
 	}
 	s.repeats++
 	s.sender.Metrics.Retries.WithLabelValues(s.call.Kind.Service, answer.Code.String()).Inc()
+	return s.wait(ctx, delay)
+}
+
+func (s *sending) wait(ctx context.Context, delay time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
@@ -106,6 +112,46 @@
 	}
 }
 
+// againShared is again where all nodes share one budget of repeats. A call that
+// was not sent to a target moves on for nothing. One that a target shed has not
+// run, and may try several; one that may have run costs a retry token too.
+func (s *sending) againShared(ctx context.Context, code result.Code) bool {
+	if unsent(code) {
+		return s.move()
+	}
+	shed := code == result.TargetShed
+	if shed && s.repeats >= maxShedRepeats {
+		return false
+	}
+	delay := s.sender.Backoff.Delay(s.repeats)
+	if shed {
+		delay = s.afterShed()
+	}
+	if !s.sender.mayRepeatShared(s.call, !shed, delay) {
+		return false
+	}
+	if !shed && !s.call.Tokens.Spend() {
+		s.sender.Metrics.RetriesDenied.WithLabelValues(s.call.Kind.Service, "tokens").Inc()
+		return false
+	}
+	s.repeats++
+	s.sender.Metrics.Retries.WithLabelValues(s.call.Kind.Service, code.String()).Inc()
+	return s.wait(ctx, delay)
+}
+
+// afterShed lets the call try targets again once all have shed it, and returns
+// the wait before that: none while there is another target.
+func (s *sending) afterShed() time.Duration {
+	s.sender.mu.Lock()
+	targets := len(s.sender.service(s.call.Kind.Service).targets)
+	s.sender.mu.Unlock()
+	if len(s.tried) < targets {
+		return 0
+	}
+	clear(s.tried)
+	return s.sender.Backoff.Delay(1)
+}
+
 // move goes on to another target at once after one that the call did not reach.
 // That is no repeat, as nothing was sent to a target, but it is bounded: each
 // move costs the nodes a message.
@@ -131,7 +177,9 @@
 // repeatable says whether a call that ended with a code may be sent again.
 func (s *sending) repeatable(ctx context.Context, code result.Code) bool {
 	switch code {
-	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetShed, result.TargetStopped, result.MemoryBound:
+	case result.TargetShed:
+		return s.sender.RetryRule != nil || s.elsewhere()
+	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetStopped, result.MemoryBound:
 		// The service is overloaded: only another target may take the call,
 		// and only while the service as a whole does not refuse its order.
 		return s.elsewhere()
--- a/internal/entry/unreached_test.go
+++ b/internal/entry/unreached_test.go
@@ -44,11 +44,11 @@
 	is := is.New(t)
 	b := newBed(t)
 	c := order()
-	for range 2 * RetryBurst {
+	for range 2 * retryBurst {
 		is.True(b.sender.mayRepeat(c, result.Unreachable, 0))
 	}
 	// The last of the burst has faded by a little.
-	for range RetryBurst - 1 {
+	for range retryBurst - 1 {
 		is.True(b.sender.mayRepeat(c, result.Overloaded, 0))
 	}
 	is.True(!b.sender.mayRepeat(c, result.Overloaded, 0))
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -45,15 +45,12 @@
 	Serving func(handle string) (*call.Serving, bool)
 	// TargetHost is the IP number from which context handles are accepted.
 	TargetHost string
-	// Allows asks the door about all services of a chain.
+	// Allows asks the door about all services of a chain; nil lets all pass.
 	Allows func(services []string, order uint32) (string, bool)
 	// Admits says whether a new request of a kind is let in, and which share of
 	// them is; Ended is told how one that was let in ended. Nil lets all in.
 	Admits func(kind *schema.Kind) (share float64, ok bool)
 	Ended  func(kind *schema.Kind, code result.Code, took time.Duration)
-	// Inner says whether a kind is called by targets and not by callers, so that
-	// work has been done for it already; may be nil.
-	Inner func(kind string) bool
 }
 
 // Headers of callers' requests and of the answers to them.
@@ -251,7 +248,7 @@
 		refused.Admitted = share
 		return refused
 	}
-	if c.Parent == nil && (f.Inner == nil || !f.Inner(c.Kind.Name)) {
+	if c.Parent == nil && f.Allows != nil {
 		services := f.Rules().Chain(c.Kind.Name)
 		order := admit.Order(c.Importance, c.Position)
 		if service, ok := f.Allows(services, order); !ok {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -37,8 +37,8 @@
 	fullPerMember = 25 * time.Millisecond
 	fullInterval  = time.Second
 
-	// lapsedShare is the share of rounds that ask a lapsed member, at most; it
-	// falls with lapsedRate/n, so that n nodes do not flood one address.
+	// lapsedShare is the share of rounds that ask a lapsed member, or one that went
+	// a short while ago, at most; it falls with lapsedRate/n, so that n nodes do not flood one address.
 	lapsedShare = 0.1
 	lapsedRate  = 3.0
 
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -186,8 +186,9 @@
 	if second := c.choose(wide); second != addresses[0] {
 		addresses = append(addresses, second)
 	}
-	if lapsed := c.view.Lapsed(); len(lapsed) > 0 && c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
-		addresses = append(addresses, lapsed[c.index(len(lapsed))].RelayAddress)
+	absent := append(c.view.Lapsed(), c.view.Left(c.Clock.Now())...)
+	if len(absent) > 0 && c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
+		addresses = append(addresses, absent[c.index(len(absent))].RelayAddress)
 	}
 	return addresses
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -21,6 +21,8 @@
 	// goneSent is how long a Gone row is handed on, half of goneKept so that
 	// nodes do not keep refreshing it in each other.
 	goneSent = goneKept / 2
+	// returnTime is how long a member that went is looked for at its address.
+	returnTime = time.Minute
 	// lapsedKept is how long a lapsed member stays in the table.
 	lapsedKept = 10 * time.Minute
 	// deltaRows bounds the rows of one message.
--- a/internal/member/presence.go
+++ b/internal/member/presence.go
@@ -103,6 +103,19 @@
 	return rows
 }
 
+// Left returns the members that went a short while ago, by name. A node that
+// starts again on the same address while the platform is down knows nobody.
+func (v *View) Left(now time.Time) []Member {
+	var rows []Member
+	for _, e := range v.entries {
+		if e.row.State == Gone && now.Sub(e.gone) < returnTime {
+			rows = append(rows, e.row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return rows
+}
+
 // Expired returns a lapsed member whose lease row should be deleted from the
 // table, and the version at which to delete it. Only the node with the first
 // name does so, which keeps 530 nodes from writing the same.
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -30,6 +30,14 @@
 	// backoffBase and backoffMax bound the wait before a repeat.
 	backoffBase = 25 * time.Millisecond
 	backoffMax  = 500 * time.Millisecond
+	// ownShare is the part of the budget of repeats that a node takes for the
+	// requests that it sent, runShare that for repeats of calls that may have run,
+	// and slackShare the part of the fixed slack that all nodes together take.
+	// The rest covers what the nodes do not see: windows that lie otherwise, and
+	// calls that are made again by a call that ran again.
+	ownShare   = 0.7
+	runShare   = 0.15
+	slackShare = 0.5
 	// bookShare is the share of a node's memory for records of attempts.
 	bookShare = 4
 )
@@ -95,14 +103,26 @@
 		Settling:   n.settling,
 		Covered:    n.covered,
 		Opaque:     n.announced(),
-		RetryBurst: n.settings.RetryBurst,
 		RetryShare: n.retryShare,
 		Moved:      n.members.Kick,
 	}
+	if n.settings.RetryWindow > 0 {
+		s.RetryRule = n.retryRule
+	}
 	s.Init(admit.NewDoor())
 	return s
 }
 
+// retryRule is this node's part of the budget of repeats that all nodes share.
+func (n *Node) retryRule() budget.Rule {
+	return budget.Rule{
+		Share:    n.settings.RetryShare * ownShare,
+		RunShare: n.settings.RetryShare * runShare,
+		Slack:    float64(n.settings.RetrySlack) * slackShare / float64(max(len(n.members.All()), 1)),
+		Span:     n.settings.RetryWindow,
+	}
+}
+
 func (n *Node) newLocal() *local.Server {
 	n.held = local.NewHeld(func() int64 { return n.limits().HeldBytes })
 	service := schema.DefaultService()
@@ -153,7 +173,7 @@
 		// say nothing at the entry of it; the throttle goes by how requests end.
 		inward.Admits = n.sender.Admits
 		inward.Ended = n.sender.Ended
-		inward.Inner = n.sender.Inner
+		inward.Allows = nil
 	}
 	return inward
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -46,9 +46,11 @@
 	// RetryShare is the most that repeats may add to the calls of a service where
 	// its declaration does not say; 0 stands for the declaration's default.
 	RetryShare float64
-	// RetryBurst is how many repeats to a service the node saves up at most; 0
-	// stands for the default.
-	RetryBurst int
+	// RetryWindow and RetrySlack make RetryShare a budget that all nodes share: in
+	// any window the repeats that reach a service stay below its share of the
+	// requests plus the slack. 0 stands for a budget of each node.
+	RetryWindow time.Duration
+	RetrySlack  int
 	// MemoryBytes bounds what the node holds for calls and records together.
 	MemoryBytes int64
 	// Reloads brings the settings anew each time the file was read again; nil when
@@ -63,7 +65,8 @@
 const (
 	minTokenLetters = "16"
 	maxDrainTimeout = time.Hour
-	maxRetryBurst   = 1000
+	minRetryWindow  = time.Second
+	maxRetrySlack   = 1_000_000
 	// minMemoryBytes and defaultMemory follow from 121 calls/s with answers of
 	// 512 bytes, one in ten with a key, see docs/CAPACITY.md: the default holds
 	// all records inside 64 MB a node, and the least refuses no call, though it
@@ -139,7 +142,8 @@
 		{Key: "operator_token", Read: token(&n.OperatorToken)},
 		{Key: "log_level", Read: level(&n.LogLevel)},
 		{Key: "retry_share", Read: place.Float(&n.RetryShare, 0, 1)},
-		{Key: "retry_burst", Read: place.Int(&n.RetryBurst, 1, maxRetryBurst)},
+		{Key: "retry_window", Read: place.Duration(&n.RetryWindow, minRetryWindow, time.Hour)},
+		{Key: "retry_slack", Read: place.Int(&n.RetrySlack, 0, maxRetrySlack)},
 		{Key: "drain_timeout", Read: place.Duration(&n.DrainTimeout, 0, maxDrainTimeout)},
 		{Key: "memory_bytes", Read: place.Size(&n.MemoryBytes, minMemoryBytes, maxMemoryBytes)},
 	}
