Boot from peers while the platform is silent, and use leaving targets as the last resort

A restarted node waited 1.5 s for the store before it asked a peer, twice, and was out for 3.5 s; its target could take work all the while. Peers are asked after 0.2 s now, an unready node exchanges three times as often, and where all targets of a service leave, calls go on to one of them.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,9 @@
 	// answer. While the platform is down no lease runs out, so a dead host is
 	// still among the peers and must not keep others from starting.
 	bootPatience = 10 * time.Second
+	// bootHeadStart is the mean time that the platform has to answer before peers
+	// are asked; it takes some milliseconds.
+	bootHeadStart = 200 * time.Millisecond
 	// bootInterval is the mean wait between two attempts to boot.
 	bootInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation on the platform while nodes follow it.
@@ -218,25 +221,47 @@
 	return resp
 }
 
-// Boot learns the revision in force before the node takes work. It tries
-// BootOnce until that succeeds or the context ends. The function peers returns
-// relay addresses, none while none are known.
+// Boot learns the revision in force before the node takes work, or returns with
+// the context. It asks the platform, and peers as soon as that takes long. The
+// function peers returns relay addresses, none while none are known.
 func (c *Controller) Boot(ctx context.Context, peers func() []string) error {
 	start := c.clock.Now()
+	polls := make(chan error, 1)
+	polling := false
 	for {
-		patient := c.clock.Now().Sub(start) < bootPatience
-		err := c.BootOnce(ctx, peers(), patient)
-		if err == nil {
-			return nil
+		if !polling {
+			polling = true
+			go func() { polls <- c.Poll(ctx) }()
 		}
+		var storeErr error = NoRevision.New("the platform has not answered yet")
 		select {
-		case <-c.clock.After(c.jitter(bootInterval)):
+		case storeErr = <-polls:
+			polling = false
+			if storeErr == nil {
+				return nil
+			}
+		case <-c.clock.After(c.jitter(bootHeadStart)):
 		case <-ctx.Done():
-			return err
+			return ctx.Err()
+		}
+		patient := c.clock.Now().Sub(start) < bootPatience
+		if c.bootFromPeers(ctx, peers(), patient, storeErr) == nil {
+			return nil
+		}
+		if !polling {
+			c.pauseBoot(ctx)
 		}
 	}
 }
 
+// pauseBoot waits before a platform that failed is asked again.
+func (c *Controller) pauseBoot(ctx context.Context) {
+	select {
+	case <-c.clock.After(c.jitter(bootInterval)):
+	case <-ctx.Done():
+	}
+}
+
 // BootOnce learns the revision in force from the platform if it answers, else
 // the highest of several peers: three, or all when fewer are known. It returns
 // NoRevision if too few could tell. A platform that answers that there is no
@@ -247,6 +272,10 @@
 	if storeErr == nil {
 		return nil
 	}
+	return c.bootFromPeers(ctx, peers, patient, storeErr)
+}
+
+func (c *Controller) bootFromPeers(ctx context.Context, peers []string, patient bool, storeErr error) error {
 	heard := c.askPeers(ctx, peers)
 	enough := 1
 	if patient {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -16,6 +16,8 @@
 const (
 	// roundInterval is the mean time between two rounds of a node.
 	roundInterval = 300 * time.Millisecond
+	// unreadyInterval takes its place while the node is not ready.
+	unreadyInterval = 100 * time.Millisecond
 	// roundPeers is how many members a round exchanges with.
 	roundPeers = 2
 	// sendTimeout bounds one exchange.
@@ -149,7 +151,7 @@
 	for ctx.Err() == nil {
 		c.Round(ctx)
 		select {
-		case <-c.Clock.After(c.jitter(roundInterval)):
+		case <-c.Clock.After(c.jitter(c.interval())):
 		case <-c.kick:
 		case <-ctx.Done():
 		}
@@ -157,6 +159,17 @@
 	loops.Wait()
 }
 
+// interval is the mean time to the next round. A node that is not ready has to
+// hear several others before it takes work, and goes round faster.
+func (c *Controller) interval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ready {
+		return roundInterval
+	}
+	return unreadyInterval
+}
+
 // Kick asks for a round at once.
 func (c *Controller) Kick() {
 	signal(c.kick)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -51,8 +51,8 @@
 		n.members.Kick()
 	}
 	n.pause(ctx, n.leaveGrace()-n.clock.Now().Sub(started))
-	n.local.RefuseNew()
 	n.awaitLull(ctx, started, timeout)
+	n.local.RefuseNew()
 	n.closed.Store(true)
 	if !n.quiet(end.Sub(n.clock.Now())) {
 		n.log.Warn("drain_timed_out", "after", timeout)
--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -97,13 +97,16 @@
 }
 
 // pick chooses from the open tiers: a target that is due for its trial call,
-// or else the less loaded of two drawn at random.
+// or else the less loaded of two drawn at random. Where all targets leave, as
+// when their nodes are restarted one after the other, it chooses one of these.
 func (t *Table) pick(now time.Time, open int, not map[string]bool) *entry {
-	var usable, ejected []*entry
+	var usable, ejected, leaving []*entry
 	for _, tier := range t.tiers[:open] {
 		for _, e := range tier {
 			switch {
-			case e.target.Leaving || not[e.target.Name]:
+			case not[e.target.Name]:
+			case e.target.Leaving:
+				leaving = append(leaving, e)
 			case e.dueForTrial(now):
 				return e
 			case e.usable():
@@ -116,6 +119,10 @@
 	if t.fewUsable() {
 		usable = append(usable, ejected...)
 	}
+	if len(usable)+len(ejected) == 0 && open == len(t.tiers) {
+		// One that leaves may still take a call, and says so if it does not.
+		usable = leaving
+	}
 	return t.lessLoaded(now, usable)
 }
 
