Hold back as much as the pressure of full services asks for

Nodes now hand the highest pressure below a target up with each answer; it says how much is held back, and the ends of requests only which kinds meet it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,8 +67,9 @@
 	services map[string]*service
 	door     *admit.Door
 	throttle *admit.Throttle
-	// inner holds the kinds that targets call and callers do not.
-	inner map[string]bool
+	// inner holds the kinds that targets call and callers do not, with the time of
+	// the last call that entered here: it was the target's beside this node.
+	inner map[string]time.Time
 }
 
 // service is what a sender knows of one service.
@@ -87,6 +88,9 @@
 	// retryBurst is how many repeats a service allows before any call of it
 	// has completed.
 	retryBurst = 10
+	// innerFresh is how long a call of the target shows that it makes such calls.
+	innerFresh = 2 * time.Second
+	permille   = 1000
 	// latencyWeight is the weight of a new reading in the smoothed latency.
 	latencyWeight = 0.2
 )
@@ -96,7 +100,7 @@
 	s.services = map[string]*service{}
 	s.door = door
 	s.throttle = admit.NewThrottle()
-	s.inner = map[string]bool{}
+	s.inner = map[string]time.Time{}
 }
 
 // Admits says whether a new request of a kind is let in, going by how the ones
@@ -105,7 +109,7 @@
 func (s *Sender) Admits(kind *schema.Kind) (share float64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inner[kind.Name] {
+	if _, inner := s.inner[kind.Name]; inner {
 		return 1, true
 	}
 	ok = s.throttle.Offer(s.Clock.Now(), kind.Name, kind.Importance, s.Route.Random())
@@ -301,14 +305,34 @@
 	s.door.Learn(s.Clock.Now(), service, node, floor, 0)
 }
 
-func (s *Sender) learnInner(kind string, inner bool) {
+// learnPressure takes in what an answer says of the services that a kind leads to.
+func (s *Sender) learnPressure(kind *schema.Kind, response *relaypb.CarryResponse) {
+	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if inner {
-		s.inner[kind] = true
-		return
+	delete(s.inner, kind.Name)
+	if response.Inner {
+		s.inner[kind.Name] = now
+	}
+	s.throttle.Press(now, kind.Name, admit.Pressure{
+		Own:   s.service(kind.Service).table.Pressure(now),
+		Below: float64(response.BelowPermille) / permille,
+	})
+}
+
+// Below returns the highest pressure of the services that the target beside this
+// node calls.
+func (s *Sender) Below() float64 {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	highest := 0.0
+	for kind, called := range s.inner {
+		if now.Sub(called) < innerFresh {
+			highest = max(highest, s.throttle.Pressure(now, kind))
+		}
 	}
-	delete(s.inner, kind)
+	return highest
 }
 
 // calm says whether the requests of a kind mostly end well.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -270,7 +270,6 @@
 // take checks an answer and learns from it.
 func (s *sending) take(target route.Target, request *relaypb.CarryRequest, response *relaypb.CarryResponse, took time.Duration, loan *budget.Loan) *call.Answer {
 	s.sender.learn(response.Levels)
-	s.sender.learnInner(s.call.Kind.Name, response.Inner)
 	code := s.entryCode(result.Code(response.Code))
 	report := route.Report{Outcome: outcome(code), Latency: took}
 	if response.Below {
@@ -284,6 +283,9 @@
 		report.Leaving = load.Leaving
 	}
 	s.sender.ended(s.call, target, report)
+	if s.sender.Opaque {
+		s.sender.learnPressure(s.call.Kind, response)
+	}
 	if !s.whole(request, response) {
 		// A foreign or damaged answer says nothing of this attempt; the loan
 		// is forfeited with it.
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -55,6 +55,9 @@
 	// or the code of the refusal. Nil stands for targets that do not announce
 	// themselves.
 	Admits func(targetID string) result.Code
+	// Below returns the highest pressure of the services that the target calls; nil
+	// where that is not known.
+	Below func() float64
 }
 
 // Server runs attempts at the target beside this node. One lock guards the
@@ -87,6 +90,7 @@
 	idlePeriod = 50 * time.Millisecond
 	// forgetPeriod is how often old records are dropped.
 	forgetPeriod = time.Second
+	permille     = 1000
 	// abandonAfter is how long a safe call goes on with nobody waiting for
 	// it: long enough for a sender whose connection broke to ask for it, and short
 	// enough that the target stops work soon after a caller has left.
@@ -329,6 +333,8 @@
 	defer s.mu.Unlock()
 	now := s.settings.Clock.Now()
 	s.origins.fade()
+	load := s.settings.Gate.Load(now)
+	s.settings.Log.Debug("gate_load", "in_flight", load.InFlight, "limit", load.Limit, "queued", load.Queued, "cold", load.Cold)
 	s.settings.Book.Forget(now)
 	s.settings.Ledger.Forget(now)
 	bytes := s.settings.Book.Stats().Bytes + s.settings.Ledger.Stats().Bytes
@@ -409,9 +415,14 @@
 func (s *Server) dress(request *relaypb.CarryRequest, answer *relaypb.CarryResponse) *relaypb.CarryResponse {
 	now := s.settings.Clock.Now()
 	levels := s.settings.Levels(now, request.Kind)
+	below := uint32(0)
+	if s.settings.Below != nil {
+		below = uint32(permille * s.settings.Below())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := s.settings.Gate.Load(now)
+	answer.BelowPermille = below
 	answer.AttemptId = request.AttemptId
 	answer.Inner = s.settings.Admits != nil && s.origins.inner(request.Kind)
 	answer.Revision = s.settings.Revision()
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -110,12 +110,17 @@
 	return nil
 }
 
+// queueFactor is how many calls may wait for each slot of a target that announced
+// itself. The time that a call may wait bounds the queue more tightly where calls
+// take long.
+const queueFactor = 3
+
 // announcedSettings are the gate's settings for a target that announced itself.
 func (n *Node) announcedSettings(target beat.Target) admit.Settings {
 	settings := n.gateSettings(n.declared(n.settings.Service))
 	if target.Slots > 0 {
 		settings.Slots = target.Slots
-		settings.Queue = target.Slots
+		settings.Queue = queueFactor * target.Slots
 	}
 	settings.Opaque = true
 	settings.Started = target.Heard
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,9 +81,9 @@
 	readHeaderTimeout = 5 * time.Second
 	// closeTimeout bounds the closing of the listeners after the drain.
 	closeTimeout = 200 * time.Millisecond
-	// gcPercent lets the heap grow by half before it is collected. A node has a
+	// gcPercent lets the heap grow by three tenths before it is collected. A node has a
 	// tight budget of memory and uses little of its processor time.
-	gcPercent = 50
+	gcPercent = 30
 )
 
 // Run runs a node until the context ends, and then drains it.
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -130,14 +130,17 @@
 	target := local.NewTarget(n.settings.TargetAddress, service.Connections, n.held)
 	target.Wire = n.doors.Target
 	var admits func(targetID string) result.Code
+	var below func() float64
 	if n.announced() {
 		admits = n.admits
+		below = n.sender.Below
 	}
 	return local.New(local.Settings{
 		Incarnation: n.incarnation,
 		Service:     n.settings.Service,
 		Target:      target,
 		Admits:      admits,
+		Below:       below,
 		Clock:       n.clock,
 		Metrics:     n.metrics,
 		Log:         n.log.Named("local"),
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -170,6 +170,23 @@
 	e.restore()
 }
 
+// Pressure returns the work that the targets have over what they take on at the
+// same time, by what they reported; 0 while nothing is known.
+func (t *Table) Pressure(now time.Time) float64 {
+	load, limit := 0.0, 0.0
+	for _, e := range t.entries {
+		if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportValid || e.target.Leaving {
+			continue
+		}
+		load += float64(e.reported)
+		limit += e.limit()
+	}
+	if limit == 0 {
+		return 0
+	}
+	return load / limit
+}
+
 // Targets returns the state of all targets, ordered by name.
 func (t *Table) Targets(now time.Time) []State {
 	states := make([]State, 0, len(t.entries))
