--- a/internal/ahead/read.go
+++ b/internal/ahead/read.go
@@ -17,6 +17,8 @@
 	raw  net.Conn
 	left int64
 	full bool
+	// failed is the connection's own error, which a parser may hide behind its own.
+	failed error
 }
 
 // refusal is why a request could not be read.
@@ -38,6 +40,7 @@
 	}
 	n, err := m.raw.Read(p)
 	m.left -= int64(n)
+	m.failed = err
 	return n, err
 }
 
@@ -68,9 +71,9 @@
 	switch {
 	case c.source.full:
 		return &refusal{http.StatusRequestHeaderFieldsTooLarge, "the header is longer than max_header_bytes"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(c.source.failed, os.ErrDeadlineExceeded):
 		return &refusal{http.StatusRequestTimeout, "the header took longer than header_timeout"}
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetwork(err):
+	case c.source.failed != nil:
 		return nil
 	}
 	return &refusal{http.StatusBadRequest, err.Error()}
@@ -94,9 +97,9 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{http.StatusRequestEntityTooLarge, "the body is longer than max_request_bytes"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case err != nil && errors.Is(c.source.failed, os.ErrDeadlineExceeded):
 		return &refusal{http.StatusRequestTimeout, "the body took too long"}
-	case errors.Is(err, io.ErrUnexpectedEOF), isNetwork(err):
+	case err != nil && c.source.failed != nil:
 		return &refusal{}
 	case err != nil:
 		return &refusal{http.StatusBadRequest, err.Error()}
@@ -107,11 +110,6 @@
 	return nil
 }
 
-func isNetwork(err error) bool {
-	var network *net.OpError
-	return errors.As(err, &network)
-}
-
 // awaitNext bounds the wait for the next request, unless one is under way: then
 // the connection stays open, and is read to notice that the caller leaves.
 func (c *conn) awaitNext(idle time.Duration) {
