--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -39,6 +39,15 @@
 	Body     []byte
 	Limits   schema.Limits
 	Revision int64
+	// Steps are the attempts so far.
+	Steps []Step
+}
+
+// Step is one attempt of a call, for the log.
+type Step struct {
+	Target string
+	Code   result.Code
+	Took   time.Duration
 }
 
 // Answer is what became of a call.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
@@ -20,6 +21,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/place"
 	"github.com/dandelionfield/dandelionfield/internal/setup"
+	"github.com/dandelionfield/dandelionfield/internal/trail"
 )
 
 type (
@@ -55,6 +57,9 @@
 	ExitNotInForce = 4
 )
 
+// logPatience is how long a process that ends waits for the reader of its log.
+const logPatience = 200 * time.Millisecond
+
 // tokenVariable holds the operator token when no flag gives it. A flag can be
 // seen in the list of processes.
 const tokenVariable = "DANDELIONFIELD_TOKEN"
@@ -152,7 +157,9 @@
 			if err != nil {
 				return badFile(err)
 			}
-			log := newLogger(node.LogLevel, a.stdout, a.Clock)
+			lines := trail.NewWriter(a.stdout)
+			defer lines.Close(logPatience)
+			log := newLogger(node.LogLevel, lines, a.Clock)
 			node.Reloads = reloads(command.Context(), config, log)
 			return run(command.Context(), node, log)
 		}),
--- a/internal/cli/events_test.go
+++ b/internal/cli/events_test.go
@@ -84,7 +84,7 @@
 	is := is.New(t)
 	fset := token.NewFileSet()
 	inSource := map[string]bool{}
-	for _, root := range []string{"../../internal", "../../pkg", "../../cmd"} {
+	for _, root := range []string{"../../internal", "../../pkg", "../../cmd", "../../platform"} {
 		is.NoErr(filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -26,6 +26,8 @@
 	tried  map[string]bool
 	// asked is the incarnation that the last attempt was addressed to.
 	asked string
+	// last names the target of the last attempt; empty when there was none.
+	last string
 	// unknown is the last answer that leaves open whether the call ran. Once
 	// there is one, no later refusal may say "not run".
 	unknown *call.Answer
@@ -60,7 +62,9 @@
 
 func (s *sending) run(ctx context.Context) *call.Answer {
 	for {
+		began := s.sender.Clock.Now()
 		answer := s.attempt(ctx)
+		s.call.Steps = append(s.call.Steps, call.Step{Target: s.last, Code: answer.Code, Took: s.sender.Clock.Now().Sub(began)})
 		if answer.Code.Family() == result.Complete {
 			return answer
 		}
@@ -239,6 +243,7 @@
 // attempt sends the call once.
 func (s *sending) attempt(ctx context.Context) *call.Answer {
 	target, code := s.sender.choose(s.call, s.tried)
+	s.last = target.Name
 	if code != result.OK {
 		s.sender.Metrics.Refusals.WithLabelValues(s.call.Kind.Service, code.String()).Inc()
 		return call.Refuse(code, "")
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,6 +18,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/local"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/internal/once"
+	"github.com/dandelionfield/dandelionfield/internal/trail"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -47,6 +50,8 @@
 	TargetHost string
 	// Allows asks the door about all services of a chain; nil lets all pass.
 	Allows func(services []string, order uint32) (string, bool)
+	// Failures bounds the lines about requests that did not end well; nil for none.
+	Failures *trail.Limiter
 	// Admits says whether a new request of a kind is let in, and which share of
 	// them is; Ended is told how one that was let in ended. Nil lets all in.
 	Admits func(kind *schema.Kind) (share float64, ok bool)
@@ -88,19 +93,60 @@
 	if exchange.Call.Kind != nil {
 		kind = exchange.Call.Kind.Name
 	}
+	took := f.Clock.Now().Sub(began)
 	f.Metrics.Requests.WithLabelValues(kind, answer.Code.String()).Inc()
+	f.Metrics.RequestSeconds.WithLabelValues(kind).Observe(took.Seconds())
+	f.noteFailure(exchange.Call, kind, answer, took)
 	f.Log.Debug("request_ended",
 		"request", exchange.Call.RequestID,
 		"kind", kind,
 		"result", answer.Code.String(),
 		"refusal", answer.Refusal,
 		"status", answer.Status,
-		"took_ms", f.Clock.Now().Sub(began).Milliseconds(),
+		"took_ms", took.Milliseconds(),
 		"detail", answer.Detail,
 	)
 	return answer
 }
 
+// noteFailure logs a request that did not end well, or took more than one attempt,
+// with what decided it. Of each result only so many lines a second go out; the
+// next one says how many were left out.
+func (f *Inward) noteFailure(c *call.Call, kind string, answer *call.Answer, took time.Duration) {
+	if f.Failures == nil || answer.Code == result.OK && len(c.Steps) < 2 {
+		return
+	}
+	leftOut, ok := f.Failures.Allow(f.Clock.Now(), answer.Code.String())
+	if !ok {
+		return
+	}
+	f.Log.Info("request_failed",
+		"request", c.RequestID,
+		"kind", kind,
+		"result", answer.Code.String(),
+		"status", answer.Status,
+		"took_ms", took.Milliseconds(),
+		"revision", c.Revision,
+		"admitted_share", answer.Admitted,
+		"steps", describeSteps(c.Steps),
+		"detail", answer.Detail,
+		"left_out", leftOut,
+	)
+}
+
+// describeSteps names each attempt with its target, result and time.
+func describeSteps(steps []call.Step) string {
+	texts := make([]string, len(steps))
+	for i, step := range steps {
+		target := step.Target
+		if target == "" {
+			target = "none"
+		}
+		texts[i] = target + ":" + step.Code.String() + ":" + strconv.FormatInt(step.Took.Milliseconds(), 10) + "ms"
+	}
+	return strings.Join(texts, ",")
+}
+
 // repeated keeps "not run" from requests that may have run. A refusal speaks of
 // the sending that it answers; where the key may have been sent before, an
 // earlier sending may have run, or be under way still.
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -31,6 +31,9 @@
 	admit   chan admit.Release
 	done    chan struct{}
 	answer  *relaypb.CarryResponse
+	// waited and ran are the parts of its time, for the log.
+	waited time.Duration
+	ran    time.Duration
 
 	mu      sync.Mutex
 	waiters int
@@ -88,10 +91,18 @@
 			return answer
 		}
 	}
-	if code := a.admission(ctx); code != result.OK {
+	began := a.server.settings.Clock.Now()
+	code := a.admission(ctx)
+	admitted := a.server.settings.Clock.Now()
+	a.waited = admitted.Sub(began)
+	a.server.settings.Metrics.QueueSeconds.WithLabelValues(a.kind.Name).Observe(a.waited.Seconds())
+	if code != result.OK {
 		return a.onward(ctx, a.refusal(code))
 	}
-	return a.onward(ctx, a.serve(ctx))
+	answer := a.serve(ctx)
+	a.ran = a.server.settings.Clock.Now().Sub(admitted)
+	a.server.settings.Metrics.TargetSeconds.WithLabelValues(a.kind.Name).Observe(a.ran.Seconds())
+	return a.onward(ctx, answer)
 }
 
 // claim asks the ledger whether the key may run here. It returns nil when the
@@ -278,6 +289,9 @@
 		s.settings.Metrics.Refusals.WithLabelValues(s.settings.Service, code.String()).Inc()
 	}
 	now := s.settings.Clock.Now()
+	if code.Family() != result.Complete {
+		a.noteFailure(now, code, answer)
+	}
 	size := len(answer.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -291,6 +305,35 @@
 	close(a.done)
 }
 
+// noteFailure logs an attempt that did not end well, with what decided it here.
+func (a *attempt) noteFailure(now time.Time, code result.Code, answer *relaypb.CarryResponse) {
+	s := a.server
+	if s.settings.Failures == nil {
+		return
+	}
+	leftOut, ok := s.settings.Failures.Allow(now, code.String())
+	if !ok {
+		return
+	}
+	_, targetID := relay.SplitIncarnation(a.request.Incarnation)
+	s.settings.Log.Info("attempt_failed",
+		"request", a.request.RequestId,
+		"attempt", a.request.AttemptId,
+		"kind", a.request.Kind,
+		"from", a.request.CallerService,
+		"target", targetID,
+		"result", code.String(),
+		"status", answer.Status,
+		"waited_ms", a.waited.Milliseconds(),
+		"ran_ms", a.ran.Milliseconds(),
+		"in_flight", answer.GetLoad().GetInFlight(),
+		"limit", answer.GetLoad().GetLimit(),
+		"queued", answer.GetLoad().GetQueued(),
+		"detail", answer.Detail,
+		"left_out", leftOut,
+	)
+}
+
 // record tells the ledger how the run of the key ended. The lock is held.
 func (a *attempt) record(now time.Time, code result.Code, answer *relaypb.CarryResponse, size int) {
 	ledger := a.server.settings.Ledger
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/once"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/internal/trail"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -55,6 +56,8 @@
 	// or the code of the refusal. Nil stands for targets that do not announce
 	// themselves.
 	Admits func(targetID string) result.Code
+	// Failures bounds the lines about attempts that did not end well; nil for none.
+	Failures *trail.Limiter
 	// Below returns the highest pressure of the services that the target calls; nil
 	// where that is not known.
 	Below func() float64
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -20,15 +20,19 @@
 	Replayed      prometheus.Counter
 	TargetStops   prometheus.Counter
 	RelaySeconds  *prometheus.HistogramVec
-	InFlight      prometheus.Gauge
-	Limit         prometheus.Gauge
-	Queued        prometheus.Gauge
-	Floor         prometheus.Gauge
-	Revision      prometheus.Gauge
-	Members       prometheus.Gauge
-	HeldBytes     prometheus.Gauge
-	TargetHealth  prometheus.Gauge
-	RecordBytes   prometheus.Gauge
+	// RequestSeconds, QueueSeconds and TargetSeconds tell the parts of the way.
+	RequestSeconds *prometheus.HistogramVec
+	QueueSeconds   *prometheus.HistogramVec
+	TargetSeconds  *prometheus.HistogramVec
+	InFlight       prometheus.Gauge
+	Limit          prometheus.Gauge
+	Queued         prometheus.Gauge
+	Floor          prometheus.Gauge
+	Revision       prometheus.Gauge
+	Members        prometheus.Gauge
+	HeldBytes      prometheus.Gauge
+	TargetHealth   prometheus.Gauge
+	RecordBytes    prometheus.Gauge
 	// These follow what a status shows of this node.
 	TargetStopped    *prometheus.GaugeVec
 	UnownedKeyShare  *prometheus.GaugeVec
@@ -51,12 +55,10 @@
 	s.FateAsked = counters("fate_asked_total", "Attempts whose connection was lost, by what the other node said.", "answer")
 	s.Replayed = prometheus.NewCounter(options("replayed_total", "Answers taken from the record of an idempotency key."))
 	s.TargetStops = prometheus.NewCounter(options("target_stops_total", "Times the target stopped answering while it held calls."))
-	s.RelaySeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "attempt_seconds",
-		Help:      "Time from sending an attempt to its answer, by service.",
-		Buckets:   prometheus.ExponentialBuckets(0.001, 2, 14),
-	}, []string{"service"})
+	s.RelaySeconds = histograms("attempt_seconds", "Time from sending an attempt to its answer, by service.", "service")
+	s.RequestSeconds = histograms("request_seconds", "Time from a request's arrival to its answer, by kind.", "kind")
+	s.QueueSeconds = histograms("queue_seconds", "Time that an attempt waited beside the target, by kind.", "kind")
+	s.TargetSeconds = histograms("target_seconds", "Time that the target took for an attempt, by kind.", "kind")
 	s.InFlight = gauge("in_flight", "Calls that the target is at work on.")
 	s.Limit = gauge("limit", "Calls that the target is given at the same time.")
 	s.Queued = gauge("queued", "Calls that wait for the target.")
@@ -79,7 +81,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Moves, s.Attempts, s.FateAsked,
-		s.Replayed, s.TargetStops, s.RelaySeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
+		s.Replayed, s.TargetStops, s.RelaySeconds, s.RequestSeconds, s.QueueSeconds, s.TargetSeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
 		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
 		s.TargetStopped, s.UnownedKeyShare, s.PendingHandovers, s.PlatformSilent,
 	)
@@ -93,6 +95,16 @@
 	return prometheus.NewCounterVec(options(name, help), labels)
 }
 
+// histograms cover a millisecond to eight seconds.
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+		Buckets:   prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, labels)
+}
+
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/once"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/route"
+	"github.com/dandelionfield/dandelionfield/internal/trail"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
@@ -38,6 +39,8 @@
 	ownShare   = 0.7
 	runShare   = 0.15
 	slackShare = 0.5
+	// failureLines is how many lines a second about failures with one result go out.
+	failureLines = 10
 	// bookShare is the share of a node's memory for records of attempts.
 	bookShare = 4
 )
@@ -141,6 +144,7 @@
 		Target:      target,
 		Admits:      admits,
 		Below:       below,
+		Failures:    trail.NewLimiter(failureLines, time.Second),
 		Clock:       n.clock,
 		Metrics:     n.metrics,
 		Log:         n.log.Named("local"),
@@ -163,6 +167,7 @@
 func (n *Node) inward() *filter.Inward {
 	host, _, _ := net.SplitHostPort(n.settings.TargetAddress)
 	inward := &filter.Inward{
+		Failures:   trail.NewLimiter(failureLines, time.Second),
 		Clock:      n.clock,
 		Metrics:    n.metrics,
 		Log:        n.log.Named("filter"),
--- /dev/null
+++ b/internal/trail/trail_test.go
@@ -0,0 +1,91 @@
+package trail_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/trail"
+)
+
+// stuck is an output whose reader has stopped until it is released.
+type stuck struct {
+	mu      sync.Mutex
+	release chan struct{}
+	text    bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func TestLinesOfOneClassAreBounded(t *testing.T) {
+	is := is.New(t)
+	limiter := trail.NewLimiter(20, time.Second)
+	now := time.Unix(1_800_000_000, 0)
+	out := 0
+	for i := range 10_000 {
+		if _, ok := limiter.Allow(now.Add(time.Duration(i)*time.Millisecond/10), "refused"); ok {
+			out++
+		}
+	}
+	is.Equal(out, 20) // ten thousand in a second
+	_, ok := limiter.Allow(now, "timed_out")
+	is.True(ok) // another class has lines of its own
+	leftOut, ok := limiter.Allow(now.Add(1100*time.Millisecond), "refused")
+	is.True(ok)
+	is.Equal(leftOut, 9980)
+}
+
+// A reader that stops costs lines, which are counted, and never the writer's time.
+func TestStoppedReaderCostsLinesOnly(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{release: make(chan struct{})}
+	writer := trail.NewWriter(out)
+	written := make(chan struct{})
+	const lines = 50_000
+	go func() {
+		defer close(written)
+		for i := range lines {
+			_, _ = fmt.Fprintf(writer, "line=%d\n", i)
+		}
+	}()
+	<-written // would wait for ever if it waited for the reader
+	close(out.release)
+	writer.Close(10 * time.Second)
+	kept := strings.Count(out.text.String(), "line=")
+	is.True(kept > 1000 && kept < lines)
+	_, err := writer.Write([]byte("late\n"))
+	is.NoErr(err)
+}
+
+func TestDroppedLinesAreSaidWithTheNextOne(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{release: make(chan struct{})}
+	writer := trail.NewWriter(out)
+	for range 5_000 {
+		_, _ = writer.Write([]byte("line\n"))
+	}
+	close(out.release)
+	for len(out.lines()) < 1000 {
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = writer.Write([]byte("last\n"))
+	writer.Close(10 * time.Second)
+	is.True(strings.Contains(out.text.String(), "event=lines_dropped count="))
+	is.True(strings.HasSuffix(out.text.String(), "last\n"))
+}
+
+func (s *stuck) lines() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Split(s.text.String(), "\n")
+}
