--- a/internal/admit/throttle.go
+++ b/internal/admit/throttle.go
@@ -18,8 +18,6 @@
 	minEnds = 3.0
 	// A kind fails when more than failAbove of its requests do.
 	failAbove = 0.08
-	// lateWeight is how much of a failure a late answer is.
-	lateWeight = 0.5
 	// exposedFor is how long a kind that failed counts as one that leads to a
 	// bottleneck below its own service.
 	exposedFor = 5 * time.Second
@@ -83,10 +81,8 @@
 
 // The ends.
 const (
-	// Good means that the request was answered in time.
+	// Good means that the request was answered.
 	Good End = iota
-	// TooLate means that it was answered later than its objective.
-	TooLate
 	// Overrun means that it failed in a way that load can cause.
 	Overrun
 	// Other means an end that says nothing of load.
@@ -144,9 +140,6 @@
 	switch end {
 	case Good:
 		k.good++
-	case TooLate:
-		k.good += 1 - lateWeight
-		k.bad += lateWeight
 	case Overrun:
 		k.bad++
 	case Other:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,19 +117,16 @@
 }
 
 // Ended takes in how a request that was let in ended, for the throttle.
-func (s *Sender) Ended(kind *schema.Kind, code result.Code, took time.Duration) {
+func (s *Sender) Ended(kind *schema.Kind, code result.Code) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.throttle.Ended(s.Clock.Now(), kind.Name, endOf(kind, code, took))
+	s.throttle.Ended(s.Clock.Now(), kind.Name, endOf(code))
 }
 
 // endOf says what the end of a request tells of load.
-func endOf(kind *schema.Kind, code result.Code, took time.Duration) admit.End {
+func endOf(code result.Code) admit.End {
 	switch code {
 	case result.OK, result.Replayed:
-		if kind.Objective > 0 && took > kind.Objective {
-			return admit.TooLate
-		}
 		return admit.Good
 	case result.TimedOut, result.TargetFailed, result.PartlyRun, result.DeadlinePassed, result.Overloaded,
 		result.QueueExpired, result.Evicted, result.TargetShed, result.TargetStopped:
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -55,7 +55,7 @@
 	// Admits says whether a new request of a kind is let in, and which share of
 	// them is; Ended is told how one that was let in ended. Nil lets all in.
 	Admits func(kind *schema.Kind) (share float64, ok bool)
-	Ended  func(kind *schema.Kind, code result.Code, took time.Duration)
+	Ended  func(kind *schema.Kind, code result.Code)
 }
 
 // Headers of callers' requests and of the answers to them.
@@ -304,10 +304,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	began := f.Clock.Now()
 	answer := next(ctx, exchange)
 	if f.Ended != nil && c.Parent == nil {
-		f.Ended(c.Kind, answer.Code, f.Clock.Now().Sub(began))
+		f.Ended(c.Kind, answer.Code)
 	}
 	return answer
 }
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -123,7 +123,8 @@
 		settings.Queue = queueFactor * target.Slots
 	}
 	settings.Opaque = true
-	settings.Started = target.Heard
-	settings.ColdStart = max(target.ColdUntil.Sub(target.Heard), 0)
+	// A target that warms up is slow, but has all its slots; the choice between
+	// targets goes by the work that each has in hand.
+	settings.ColdStart = 0
 	return settings
 }
