--- a/internal/ahead/ahead.go
+++ b/internal/ahead/ahead.go
@@ -49,7 +49,7 @@
 		Log    hclog.Logger
 
 		leaving  atomic.Bool
-		requests sync.WaitGroup
+		requests atomic.Int64
 		mu       sync.Mutex
 		closed   bool
 		listener net.Listener
@@ -102,9 +102,10 @@
 	s.leaving.Store(true)
 }
 
-// Wait returns once no request is under way.
-func (s *Server) Wait() {
-	s.requests.Wait()
+// Busy returns how many requests are under way, answers that are being written
+// among them.
+func (s *Server) Busy() int {
+	return int(s.requests.Load())
 }
 
 // LastRequest returns when the last request arrived, the zero time before any.
--- a/internal/ahead/ahead_test.go
+++ b/internal/ahead/ahead_test.go
@@ -180,7 +180,9 @@
 	_, err := reader.ReadByte()
 	is.Equal(err, io.EOF)
 	is.Equal(p.runs.Load(), int64(2))
-	p.server.Wait()
+	for p.server.Busy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
 	is.True(!p.server.LastRequest().IsZero())
 }
 
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -168,12 +168,13 @@
 
 // pickPeers chooses the addresses for one round: one member of the own data
 // centre and one of all, or of another region in a share of the rounds. While
-// the node knows nobody it answers those that found it.
+// the node knows nobody it answers those that found it, and looks for those that
+// were there before.
 func (c *Controller) pickPeers() []string {
 	c.refreshPeers()
 	all, near, wide := c.peers.all, c.peers.near, c.peers.all
 	if len(all) == 0 {
-		return slices.Clone(c.seeds)
+		return c.withAbsent(slices.Clone(c.seeds))
 	}
 	if len(near) == 0 {
 		near = all
@@ -186,13 +187,21 @@
 	if second := c.choose(wide); second != addresses[0] {
 		addresses = append(addresses, second)
 	}
-	absent := append(c.view.Lapsed(), c.view.Left(c.Clock.Now())...)
-	if len(absent) > 0 && c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
-		addresses = append(addresses, absent[c.index(len(absent))].RelayAddress)
+	if c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
+		return c.withAbsent(addresses)
 	}
 	return addresses
 }
 
+// withAbsent adds the address of one member that lapsed or went, if there is one.
+func (c *Controller) withAbsent(addresses []string) []string {
+	absent := append(c.view.Lapsed(), c.view.Left(c.Clock.Now())...)
+	if len(absent) == 0 {
+		return addresses
+	}
+	return append(addresses, absent[c.index(len(absent))].RelayAddress)
+}
+
 func (c *Controller) refreshPeers() {
 	if c.peers.edition == c.view.edition {
 		return
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -92,15 +92,13 @@
 
 // quiet waits until no call is under way, within the time.
 func (n *Node) quiet(within time.Duration) bool {
-	callers := make(chan struct{})
-	go func() {
-		n.callers.Wait()
-		close(callers)
-	}()
 	timeout := n.clock.After(within)
-	for _, ended := range []<-chan struct{}{callers, n.local.Drained()} {
+	drained := n.local.Drained()
+	for n.callers.Busy() > 0 || drained != nil {
 		select {
-		case <-ended:
+		case <-drained:
+			drained = nil
+		case <-n.clock.After(lullPeriod):
 		case <-timeout:
 			return false
 		}
