--- a/internal/ahead/ahead_test.go
+++ b/internal/ahead/ahead_test.go
@@ -18,6 +18,13 @@
 	"github.com/dandelionfield/dandelionfield/internal/ahead"
 )
 
+// reply is the head of an answer.
+type reply struct {
+	StatusCode    int
+	ContentLength int64
+	Close         bool
+}
+
 type play struct {
 	server  *ahead.Server
 	address string
@@ -78,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	return conn, bufio.NewReader(conn)
 }
@@ -90,17 +97,18 @@
 	}
 }
 
-func answer(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+func answer(t *testing.T, reader *bufio.Reader) (reply, string) {
 	t.Helper()
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response, string(body)
+	return reply{response.StatusCode, response.ContentLength, response.Close}, string(body)
 }
 
 func get(path string) string {
@@ -157,7 +165,7 @@
 	send(t, conn, get("/one")+get("/two"))
 	<-p.began
 	<-p.began
-	conn.Close()
+	_ = conn.Close()
 	ended := map[string]bool{<-p.ended: true, <-p.ended: true}
 	is.True(ended["/one cancelled"] && ended["/two cancelled"])
 }
--- a/internal/ahead/conn.go
+++ b/internal/ahead/conn.go
@@ -74,7 +74,7 @@
 // run reads requests until the caller leaves or the connection is to end.
 func (c *conn) run() {
 	defer c.server.remove(c)
-	defer c.raw.Close()
+	defer func() { _ = c.raw.Close() }()
 	defer c.abandon()
 	for {
 		request, refused := c.read()
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -127,7 +127,7 @@
 		"status", answer.Status,
 		"took_ms", took.Milliseconds(),
 		"revision", c.Revision,
-		"admitted_share", answer.Admitted,
+		"admitted_share", strconv.FormatFloat(answer.Admitted, 'f', 2, 64),
 		"steps", describeSteps(c.Steps),
 		"detail", answer.Detail,
 		"left_out", leftOut,
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -31,12 +31,13 @@
 	verdict := n.presence.book.Take(n.clock.Now(), b)
 	target, _ := n.presence.book.Target()
 	n.presence.mu.Unlock()
-	switch {
-	case verdict == beat.Late:
+	switch verdict {
+	case beat.Late:
 		n.log.Info("heartbeat_late", "target", b.ID, "state", b.State.String(), "sequence", b.Sequence,
 			"present", target.ID, "present_sequence", target.Sequence)
-	case verdict == beat.Changed:
+	case beat.Changed:
 		n.targetChanged(target, !known || before.ID != target.ID || before.BornMS != target.BornMS)
+	case beat.Taken:
 	}
 	return verdict
 }
