--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -21,3 +21,10 @@
 func (System) After(d time.Duration) <-chan time.Time {
 	return time.After(d)
 }
+
+// Since returns the time from then to now, also where the host was suspended in
+// between: its steady clock stands still then, and its time of day goes on. A
+// time of day that was set back does not count.
+func Since(now, then time.Time) time.Duration {
+	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
+}
--- a/internal/local/header.go
+++ b/internal/local/header.go
@@ -1,10 +1,7 @@
 package local
 
 import (
-	"context"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
@@ -40,7 +37,3 @@
 	}
 	return header
 }
-
-func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: timeout}).DialContext
-}
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dandelionfield/dandelionfield/internal/dial"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
@@ -125,7 +126,7 @@
 func (t *Target) renew() {
 	connections := t.connections
 	former := t.transport.Swap(&http.Transport{
-		DialContext:         dialer(targetDialTimeout),
+		DialContext:         dial.Dialer(targetDialTimeout).DialContext,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     targetIdleTimeout,
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/beat"
+	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 )
@@ -79,7 +80,8 @@
 }
 
 // admits says whether a process of the target takes work. One that leaves takes
-// what was sent before its leaving was known.
+// what was sent before its leaving was known, by the time that passed outside too:
+// a node that was suspended meanwhile comes back too late.
 func (n *Node) admits(targetID string) result.Code {
 	n.presence.mu.Lock()
 	target, known := n.presence.book.Target()
@@ -87,7 +89,7 @@
 	switch {
 	case !known, targetID != target.ID, target.Service != n.settings.Service:
 		return result.OtherIncarnation
-	case !target.Left.IsZero() && n.clock.Now().Sub(target.Left) >= lateWork:
+	case !target.Left.IsZero() && clock.Since(n.clock.Now(), target.Left) >= lateWork:
 		return result.Leaving
 	}
 	return result.OK
