Do not send calls on to a host that was replaced

A scheduler's host was lost and a new one got its address. Its node refused every attempt meant for the lost one as other_incarnation, which counted as a refusal for load, so that the lost target stayed among the chosen until its lease ended, 30 s later; and the load of the new process, none, was taken for its own, so that the throttle saw half of the pressure and held back nothing while the one target left was full.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -280,7 +280,7 @@
 	if response.Below {
 		report.Outcome = route.Blameless
 	}
-	if load := response.Load; load != nil {
+	if load := response.Load; load != nil && code != result.OtherIncarnation {
 		report.Known = true
 		report.InFlight = int(load.InFlight)
 		report.Limit = int(load.Limit)
@@ -425,7 +425,9 @@
 // outcome tells the route what an answer says about the target.
 func outcome(code result.Code) route.Outcome {
 	switch code {
-	case result.Unreachable:
+	case result.Unreachable, result.OtherIncarnation:
+		// Another process at the address says nothing of the one that was meant,
+		// but that it is not there.
 		return route.Unreachable
 	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.NoOwner, result.OwnerUnclear:
 		return route.Blameless
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,7 +134,7 @@
 	}
 	byService := map[string][]route.Target{}
 	all := n.members.All()
-	for _, m := range all {
+	for _, m := range lastAtAddress(all) {
 		if m.State != member.Active && m.State != member.Cold && m.State != member.Leaving {
 			continue
 		}
@@ -157,6 +158,18 @@
 	n.metrics.Members.Set(float64(len(all)))
 }
 
+// lastAtAddress leaves out members whose relay address a later process has: their
+// host was replaced, although their lease has not run out yet.
+func lastAtAddress(members []member.Member) []member.Member {
+	latest := make(map[string]int64, len(members))
+	for _, m := range members {
+		latest[m.RelayAddress] = max(latest[m.RelayAddress], m.StartedMS)
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool {
+		return m.StartedMS < latest[m.RelayAddress]
+	})
+}
+
 // checkSuperseded stops the node when a later process bears its name.
 func (n *Node) checkSuperseded() {
 	if later, ok := n.members.Superseded(); ok {
