Refuse what comes late in a stop in time for the rest to end

Cause: a leaving node took requests until its idempotency keys belonged to others, 3 s, also where it has none and where drain_timeout is 3 s or less. Ruled out: a race between reading a request and counting it; a lost write.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -50,7 +50,7 @@
 		n.changePlan(ctx, n.nextPlan)
 		n.members.Kick()
 	}
-	n.pause(ctx, n.leaveGrace()-n.clock.Now().Sub(started))
+	n.pause(ctx, n.leaveGrace(timeout)-n.clock.Now().Sub(started))
 	n.awaitLull(ctx, started, timeout)
 	n.local.RefuseNew()
 	n.closed.Store(true)
@@ -73,7 +73,7 @@
 	if n.settings.ReadyListen == "" {
 		return
 	}
-	latest := started.Add(time.Duration(doorShare * float64(timeout)))
+	latest := started.Add(doorTime(timeout))
 	for {
 		now := n.clock.Now()
 		noticed := now.Sub(started) >= noticeTime && now.Sub(n.callers.LastRequest()) >= lullTime
@@ -85,9 +85,19 @@
 }
 
 // leaveGrace is how long a leaving node still takes work: until the news has
-// reached everybody, and until its keys belong to others.
-func (n *Node) leaveGrace() time.Duration {
-	return max(once.CutLead(ownerRules(n.limits()))+newsTime, minLeaveGrace)
+// reached everybody, and until its keys, if it has any, belong to others. It
+// leaves calls the time to end, also where that is too short for the keys.
+func (n *Node) leaveGrace(timeout time.Duration) time.Duration {
+	grace := minLeaveGrace
+	if n.needsPlan() {
+		grace = max(grace, once.CutLead(ownerRules(n.limits()))+newsTime)
+	}
+	return min(grace, doorTime(timeout))
+}
+
+// doorTime is when a leaving node refuses what still comes, at the latest.
+func doorTime(timeout time.Duration) time.Duration {
+	return time.Duration(doorShare * float64(timeout))
 }
 
 // quiet waits until no call is under way, within the time.
