Keep the last view, revision and heartbeat in force when several arrive together

Cause: whoever changed the view of the members gave the sender its targets by itself. Of two that did so at once, the one with the older view could come last, and calls went by it until the next change: found as a node that knew no target of a service for 20 s, in one of 20 runs of the adapter's tests beside 12 busy loops. Revisions and heartbeats had the same hole: an older revision could have the last word. Ruled out: exchanges that fail; a lapsed target.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -125,7 +125,11 @@
 		// highest is the highest number that was heard of.
 		highest atomic.Int64
 
-		mu       sync.Mutex // orders Offer and guards what follows
+		// order lets revisions come into force one after another, each with its
+		// OnRevision, so that a lower one never has the last word.
+		order sync.Mutex
+
+		mu       sync.Mutex // guards what follows
 		plans    map[string]plan
 		fetching bool
 	}
@@ -181,15 +185,12 @@
 		return false
 	}
 	r.Set = set
-	c.mu.Lock()
-	higher := r.Number > c.Number()
-	if higher {
-		c.current.Store(&r)
-	}
-	c.mu.Unlock()
-	if !higher {
+	c.order.Lock()
+	defer c.order.Unlock()
+	if r.Number <= c.Number() {
 		return false
 	}
+	c.current.Store(&r)
 	c.log.Info("revision_in_force", "number", r.Number, "digest", r.Digest)
 	if c.OnRevision != nil {
 		c.OnRevision(&r)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -324,3 +325,22 @@
 		is.True(test.known || reads["owners"] >= 20)
 	}
 }
+
+// Two revisions that arrive together are put in force in their order, also where
+// the first takes long: the last to be put in force is the higher one.
+func TestRevisionsComeIntoForceInOrder(t *testing.T) {
+	is := is.New(t)
+	c := controller(plat.Store{})
+	var second sync.WaitGroup
+	var inForce []int64
+	c.OnRevision = func(r *config.Revision) {
+		if r.Number == 1 {
+			second.Go(func() { c.Offer(revision(2, "b")) })
+			time.Sleep(20 * time.Millisecond) // time enough to overtake
+		}
+		inForce = append(inForce, r.Number)
+	}
+	is.True(c.Offer(revision(1, "a")))
+	second.Wait()
+	is.Equal(inForce, []int64{1, 2})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,9 @@
 	status      tracker
 	platform    health
 
+	// targets orders the views that become the sender's targets.
+	targets sync.Mutex
+
 	presence presence
 	callers  *ahead.Server
 	// active is set once the node has announced itself, and stays set.
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -125,9 +125,12 @@
 	return true
 }
 
-// membersChanged gives the sender the targets of every declared service.
+// membersChanged gives the sender the targets of every declared service. One view
+// is worked off after another, so that the last one that was taken stays in force.
 func (n *Node) membersChanged() {
 	n.checkSuperseded()
+	n.targets.Lock()
+	defer n.targets.Unlock()
 	current := n.config.Current()
 	if current == nil {
 		return
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -12,8 +12,10 @@
 
 // presence is what the node knows of the target beside it from its heartbeats.
 type presence struct {
-	mu   sync.Mutex
-	book beat.Book
+	// order lets heartbeats come into force one after another.
+	order sync.Mutex
+	mu    sync.Mutex
+	book  beat.Book
 }
 
 // lateWork is how long a target that has said that it leaves still gets calls:
@@ -27,6 +29,8 @@
 
 // heartbeat takes in a heartbeat. When it returns, the gate acts by it.
 func (n *Node) heartbeat(b beat.Beat) beat.Verdict {
+	n.presence.order.Lock()
+	defer n.presence.order.Unlock()
 	n.presence.mu.Lock()
 	before, known := n.presence.book.Target()
 	verdict := n.presence.book.Take(n.clock.Now(), b)
@@ -45,6 +49,8 @@
 
 // departed takes in that a process of the target is gone or about to go.
 func (n *Node) departed(id string, bornMS int64) {
+	n.presence.order.Lock()
+	defer n.presence.order.Unlock()
 	n.presence.mu.Lock()
 	changed := n.presence.book.Depart(n.clock.Now(), id, bornMS)
 	target, _ := n.presence.book.Target()
