Keep the budget of repeats beside the targets, for all senders

Each node repeated out of the share of its own requests. The nodes whose targets make many calls to the service had most of the budget, and spent it on calls of which five must succeed in a row; nodes with requests of callers had next to none. Change: the node beside a target counts what comes to it and lets repeats through, whoever sends; a repeat too many is refused there unsent (budget_spent), and the answer before it stands. Repeats of targets' calls leave the requests of callers their part. Tests: TestRequestsOfCallersKeepTheirRepeats, TestBudgetOfRepeatsIsKeptBesideTheTarget, TestRefusedRepeatLeavesTheAnswerBeforeIt; the property test of the sum over nodes holds as before.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -14,11 +14,25 @@
 		// RunShare is the part of Share for repeats of calls that may have run.
 		// Each of these makes its own calls again, which count where they arrive.
 		RunShare float64
+		// InnerPart is the part of the budget that repeats of calls made by targets
+		// may take where requests of callers need the rest. A repeated request of a
+		// caller is answered; a call that a target makes is one of several that
+		// must all succeed.
+		InnerPart float64
 	}
 
-	// Window is one node's part of a budget for repeats that all nodes share. A
-	// node spends the share of the requests that it sent itself, so that the sum
-	// over all nodes keeps to the rule without a word between them.
+	// Repeat is a call that is to reach a target of the service once more.
+	Repeat struct {
+		// Ran is set where an earlier attempt may have run.
+		Ran bool
+		// Inner is set where a target makes the call, and not a caller.
+		Inner bool
+	}
+
+	// Window is the part of a budget for repeats that one target's node keeps. All
+	// nodes share the budget: a node lets its target have the share of the requests
+	// that came to it, so that the sum over all nodes keeps to the rule without a
+	// word between them, whoever sends.
 	//
 	// The rule holds in spans that begin at any moment, and a repeat of now falls
 	// into many of them. So the rule that a node is given has to stay below three
@@ -32,8 +46,10 @@
 	// windowSlot counts what was sent in one part of a span.
 	windowSlot struct {
 		requests float64
+		direct   float64 // those of callers among the requests
 		repeats  float64
 		runs     float64
+		inner    float64 // those of targets' calls among the repeats
 	}
 )
 
@@ -53,27 +69,45 @@
 	w.rule = rule
 }
 
-// Request counts a request for the service.
-func (w *Window) Request(now time.Time) {
-	w.slot(now).requests++
+// Request counts a request for the service; inner is set where a target makes it.
+func (w *Window) Request(now time.Time, inner bool) {
+	slot := w.slot(now)
+	slot.requests++
+	if !inner {
+		slot.direct++
+	}
 }
 
-// TryRepeat takes one repeat and reports whether it may be sent. mayHaveRun says
-// that the attempt before it may have run.
-func (w *Window) TryRepeat(now time.Time, mayHaveRun bool) bool {
-	slot := w.slot(now)
-	requests := w.requests()
-	repeats, runs := w.spent()
-	if repeats+1 > w.rule.Share*requests+w.rule.Slack {
+// Allows says whether a repeat may reach the target now.
+func (w *Window) Allows(now time.Time, repeat Repeat) bool {
+	w.slot(now)
+	known, spent := w.known(), w.spent()
+	whole := w.rule.Share*known.requests + w.rule.Slack
+	switch {
+	case spent.repeats+1 > whole:
 		return false
+	case repeat.Ran && spent.runs+1 > w.rule.RunShare*known.requests+w.rule.Slack:
+		return false
+	case repeat.Inner:
+		kept := min((1-w.rule.InnerPart)*whole, known.direct)
+		return spent.inner+1 <= whole-kept
 	}
-	if mayHaveRun {
-		if runs+1 > w.rule.RunShare*requests+w.rule.Slack {
-			return false
-		}
-		slot.runs++
+	return true
+}
+
+// TryRepeat takes one repeat from the budget, and reports whether there was one.
+func (w *Window) TryRepeat(now time.Time, repeat Repeat) bool {
+	if !w.Allows(now, repeat) {
+		return false
 	}
+	slot := w.slot(now)
 	slot.repeats++
+	if repeat.Ran {
+		slot.runs++
+	}
+	if repeat.Inner {
+		slot.inner++
+	}
 	return true
 }
 
@@ -96,22 +130,27 @@
 	return w.slots[((w.at-parts)%size+size)%size]
 }
 
-// requests returns those of the last span. In whatever span a repeat of now is
+// known sums up the requests of the last span. In whatever span a repeat of now is
 // counted, at least three quarters of these requests are counted with it: in that
 // span, the one before, or the one in between.
-func (w *Window) requests() float64 {
-	requests := 0.0
+func (w *Window) known() windowSlot {
+	var sum windowSlot
 	for part := range int64(windowParts) {
-		requests += w.back(part).requests
+		slot := w.back(part)
+		sum.requests += slot.requests
+		sum.direct += slot.direct
 	}
-	return requests
+	return sum
 }
 
-func (w *Window) spent() (repeats, runs float64) {
+// spent sums up the repeats of the last span and the part before it.
+func (w *Window) spent() windowSlot {
+	var sum windowSlot
 	for part := range int64(windowParts + 1) {
 		slot := w.back(part)
-		repeats += slot.repeats
-		runs += slot.runs
+		sum.repeats += slot.repeats
+		sum.runs += slot.runs
+		sum.inner += slot.inner
 	}
-	return repeats, runs
+	return sum
 }
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -22,7 +22,7 @@
 		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
 		windows := make([]*budget.Window, nodes)
 		for i := range windows {
-			windows[i] = budget.NewWindow(budget.Rule{Share: ownPart * share, Slack: slack / float64(nodes), Span: windowSpan, RunShare: share / 2})
+			windows[i] = budget.NewWindow(budget.Rule{Share: ownPart * share, Slack: slack / float64(nodes), Span: windowSpan, RunShare: share / 2, InnerPart: 0.4})
 		}
 		const step = 250 * time.Millisecond
 		const steps = 160
@@ -32,10 +32,10 @@
 			load := rapid.IntRange(0, 20).Draw(t, "load")
 			for node, window := range windows {
 				for range load * (node%3 + 1) {
-					window.Request(now)
+					window.Request(now, node%2 == 0)
 					requests[i]++
 				}
-				for window.TryRepeat(now, rapid.Bool().Draw(t, "may_have_run")) {
+				for window.TryRepeat(now, budget.Repeat{Ran: rapid.Bool().Draw(t, "ran"), Inner: rapid.Bool().Draw(t, "inner")}) {
 					repeats[i]++
 				}
 			}
@@ -63,26 +63,66 @@
 	is := is.New(t)
 	window := budget.NewWindow(budget.Rule{Share: 0.2, Span: windowSpan, RunShare: 0.02})
 	for range 1000 {
-		window.Request(windowStart)
+		window.Request(windowStart, true)
 	}
 	repeats := 0
-	for window.TryRepeat(windowStart.Add(9*time.Second), false) {
+	for window.TryRepeat(windowStart.Add(9*time.Second), budget.Repeat{}) {
 		repeats++
 	}
 	is.Equal(repeats, 200)
-	is.True(!window.TryRepeat(windowStart.Add(11*time.Second), false))
+	is.True(!window.TryRepeat(windowStart.Add(11*time.Second), budget.Repeat{}))
 }
 
 func TestCallsThatMayHaveRunAreRepeatedLess(t *testing.T) {
 	is := is.New(t)
 	window := budget.NewWindow(budget.Rule{Share: 0.2, Span: windowSpan, RunShare: 0.02})
 	for range 1000 {
-		window.Request(windowStart)
+		window.Request(windowStart, true)
 	}
 	runs := 0
-	for window.TryRepeat(windowStart, true) {
+	for window.TryRepeat(windowStart, budget.Repeat{Ran: true}) {
 		runs++
 	}
 	is.Equal(runs, 20)
-	is.True(window.TryRepeat(windowStart, false))
+	is.True(window.TryRepeat(windowStart, budget.Repeat{}))
+}
+
+// A service sheds half of what comes, with 50 requests of callers and 800 calls of
+// other targets a second, five of which must succeed together. Calls of targets
+// could use up every repeat; the requests of callers keep theirs.
+func TestRequestsOfCallersKeepTheirRepeats(t *testing.T) {
+	is := is.New(t)
+	window := budget.NewWindow(budget.Rule{Share: 0.14, Slack: 24, Span: windowSpan, InnerPart: 0.4})
+	now := windowStart
+	for range 10 * 850 {
+		now = now.Add(windowSpan / 8500)
+		window.Request(now, now.UnixNano()%17 != 0)
+	}
+	asked, direct, inner := 0, 0, 0
+	for i := range 5 * 850 { // five seconds in which half of the calls are shed
+		now = now.Add(windowSpan / 8500)
+		isDirect := i%17 == 0
+		window.Request(now, !isDirect)
+		if i%2 == 0 {
+			continue
+		}
+		taken := window.TryRepeat(now, budget.Repeat{Inner: !isDirect})
+		switch {
+		case isDirect:
+			asked++
+			direct += count(taken)
+		default:
+			inner += count(taken)
+		}
+	}
+	is.True(asked > 100)
+	is.Equal(direct, asked)
+	is.True(inner > 400)
+}
+
+func count(taken bool) int {
+	if taken {
+		return 1
+	}
+	return 0
 }
--- a/internal/entry/below_test.go
+++ b/internal/entry/below_test.go
@@ -55,7 +55,7 @@
 		node := route.Target{Name: "node", Incarnation: s.Self}
 		s.Update(c.Kind.Service, []route.Target{node, {Name: "other", Incarnation: "inc-2"}})
 		for range failedAnswers {
-			request := s.request(c, node, 0)
+			request := s.request(c, node, 0, relaypb.Earlier_EARLIER_UNSPECIFIED)
 			response := target.server.Carry(context.Background(), request)
 			one := &sending{sender: s, call: c}
 			answer := one.take(node, request, response, time.Millisecond, c.Tokens.Lend(true))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,9 +54,9 @@
 	// Opaque is set where it is not seen which calls a target makes for which
 	// call. No retry tokens are lent then, because nobody could spend them.
 	Opaque bool
-	// RetryRule bounds the repeats of this node to each service where all nodes
-	// share one budget; nil stands for the allowance by completed calls.
-	RetryRule func() budget.Rule
+	// SharedBudget is set where the nodes beside the targets keep one budget of
+	// repeats for all senders, in place of the allowance by completed calls.
+	SharedBudget bool
 	// RetryShare returns the declared share of repeats at a service.
 	RetryShare func(service string) float64
 	// Moved is called when an attempt shows that the view of members or plans
@@ -76,8 +76,9 @@
 type service struct {
 	table     *route.Table
 	allowance *budget.Allowance
-	// window takes the place of the allowance where the sender has a RetryRule.
-	window *budget.Window
+	// spent is when a node refused a repeat for the shared budget: first of a
+	// request of a caller, second of a call that a target makes.
+	spent [2]time.Time
 	// share is the declared share that the allowance was made with.
 	share   float64
 	targets map[string]route.Target
@@ -88,6 +89,9 @@
 	// retryBurst is how many repeats a service allows before any call of it
 	// has completed.
 	retryBurst = 10
+	// spentFresh is how long a sender goes by a repeat that was refused for the
+	// shared budget.
+	spentFresh = 50 * time.Millisecond
 	// innerFresh is how long a call of the target shows that it makes such calls.
 	innerFresh = 2 * time.Second
 	permille   = 1000
@@ -200,7 +204,6 @@
 
 // Send carries a call to its end: complete, not run, or unknown.
 func (s *Sender) Send(ctx context.Context, c *call.Call) *call.Answer {
-	s.requested(c)
 	sending := &sending{sender: s, call: c, tried: map[string]bool{}}
 	return sending.run(ctx)
 }
@@ -214,9 +217,6 @@
 			targets: map[string]route.Target{},
 		}
 		known.declare(s.RetryShare(name))
-		if s.RetryRule != nil {
-			known.window = budget.NewWindow(s.RetryRule())
-		}
 		s.services[name] = known
 	}
 	return known
@@ -349,33 +349,43 @@
 	}
 }
 
-// requested counts a request for its service.
-func (s *Sender) requested(c *call.Call) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if known := s.service(c.Kind.Service); known.window != nil {
-		known.window.Request(s.Clock.Now())
-	}
-}
-
-// mayRepeatShared is mayRepeat where all nodes share one budget of repeats.
-func (s *Sender) mayRepeatShared(c *call.Call, mayHaveRun bool, delay time.Duration) bool {
+// mayRepeatShared is mayRepeat where all nodes share one budget of repeats. The
+// node beside the target has the last word; while it has just refused such a
+// repeat, there is no use in asking again.
+func (s *Sender) mayRepeatShared(c *call.Call, delay time.Duration) bool {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.service(c.Kind.Service)
-	known.window.SetRule(s.RetryRule())
 	if !budget.Worthwhile(now, c.Deadline, delay, known.latency) {
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "deadline").Inc()
 		return false
 	}
-	if !known.window.TryRepeat(now, mayHaveRun) {
+	if now.Sub(*s.budgetSpent(c)) < spentFresh {
 		s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "budget").Inc()
 		return false
 	}
 	return true
 }
 
+// budgetSpent returns when a repeat like that of the call was last refused for the
+// shared budget. The lock is held.
+func (s *Sender) budgetSpent(c *call.Call) *time.Time {
+	known := s.service(c.Kind.Service)
+	if _, inner := s.inner[c.Kind.Name]; inner {
+		return &known.spent[1]
+	}
+	return &known.spent[0]
+}
+
+// noteSpent notes that a node refused a repeat for the shared budget.
+func (s *Sender) noteSpent(c *call.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*s.budgetSpent(c) = s.Clock.Now()
+	s.Metrics.RetriesDenied.WithLabelValues(c.Kind.Service, "budget").Inc()
+}
+
 // mayRepeat says whether the service's allowance and the time left admit one
 // more repeat after a delay. An attempt that reached no target was no load to
 // the service, so that the next one is not taken from its allowance.
@@ -396,7 +406,7 @@
 	return true
 }
 
-func (s *Sender) request(c *call.Call, target route.Target, tokens int) *relaypb.CarryRequest {
+func (s *Sender) request(c *call.Call, target route.Target, tokens int, earlier relaypb.Earlier) *relaypb.CarryRequest {
 	return &relaypb.CarryRequest{
 		AttemptId:        uuid.Must(uuid.NewV7()).String(),
 		RequestId:        c.RequestID,
@@ -417,6 +427,7 @@
 		Body:             c.Body,
 		OriginDataCentre: s.DataCentre,
 		Revision:         c.Revision,
+		Earlier:          earlier,
 	}
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -31,6 +31,10 @@
 	// unknown is the last answer that leaves open whether the call ran. Once
 	// there is one, no later refusal may say "not run".
 	unknown *call.Answer
+	// former is the last answer before a repeat.
+	former *call.Answer
+	// earlier is how far the attempts came so far.
+	earlier relaypb.Earlier
 	repeats int
 	moves   int
 }
@@ -68,6 +72,11 @@
 		if answer.Code.Family() == result.Complete {
 			return answer
 		}
+		if answer.Code == result.BudgetSpent && s.former != nil {
+			// The repeat did not take place, so that the answer before it stands.
+			s.sender.noteSpent(s.call)
+			return s.final(s.former)
+		}
 		if answer.Code.Family() == result.Unknown {
 			s.unknown = answer
 		}
@@ -91,8 +100,9 @@
 	if ctx.Err() != nil || !s.repeatable(ctx, answer.Code) {
 		return false
 	}
-	if s.sender.RetryRule != nil {
-		return s.againShared(ctx, answer.Code)
+	s.note(answer.Code)
+	if s.sender.SharedBudget {
+		return s.againShared(ctx, answer)
 	}
 	delay := s.sender.Backoff.Delay(s.repeats)
 	if !s.sender.mayRepeat(s.call, answer.Code, delay) {
@@ -119,7 +129,8 @@
 // againShared is again where all nodes share one budget of repeats. A call that
 // was not sent to a target moves on for nothing. One that a target shed has not
 // run, and may try several; one that may have run costs a retry token too.
-func (s *sending) againShared(ctx context.Context, code result.Code) bool {
+func (s *sending) againShared(ctx context.Context, answer *call.Answer) bool {
+	code := answer.Code
 	if unsent(code) {
 		return s.move()
 	}
@@ -131,7 +142,7 @@
 	if shed {
 		delay = s.afterShed()
 	}
-	if !s.sender.mayRepeatShared(s.call, !shed, delay) {
+	if !s.sender.mayRepeatShared(s.call, delay) {
 		return false
 	}
 	if !shed && !s.call.Tokens.Spend() {
@@ -139,10 +150,23 @@
 		return false
 	}
 	s.repeats++
+	s.former = answer
 	s.sender.Metrics.Retries.WithLabelValues(s.call.Kind.Service, code.String()).Inc()
 	return s.wait(ctx, delay)
 }
 
+// note keeps how far the attempts of the call came.
+func (s *sending) note(code result.Code) {
+	reached := relaypb.Earlier_EARLIER_RAN
+	switch {
+	case unsent(code):
+		reached = relaypb.Earlier_EARLIER_UNSENT
+	case code.Family() == result.NotRun:
+		reached = relaypb.Earlier_EARLIER_SHED
+	}
+	s.earlier = max(s.earlier, reached)
+}
+
 // afterShed lets the call try targets again once all have shed it, and returns
 // the wait before that: none while there is another target.
 func (s *sending) afterShed() time.Duration {
@@ -182,7 +206,7 @@
 func (s *sending) repeatable(ctx context.Context, code result.Code) bool {
 	switch code {
 	case result.TargetShed:
-		return s.sender.RetryRule != nil || s.elsewhere()
+		return s.sender.SharedBudget || s.elsewhere()
 	case result.Overloaded, result.QueueExpired, result.Evicted, result.TargetStopped, result.MemoryBound:
 		// The service is overloaded: only another target may take the call,
 		// and only while the service as a whole does not refuse its order.
@@ -251,7 +275,7 @@
 	s.tried[target.Name] = true
 	s.asked = target.Incarnation
 	loan := s.call.Tokens.Lend(!s.sender.Opaque)
-	request := s.sender.request(s.call, target, loan.Tokens)
+	request := s.sender.request(s.call, target, loan.Tokens, s.earlier)
 	s.sender.Metrics.Attempts.WithLabelValues(s.call.Kind.Service).Inc()
 	began := s.sender.Clock.Now()
 	response, err := s.sender.carry(ctx, target, request)
@@ -429,7 +453,7 @@
 		// Another process at the address says nothing of the one that was meant,
 		// but that it is not there.
 		return route.Unreachable
-	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.NoOwner, result.OwnerUnclear:
+	case result.PartlyRun, result.Cancelled, result.CancelledLate, result.NoOwner, result.OwnerUnclear, result.BudgetSpent:
 		return route.Blameless
 	case result.TargetStopped:
 		return route.Failed
--- /dev/null
+++ b/internal/entry/shared_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// A repeat that the node beside the target refuses for the shared budget did not
+// take place: the answer before it goes to the caller, and the next call does not
+// ask for a repeat again so soon.
+func TestRefusedRepeatLeavesTheAnswerBeforeIt(t *testing.T) {
+	is := is.New(t)
+	var asked []relaypb.Earlier
+	s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		asked = append(asked, request.Earlier)
+		if request.Earlier != relaypb.Earlier_EARLIER_UNSPECIFIED {
+			return &relaypb.CarryResponse{AttemptId: request.AttemptId, Code: uint32(result.BudgetSpent)}
+		}
+		body := []byte("the target's own words")
+		return &relaypb.CarryResponse{
+			AttemptId: request.AttemptId, Code: uint32(result.TargetShed),
+			Status: http.StatusServiceUnavailable, Body: body, Digest: xxhash.Sum64(body), TokensLeft: request.Tokens,
+		}
+	})
+	s.SharedBudget = true
+	for range 2 {
+		c := order()
+		c.Kind = &schema.Kind{Name: "look", Service: c.Kind.Service, Repeat: schema.Safe}
+		answer := s.Send(context.Background(), c)
+		is.Equal(answer.Code, result.TargetShed)
+		is.Equal(string(answer.Body), "the target's own words")
+	}
+	is.Equal(asked, []relaypb.Earlier{
+		relaypb.Earlier_EARLIER_UNSPECIFIED, relaypb.Earlier_EARLIER_SHED, relaypb.Earlier_EARLIER_UNSPECIFIED,
+	})
+}
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -91,6 +91,9 @@
 			return answer
 		}
 	}
+	if !a.mayRepeat() {
+		return a.refusal(result.BudgetSpent)
+	}
 	began := a.server.settings.Clock.Now()
 	code := a.admission(ctx)
 	admitted := a.server.settings.Clock.Now()
@@ -234,7 +237,11 @@
 func (a *attempt) serve(ctx context.Context) *relaypb.CarryResponse {
 	s := a.server
 	_, targetID := relay.SplitIncarnation(a.request.Incarnation)
-	if code := s.admits(targetID); code != result.OK {
+	code := s.admits(targetID)
+	if code == result.OK && !a.takeRepeat() {
+		code = result.BudgetSpent
+	}
+	if code != result.OK {
 		s.mu.Lock()
 		s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, admit.Abandoned))
 		s.mu.Unlock()
@@ -250,7 +257,7 @@
 	facts := reply.Facts
 	facts.ShedStatus = s.settings.ShedStatus()
 	facts.ChildrenRan = a.serving.ChildrenRan()
-	code := fate.Classify(facts)
+	code = fate.Classify(facts)
 	below := blameless(code) && a.serving.ChildrenFailed()
 	s.mu.Lock()
 	s.release(s.settings.Gate.Done(s.settings.Clock.Now(), a.request.AttemptId, outcome(code, below)))
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dandelionfield/dandelionfield/internal/admit"
+	"github.com/dandelionfield/dandelionfield/internal/budget"
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
@@ -58,6 +59,9 @@
 	Admits func(targetID string) result.Code
 	// Failures bounds the lines about attempts that did not end well; nil for none.
 	Failures *trail.Limiter
+	// RetryRule is the part of the budget of repeats that this node keeps for its
+	// target, where all nodes share one; nil where they do not.
+	RetryRule func() budget.Rule
 	// Below returns the highest pressure of the services that the target calls; nil
 	// where that is not known.
 	Below func() float64
@@ -77,6 +81,8 @@
 	refusing bool
 	leaving  bool
 	origins  origins
+	// window is the budget of repeats; nil without a RetryRule.
+	window *budget.Window
 	// regulated is set once the ledger has the declared rules.
 	regulated bool
 	// stopped is whether the target was last seen to have stopped.
@@ -102,7 +108,7 @@
 
 // New returns a server that admits work from the start.
 func New(settings Settings) *Server {
-	return &Server{
+	s := &Server{
 		settings: settings,
 		attempts: map[string]*attempt{},
 		waiting:  map[string]*attempt{},
@@ -110,6 +116,10 @@
 		byKey:    map[string]*attempt{},
 		origins:  newOrigins(),
 	}
+	if settings.RetryRule != nil {
+		s.window = budget.NewWindow(settings.RetryRule())
+	}
+	return s
 }
 
 // Run keeps the gate and the records up to date until the context ends.
@@ -332,10 +342,14 @@
 }
 
 func (s *Server) forget() {
+	rule := s.retryRule()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.settings.Clock.Now()
 	s.origins.fade()
+	if s.window != nil {
+		s.window.SetRule(rule)
+	}
 	load := s.settings.Gate.Load(now)
 	s.settings.Log.Debug("gate_load", "in_flight", load.InFlight, "limit", load.Limit, "queued", load.Queued, "cold", load.Cold)
 	s.settings.Book.Forget(now)
@@ -365,6 +379,7 @@
 	}
 	s.attempts[request.AttemptId] = a
 	s.origins.count(request.Kind, request.CallerService)
+	s.requested(now, request)
 	s.running.Add(1)
 	go a.run()
 	return a
--- /dev/null
+++ b/internal/local/repeat_test.go
@@ -0,0 +1,43 @@
+package local
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/budget"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// The node beside the target lets as many repeats through as the requests of all
+// senders allow, and a repeat too many does not reach the target.
+func TestBudgetOfRepeatsIsKeptBesideTheTarget(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	kind := &schema.Kind{Name: "k", Service: "s", Method: http.MethodGet, Repeat: schema.Safe}
+	s := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
+	s.window = budget.NewWindow(budget.Rule{Share: 0.2, RunShare: 0.1, InnerPart: 1, Span: 10 * time.Second})
+	carry := func(earlier relaypb.Earlier, from string) result.Code {
+		attempt := newAttempt(kind)
+		attempt.Earlier = earlier
+		attempt.CallerService = from
+		return result.Code(s.Carry(context.Background(), attempt).Code)
+	}
+	for range 5 {
+		is.Equal(carry(relaypb.Earlier_EARLIER_UNSPECIFIED, "one"), result.OK)
+		is.Equal(carry(relaypb.Earlier_EARLIER_UNSPECIFIED, "two"), result.OK)
+	}
+	reached := target.requests.Load()
+	is.Equal(carry(relaypb.Earlier_EARLIER_UNSENT, "three"), result.OK) // nothing reached a target before
+	is.Equal(carry(relaypb.Earlier_EARLIER_RAN, "three"), result.OK)
+	is.Equal(carry(relaypb.Earlier_EARLIER_RAN, "three"), result.BudgetSpent)
+	is.Equal(carry(relaypb.Earlier_EARLIER_SHED, "three"), result.OK)
+	is.Equal(carry(relaypb.Earlier_EARLIER_SHED, "three"), result.BudgetSpent)
+	is.Equal(target.requests.Load()-reached, int32(3))
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -36,14 +36,17 @@
 	// backoffBase and backoffMax bound the wait before a repeat.
 	backoffBase = 25 * time.Millisecond
 	backoffMax  = 500 * time.Millisecond
-	// ownShare is the part of the budget of repeats that a node takes for the
-	// requests that it sent, runShare that for repeats of calls that may have run,
+	// ownShare is the part of the budget of repeats that a node keeps for the
+	// requests that came to it, runShare that for repeats of calls that may have run,
 	// and slackShare the part of the fixed slack that all nodes together take.
 	// The rest covers what the nodes do not see: windows that lie otherwise, and
 	// calls that are made again by a call that ran again.
 	ownShare   = 0.7
 	runShare   = 0.15
 	slackShare = 0.5
+	// innerPart is the part of it that repeats of targets' calls may take where
+	// requests of callers need the rest.
+	innerPart = 0.4
 	// failureLines is how many lines a second about failures with one result go out.
 	failureLines = 10
 	// bookShare is the share of a node's memory for records of attempts.
@@ -114,20 +117,21 @@
 		RetryShare: n.retryShare,
 		Moved:      n.members.Kick,
 	}
-	if n.settings.RetryWindow > 0 {
-		s.RetryRule = n.retryRule
-	}
+	s.SharedBudget = n.settings.RetryWindow > 0
 	s.Init(admit.NewDoor())
 	return s
 }
 
-// retryRule is this node's part of the budget of repeats that all nodes share.
+// retryRule is the part that this node keeps of the budget of repeats that the
+// nodes beside the targets of its service share.
 func (n *Node) retryRule() budget.Rule {
+	beside := len(n.members.Service(n.settings.Service))
 	return budget.Rule{
-		Share:    n.settings.RetryShare * ownShare,
-		RunShare: n.settings.RetryShare * runShare,
-		Slack:    float64(n.settings.RetrySlack) * slackShare / float64(max(len(n.members.All()), 1)),
-		Span:     n.settings.RetryWindow,
+		Share:     n.settings.RetryShare * ownShare,
+		RunShare:  n.settings.RetryShare * runShare,
+		Slack:     float64(n.settings.RetrySlack) * slackShare / float64(max(beside, 1)),
+		Span:      n.settings.RetryWindow,
+		InnerPart: innerPart,
 	}
 }
 
@@ -139,6 +143,10 @@
 	target.Wire = n.doors.Target
 	var admits func(targetID string) result.Code
 	var below func() float64
+	var retryRule func() budget.Rule
+	if n.settings.RetryWindow > 0 {
+		retryRule = n.retryRule
+	}
 	if n.announced() {
 		admits = n.admits
 		below = n.sender.Below
@@ -148,6 +156,7 @@
 		Service:     n.settings.Service,
 		Target:      target,
 		Admits:      admits,
+		RetryRule:   retryRule,
 		Below:       below,
 		Failures:    trail.NewLimiter(failureLines, time.Second),
 		Clock:       n.clock,
