--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -102,7 +102,7 @@
 	{Cancelled, "cancelled", "The caller went away before anything was sent to a target.", "Nothing.", 499},
 	{Tombstoned, "tombstoned", "The attempt arrived after its sender had been told that it was never seen.", "Nothing; the sender has moved on.", 409},
 	{BadRequest, "bad_request", "The request could not be read.", "Correct the request.", 400},
-	{BudgetSpent, "budget_spent", "Every attempt was refused before it ran, and no retry was left.", "Try again after the time in Retry-After.", 503},
+	{BudgetSpent, "budget_spent", "Every attempt was refused before it ran, and no retry was left: of the request, or of the budget of its service.", "Try again after the time in Retry-After.", 503},
 	{TargetStopped, "target_stopped", "The target has stopped answering, so the call was not sent to it.", "Try again; look at the target if it lasts.", 503},
 
 	{Lost, "lost", "The attempt's fate could not be learned.", "Ask for the state of the order, or repeat with the same key.", 502},
