Let calls of targets wait by arrival, behind the requests of callers

Each call of a target drew a place of its own in the order of refusal, so that a request with four to eight of them failed by its worst draw; they do not name their request where targets announce themselves. Test: TestCallsOfTargetsWaitByArrival.

--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -184,7 +184,7 @@
 		ID:         id,
 		Kind:       a.kind.Name,
 		Importance: a.serving.Importance,
-		Position:   a.serving.Position,
+		Position:   a.position(),
 		Deadline:   a.serving.Deadline,
 		Waits:      a.serving.Waits,
 	})
@@ -202,6 +202,18 @@
 	return a.queued(ctx)
 }
 
+// position returns the call's place in the order of refusal within its importance.
+// Calls that targets make do not name their request where targets announce
+// themselves, so that each would draw a place of its own, and a request that needs
+// several of them would fail by the worst. There they wait by arrival, behind the
+// requests of callers. The lock is held.
+func (a *attempt) position() uint16 {
+	if a.server.settings.Admits != nil && a.server.origins.inner(a.request.Kind) {
+		return 0
+	}
+	return a.serving.Position
+}
+
 func (a *attempt) queued(ctx context.Context) result.Code {
 	select {
 	case release := <-a.admit:
--- /dev/null
+++ b/internal/local/order_test.go
@@ -0,0 +1,43 @@
+package local
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+	"github.com/dandelionfield/dandelionfield/pkg/schema"
+)
+
+// Calls that targets make, all from one service, wait by arrival whatever place
+// they drew, and a request of a caller goes before them.
+func TestCallsOfTargetsWaitByArrival(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	target.hang = make(chan struct{})
+	inner := &schema.Kind{Name: "inner", Service: "s", Method: http.MethodGet, Repeat: schema.Safe}
+	s := newServer(target.listener.Addr().String(), inner, schema.DefaultLimits())
+	s.settings.Admits = func(string) result.Code { return result.OK }
+	for range 2 * int(minOrigins) {
+		s.origins.count("inner", "orders")
+	}
+	var order []uint16
+	position := func(kind string, drawn uint32) uint16 {
+		request := newAttempt(inner)
+		request.Kind = kind
+		request.Position = drawn
+		request.CallerService = "orders"
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.start(time.Now(), request).position()
+	}
+	order = append(order, position("inner", 60_000), position("inner", 3), position("direct", 3))
+	is.Equal(order, []uint16{0, 0, 3})
+	close(target.hang)
+	s.settings.Admits = nil
+	is.Equal(position("inner", 60_000), uint16(60_000)) // there calls inherit their request's place
+	<-s.Drained()
+}
