--- a/cmd/dandelionfield/main.go
+++ b/cmd/dandelionfield/main.go
@@ -4,11 +4,11 @@
 import (
 	"os"
 
-	"github.com/dandelionfield/dandelionfield/internal/cli"
 	"github.com/dandelionfield/dandelionfield/internal/node"
+	"github.com/dandelionfield/dandelionfield/internal/shell"
 	"github.com/dandelionfield/dandelionfield/platform"
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{RunNode: node.Run, RunSide: platform.Run}))
+	os.Exit(shell.Main(os.Args[1:], os.Stdout, os.Stderr, shell.Seams{RunNode: node.Run, RunSide: platform.Run}))
 }
--- a/cmd/fieldlab/main.go
+++ b/cmd/fieldlab/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"github.com/dandelionfield/dandelionfield/internal/lab"
+	"github.com/dandelionfield/dandelionfield/internal/drill"
 )
 
 func main() {
-	os.Exit(lab.Main())
+	os.Exit(drill.Main())
 }
--- a/internal/lab/lab.go
+++ b/internal/drill/drill.go
@@ -1,4 +1,4 @@
-// Package lab holds what is needed to try a mesh on one host: stand-ins for
+// Package drill holds what is needed to try a mesh on one host: stand-ins for
 // targets, a naive relay to compare with, and a load tool that checks every
 // answer and counts what ran.
 //
@@ -8,7 +8,7 @@
 // A bench goes this way: NewTrace draws the arrivals, Load sends them and checks
 // the answers, Account counts callers' outcomes against what targets ran, and
 // the Report of each run is read by ReadRuns into tables and Charts.
-package lab
+package drill
 
 import "strings"
 
--- a/internal/lab/picture.go
+++ b/internal/drill/picture.go
@@ -1,4 +1,4 @@
-package lab
+package drill
 
 import (
 	colour "image/color" //nolint:misspell // The library's spelling.
--- a/internal/lab/platform_test.go
+++ b/internal/drill/platform_test.go
@@ -1,4 +1,4 @@
-package lab_test
+package drill_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
-	"github.com/dandelionfield/dandelionfield/internal/lab"
+	"github.com/dandelionfield/dandelionfield/internal/drill"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 )
 
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	memory := plat.NewMemory()
-	server := httptest.NewServer(lab.NewPlatform(memory))
+	server := httptest.NewServer(drill.NewPlatform(memory))
 	defer server.Close()
 	limits := plat.Limits{ReadsPerSecond: 1000, WritesPerSecond: 1000}
 	store := plat.NewClient(server.URL, limits)
--- a/internal/lab/script_test.go
+++ b/internal/drill/script_test.go
@@ -1,4 +1,4 @@
-package lab
+package drill
 
 import (
 	"os"
@@ -7,12 +7,12 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/dandelionfield/dandelionfield/internal/cli"
+	"github.com/dandelionfield/dandelionfield/internal/shell"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"dandelionfield": func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{})) },
+		"dandelionfield": func() { os.Exit(shell.Main(os.Args[1:], os.Stdout, os.Stderr, shell.Seams{})) },
 		"fieldlab":       func() { os.Exit(Main()) },
 	})
 }
--- a/internal/lab/wire.go
+++ b/internal/drill/wire.go
@@ -1,4 +1,4 @@
-package lab
+package drill
 
 import (
 	"context"
--- a/internal/lab/work.go
+++ b/internal/drill/work.go
@@ -1,4 +1,4 @@
-package lab
+package drill
 
 import "github.com/dandelionfield/dandelionfield/pkg/schema"
 
--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/config"
-	"github.com/dandelionfield/dandelionfield/internal/lab"
+	"github.com/dandelionfield/dandelionfield/internal/drill"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
@@ -235,7 +235,7 @@
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			memory := plat.NewMemory()
 			fill(b, memory, n)
-			server, bytes := serve(b, lab.NewPlatform(memory))
+			server, bytes := serve(b, drill.NewPlatform(memory))
 			store := plat.NewClient(server.URL, plat.Limits{ReadsPerSecond: 1e6, ReadBurst: 1e6})
 			before, used := bytes.Load(), processorTime()
 			for b.Loop() {
@@ -292,7 +292,7 @@
 // besides listings: a renewal of its lease, and a poll of the head row.
 func BenchmarkStore(b *testing.B) {
 	memory := plat.NewMemory()
-	server, bytes := serve(b, lab.NewPlatform(memory))
+	server, bytes := serve(b, drill.NewPlatform(memory))
 	store := plat.NewClient(server.URL, plat.Limits{ReadsPerSecond: 1e6, ReadBurst: 1e6, WritesPerSecond: 1e6, WriteBurst: 1e6})
 	ctx := context.Background()
 	node := member.New(sampleRow(1), store, clock.System{}, hclog.NewNullLogger())
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -20,9 +20,9 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/dandelionfield/dandelionfield/internal/cli"
-	"github.com/dandelionfield/dandelionfield/internal/lab"
+	"github.com/dandelionfield/dandelionfield/internal/drill"
 	"github.com/dandelionfield/dandelionfield/internal/node"
+	"github.com/dandelionfield/dandelionfield/internal/shell"
 )
 
 // mesh is the processes of one trial, each known by its name.
@@ -65,9 +65,9 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"dandelionfield": func() {
-			os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Seams{RunNode: node.Run}))
+			os.Exit(shell.Main(os.Args[1:], os.Stdout, os.Stderr, shell.Seams{RunNode: node.Run}))
 		},
-		"fieldlab": func() { os.Exit(lab.Main()) },
+		"fieldlab": func() { os.Exit(drill.Main()) },
 	})
 }
 
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -18,11 +18,11 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/dandelionfield/dandelionfield/internal/admin"
-	"github.com/dandelionfield/dandelionfield/internal/cli"
 	"github.com/dandelionfield/dandelionfield/internal/config"
-	"github.com/dandelionfield/dandelionfield/internal/lab"
+	"github.com/dandelionfield/dandelionfield/internal/drill"
 	"github.com/dandelionfield/dandelionfield/internal/once"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
+	"github.com/dandelionfield/dandelionfield/internal/shell"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
@@ -89,7 +89,7 @@
 	ended.Wait()
 	slices.SortFunc(both[:], func(a, b operator) int { return a.code - b.code })
 	won, lost := both[0], both[1]
-	if won.code != cli.ExitOK || lost.code != cli.ExitConflict {
+	if won.code != shell.ExitOK || lost.code != shell.ExitConflict {
 		ts.Fatalf("one must win and the other meet a conflict:\n%d %s\n%d %s", won.code, won.said, lost.code, lost.said)
 	}
 	for _, revision := range []int{expected, expected + 1} {
@@ -304,7 +304,7 @@
 // prompt FILE PHASE MILLISECONDS requires that 99 of 100 good requests of each
 // kind in a phase were answered in less time.
 func prompt(ts *testscript.TestScript, neg bool, args []string) {
-	var report lab.Report
+	var report drill.Report
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &report))
 	bound, err := strconv.ParseFloat(args[2], 64)
 	ts.Check(err)
@@ -321,9 +321,9 @@
 }
 
 func shareOf(ts *testscript.TestScript, file, phase, kind string) float64 {
-	var report lab.Report
+	var report drill.Report
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile(file)), &report))
-	i := slices.IndexFunc(report.Lines, func(l lab.Line) bool { return l.Phase == phase && l.Kind == kind })
+	i := slices.IndexFunc(report.Lines, func(l drill.Line) bool { return l.Phase == phase && l.Kind == kind })
 	if i < 0 {
 		ts.Fatalf("no %s in %s", kind, phase)
 	}
@@ -345,13 +345,13 @@
 	return statsOf(ts, target).Arrived
 }
 
-func statsOf(ts *testscript.TestScript, target string) lab.Stats {
+func statsOf(ts *testscript.TestScript, target string) drill.Stats {
 	m := ts.Value(meshKey{}).(*mesh)
 	address := setting(ts, filepath.Join(m.dir, "target-"+target+".yaml"), "control_listen")
 	response, err := http.Get("http://" + address + "/-/stats")
 	ts.Check(err)
 	defer response.Body.Close()
-	var stats lab.Stats
+	var stats drill.Stats
 	ts.Check(json.NewDecoder(response.Body).Decode(&stats))
 	return stats
 }
--- a/internal/cli/log.go
+++ b/internal/shell/log.go
@@ -1,4 +1,4 @@
-package cli
+package shell
 
 import (
 	"fmt"
--- a/internal/cli/cli.go
+++ b/internal/shell/shell.go
@@ -1,6 +1,6 @@
-// Package cli is the command line of dandelionfield: it runs a node, and it
+// Package shell is the command line of dandelionfield: it runs a node, and it
 // drives a mesh through the resource API of any node.
-package cli
+package shell
 
 import (
 	"context"
