--- a/internal/local/order_test.go
+++ b/internal/local/order_test.go
@@ -24,7 +24,6 @@
 	for range 2 * int(minOrigins) {
 		s.origins.count("inner", "orders")
 	}
-	var order []uint16
 	position := func(kind string, drawn uint32) uint16 {
 		request := newAttempt(inner)
 		request.Kind = kind
@@ -34,8 +33,9 @@
 		defer s.mu.Unlock()
 		return s.start(time.Now(), request).position()
 	}
-	order = append(order, position("inner", 60_000), position("inner", 3), position("direct", 3))
-	is.Equal(order, []uint16{0, 0, 3})
+	is.Equal(position("inner", 60_000), uint16(0))
+	is.Equal(position("inner", 3), uint16(0))
+	is.Equal(position("direct", 3), uint16(3))
 	close(target.hang)
 	s.settings.Admits = nil
 	is.Equal(position("inner", 60_000), uint16(60_000)) // there calls inherit their request's place
