Hold back only kinds that fail at the full service

TestStalePressureCountsNoMore reported pressure without a failure, which holds nothing back any more; its requests fail now.

--- a/internal/admit/throttle.go
+++ b/internal/admit/throttle.go
@@ -209,16 +209,21 @@
 	return false
 }
 
-// exposure returns the pressure that a kind meets: of its own service, and of
-// those below where its requests fail.
+// exposure returns the pressure that a kind meets: that of its own service and of
+// those below, where its requests fail. One whose requests do well, since others
+// give way to them in the queues, relieves nobody by being held back.
 func (k *throttled) exposure(now time.Time) float64 {
 	if now.Sub(k.pressedAt) >= pressureFresh {
 		return 0
 	}
-	if k.failedAt.IsZero() || now.Sub(k.failedAt) > exposedFor {
-		return k.pressure.Own
+	exposure := 0.0
+	if k.failing() {
+		exposure = k.pressure.Own
 	}
-	return max(k.pressure.Own, k.pressure.Below)
+	if !k.failedAt.IsZero() && now.Sub(k.failedAt) <= exposedFor {
+		exposure = max(exposure, k.pressure.Below)
+	}
+	return exposure
 }
 
 func (k *throttled) failing() bool {
