Look for nodes that left in nearly every round, and leave when another can take over

Test: TestThoseThatLeftAreLookedForOften (12 nodes: 10 of 100 rounds before, at least 75 now; 530 nodes ask 33 times a second together).

--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -39,10 +39,15 @@
 	fullPerMember = 25 * time.Millisecond
 	fullInterval  = time.Second
 
-	// lapsedShare is the share of rounds that ask a lapsed member, or one that went
-	// a short while ago, at most; it falls with lapsedRate/n, so that n nodes do not flood one address.
+	// lapsedShare is the share of rounds that ask a lapsed member, at most; it falls
+	// with lapsedRate/n, so that n nodes do not flood one address.
 	lapsedShare = 0.1
-	lapsedRate  = 3.0
+	// leftRate takes the place of lapsedRate for those that went a short while ago,
+	// which most likely start again at their address and know nobody: they are
+	// asked in every round where nodes are few, and 33 times a second by all nodes
+	// together where they are many.
+	leftRate   = 10.0
+	lapsedRate = 3.0
 
 	// catchUpPeers is how many peers a node hears, if the platform does not
 	// answer, before it trusts its view.
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -174,7 +174,8 @@
 	c.refreshPeers()
 	all, near, wide := c.peers.all, c.peers.near, c.peers.all
 	if len(all) == 0 {
-		return c.withAbsent(slices.Clone(c.seeds))
+		absent := append(c.view.Lapsed(), c.view.Left(c.Clock.Now())...)
+		return c.withOne(slices.Clone(c.seeds), absent)
 	}
 	if len(near) == 0 {
 		near = all
@@ -182,24 +183,26 @@
 	if len(c.peers.far) > 0 && c.Random() < farShare {
 		wide = c.peers.far
 	}
-	addresses := make([]string, 0, roundPeers+1)
+	addresses := make([]string, 0, roundPeers+2)
 	addresses = append(addresses, c.choose(near))
 	if second := c.choose(wide); second != addresses[0] {
 		addresses = append(addresses, second)
 	}
-	if c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
-		return c.withAbsent(addresses)
+	if lapsed := c.view.Lapsed(); c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
+		addresses = c.withOne(addresses, lapsed)
+	}
+	if left := c.view.Left(c.Clock.Now()); c.Random() < leftRate/float64(len(all)) {
+		addresses = c.withOne(addresses, left)
 	}
 	return addresses
 }
 
-// withAbsent adds the address of one member that lapsed or went, if there is one.
-func (c *Controller) withAbsent(addresses []string) []string {
-	absent := append(c.view.Lapsed(), c.view.Left(c.Clock.Now())...)
-	if len(absent) == 0 {
+// withOne adds the address of one of the members, if there are any.
+func (c *Controller) withOne(addresses []string, members []Member) []string {
+	if len(members) == 0 {
 		return addresses
 	}
-	return append(addresses, absent[c.index(len(absent))].RelayAddress)
+	return append(addresses, members[c.index(len(members))].RelayAddress)
 }
 
 func (c *Controller) refreshPeers() {
--- a/internal/member/run_test.go
+++ b/internal/member/run_test.go
@@ -85,3 +85,35 @@
 	cancel()
 	loops.Wait()
 }
+
+// While the platform is down a node that went and starts again knows nobody, and
+// takes no work until somebody finds it: each of a few nodes looks for it in nearly
+// every round.
+func TestThoseThatLeftAreLookedForOften(t *testing.T) {
+	is := is.New(t)
+	const size = 12
+	clk := fastClock{start: time.Now()}
+	c := member.New(sampleRow(0), plat.NewMemory().Store(), clk, hclog.NewNullLogger())
+	c.Go = func(work func()) { work() }
+	asked := map[string]int{}
+	c.Send = func(_ context.Context, address string, _ *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+		asked[address]++
+		return nil, errors.New("silent")
+	}
+	for i := 1; i < size; i++ {
+		row := sampleRow(i)
+		message := &relaypb.Member{
+			Name: row.Name, Incarnation: row.Incarnation, StartedMs: row.StartedMS, Version: row.Version,
+			RelayAddress: row.RelayAddress, State: uint32(member.Active),
+		}
+		if i == 1 {
+			message.State = uint32(member.Gone)
+		}
+		c.Answer(&relaypb.ExchangeRequest{From: row.RelayAddress, Deltas: []*relaypb.Member{message}})
+	}
+	const rounds = 100
+	for range rounds {
+		c.Round(context.Background())
+	}
+	is.True(asked[sampleRow(1).RelayAddress] >= rounds*3/4)
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -77,13 +77,24 @@
 	for {
 		now := n.clock.Now()
 		noticed := now.Sub(started) >= noticeTime && now.Sub(n.callers.LastRequest()) >= lullTime
-		if noticed || !now.Before(latest) || ctx.Err() != nil {
+		if noticed && n.replaced() || !now.Before(latest) || ctx.Err() != nil {
 			return
 		}
 		n.pause(ctx, lullPeriod)
 	}
 }
 
+// replaced says whether another target of the service takes work. Until one does,
+// a leaving node goes on: others of its service may be restarting.
+func (n *Node) replaced() bool {
+	for _, m := range n.members.Service(n.settings.Service) {
+		if m.State == member.Active && m.Incarnation != n.incarnation && (m.TargetID != "" || !n.announced()) {
+			return true
+		}
+	}
+	return false
+}
+
 // leaveGrace is how long a leaving node still takes work: until the news has
 // reached everybody, and until its keys, if it has any, belong to others. It
 // leaves calls the time to end, also where that is too short for the keys.
