Keep a replaced host out of the view also after its successor left

The view itself leaves out what a later process at the address has replaced, gone or not; the check in node is dropped, and its test is now the stricter TestReplacedHostIsNoMember, which fails without the change.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -156,8 +156,8 @@
 	v.put(now, row)
 }
 
-// All returns the members that are neither gone nor lapsed, by name, with the
-// node itself.
+// All returns the members that are neither gone, lapsed nor replaced by another at
+// their address, by name, with the node itself.
 func (v *View) All(_ time.Time) []Member {
 	names := v.names()
 	members := make([]Member, len(names))
@@ -242,14 +242,29 @@
 	v.edition++
 }
 
+// lastStarts returns the last start of a process at each relay address. An earlier
+// process there has ended, although its lease has not: its host was replaced. That
+// holds also once the later one is gone.
+func (v *View) lastStarts() map[string]int64 {
+	last := make(map[string]int64, len(v.entries))
+	for _, e := range v.entries {
+		if address := e.row.RelayAddress; address != "" {
+			last[address] = max(last[address], e.row.StartedMS)
+		}
+	}
+	return last
+}
+
 func (v *View) names() []string {
 	if !v.dirty {
 		return v.present
 	}
 	v.dirty = false
 	v.present = v.present[:0]
+	last := v.lastStarts()
 	for name, e := range v.entries {
-		if e.row.State != Gone && e.lapsed.IsZero() {
+		replaced := e.row.StartedMS < last[e.row.RelayAddress]
+		if e.row.State != Gone && e.lapsed.IsZero() && !replaced {
 			v.present = append(v.present, name)
 		}
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -203,3 +203,27 @@
 	is.Equal(len(view.Lapsed()), 1)
 	is.Equal(view.Lapsed()[0].Name, "old")
 }
+
+// A host was lost and another one has its address: calls to the lost node would
+// reach the new one, which refuses them, until the lease of the lost one ends. That
+// the new one leaves does not bring the lost one back.
+func TestReplacedHostIsNoMember(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	view := member.NewView(member.Member{Name: "side-1", RelayAddress: "10.0.0.1:7100", StartedMS: 50})
+	lost := member.Member{Name: "side-4", RelayAddress: "10.0.0.4:7100", StartedMS: 100, Version: 1, State: member.Active}
+	successor := member.Member{Name: "side-6", RelayAddress: "10.0.0.4:7100", StartedMS: 900, Version: 1, State: member.Active}
+	names := func() (names []string) {
+		for _, m := range view.All(now) {
+			names = append(names, m.Name)
+		}
+		return names
+	}
+	view.Merge(now, []member.Member{lost})
+	is.Equal(names(), []string{"side-1", "side-4"})
+	view.Merge(now, []member.Member{successor})
+	is.Equal(names(), []string{"side-1", "side-6"})
+	successor.State, successor.Version = member.Gone, 2
+	view.Merge(now, []member.Member{successor})
+	is.Equal(names(), []string{"side-1"})
+}
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -137,7 +136,7 @@
 	}
 	byService := map[string][]route.Target{}
 	all := n.members.All()
-	for _, m := range lastAtAddress(all) {
+	for _, m := range all {
 		if m.State != member.Active && m.State != member.Cold && m.State != member.Leaving {
 			continue
 		}
@@ -161,18 +160,6 @@
 	n.metrics.Members.Set(float64(len(all)))
 }
 
-// lastAtAddress leaves out members whose relay address a later process has: their
-// host was replaced, although their lease has not run out yet.
-func lastAtAddress(members []member.Member) []member.Member {
-	latest := make(map[string]int64, len(members))
-	for _, m := range members {
-		latest[m.RelayAddress] = max(latest[m.RelayAddress], m.StartedMS)
-	}
-	return slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool {
-		return m.StartedMS < latest[m.RelayAddress]
-	})
-}
-
 // checkSuperseded stops the node when a later process bears its name.
 func (n *Node) checkSuperseded() {
 	if later, ok := n.members.Superseded(); ok {
