Give a starting node no part of the shared slack before it knows the others

Found by reading: the first rule was made while the view was empty, with half of the slack for one node alone; every starting node had it for a second. Test: TestSlackOfRepeatsWaitsForTheView. Members that left or lapsed are listed only in the rounds that ask one.

--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -188,11 +188,11 @@
 	if second := c.choose(wide); second != addresses[0] {
 		addresses = append(addresses, second)
 	}
-	if lapsed := c.view.Lapsed(); c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
-		addresses = c.withOne(addresses, lapsed)
+	if c.Random() < min(lapsedShare, lapsedRate/float64(len(all))) {
+		addresses = c.withOne(addresses, c.view.Lapsed())
 	}
-	if left := c.view.Left(c.Clock.Now()); c.Random() < leftRate/float64(len(all)) {
-		addresses = c.withOne(addresses, left)
+	if c.Random() < leftRate/float64(len(all)) {
+		addresses = c.withOne(addresses, c.view.Left(c.Clock.Now()))
 	}
 	return addresses
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -123,13 +123,18 @@
 }
 
 // retryRule is the part that this node keeps of the budget of repeats that the
-// nodes beside the targets of its service share.
+// nodes beside the targets of its service share. It has no part of the slack before
+// it knows with how many others it shares that.
 func (n *Node) retryRule() budget.Rule {
-	beside := len(n.members.Service(n.settings.Service))
+	slack := 0.0
+	if n.members.Ready() {
+		beside := len(n.members.Service(n.settings.Service))
+		slack = float64(n.settings.RetrySlack) * slackShare / float64(max(beside, 1))
+	}
 	return budget.Rule{
 		Share:     n.settings.RetryShare * ownShare,
 		RunShare:  n.settings.RetryShare * runShare,
-		Slack:     float64(n.settings.RetrySlack) * slackShare / float64(max(beside, 1)),
+		Slack:     slack,
 		Span:      n.settings.RetryWindow,
 		InnerPart: innerPart,
 	}
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -51,3 +52,16 @@
 
 // viewRounds is how often two changes of the view meet in the test.
 const viewRounds = 5000
+
+// Before a node knows the others beside targets of its service, it spends nothing of
+// the slack that they share.
+func TestSlackOfRepeatsWaitsForTheView(t *testing.T) {
+	is := is.New(t)
+	settings := &setup.Node{
+		Name: "a", Service: "s", TargetAddress: "127.0.0.1:1", PlatformAddress: "127.0.0.1:1", MemoryBytes: 16 << 20,
+		RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 48,
+	}
+	n := New(settings, hclog.NewNullLogger(), clock.System{}, Doors{})
+	is.Equal(n.retryRule().Slack, 0.0)
+	is.True(n.retryRule().Share > 0)
+}
