Learn from few calls that targets make them, and keep to it

Five calls say enough, and what was last seen of a kind stays while there are fewer. Test: TestCallsOfTargetsAreKnownByFew, which fails without the change.

--- a/internal/local/origin.go
+++ b/internal/local/origin.go
@@ -5,19 +5,23 @@
 // calls enter at the nodes of one or two services.
 type origins struct {
 	byKind map[string]map[string]float64
+	// known holds what was last seen of a kind. It stays while there are too few
+	// calls to tell: a throttle that takes calls of targets for requests of callers
+	// lets next to none through, and would never hear better.
+	known map[string]bool
 }
 
 const (
 	// originFade is what remains of the counts after one forgetPeriod.
 	originFade = 0.8
 	// minOrigins is how many calls say something.
-	minOrigins = 20.0
+	minOrigins = 5.0
 	// innerShare is the share of one service above which a kind counts as inner.
 	innerShare = 0.85
 )
 
 func newOrigins() origins {
-	return origins{byKind: map[string]map[string]float64{}}
+	return origins{byKind: map[string]map[string]float64{}, known: map[string]bool{}}
 }
 
 func (o *origins) count(kind, service string) {
@@ -29,14 +33,18 @@
 	services[service]++
 }
 
-// inner says whether nearly all calls of a kind come from one service.
+// inner says whether nearly all calls of a kind come from one service, or did when
+// there were last enough to tell.
 func (o *origins) inner(kind string) bool {
 	sum, most := 0.0, 0.0
 	for _, count := range o.byKind[kind] {
 		sum += count
 		most = max(most, count)
 	}
-	return sum >= minOrigins && most >= innerShare*sum
+	if sum >= minOrigins {
+		o.known[kind] = most >= innerShare*sum
+	}
+	return o.known[kind]
 }
 
 func (o *origins) fade() {
