Know calls of targets also where two services make them

Now a kind is called by targets also where another service sends other kinds and next to none of this one. Tests: TestCallsOfTwoServicesAreCallsOfTargets fails without the change; TestUnevenRequestsOfCallersAreNotTakenForCallsOfTargets. The test of the order had a data race of its own (it changed settings under a running server): two servers now.

--- a/internal/local/order_test.go
+++ b/internal/local/order_test.go
@@ -19,12 +19,15 @@
 	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	target.hang = make(chan struct{})
 	inner := &schema.Kind{Name: "inner", Service: "s", Method: http.MethodGet, Repeat: schema.Safe}
-	s := newServer(target.listener.Addr().String(), inner, schema.DefaultLimits())
-	s.settings.Admits = func(string) result.Code { return result.OK }
-	for range 2 * int(minOrigins) {
-		s.origins.count("inner", "orders")
+	announced := newServer(target.listener.Addr().String(), inner, schema.DefaultLimits())
+	announced.settings.Admits = func(string) result.Code { return result.OK }
+	own := newServer(target.listener.Addr().String(), inner, schema.DefaultLimits())
+	for _, s := range []*Server{announced, own} {
+		for range 2 * int(minOrigins) {
+			s.origins.count("inner", "orders")
+		}
 	}
-	position := func(kind string, drawn uint32) uint16 {
+	position := func(s *Server, kind string, drawn uint32) uint16 {
 		request := newAttempt(inner)
 		request.Kind = kind
 		request.Position = drawn
@@ -33,11 +36,11 @@
 		defer s.mu.Unlock()
 		return s.start(time.Now(), request).position()
 	}
-	is.Equal(position("inner", 60_000), uint16(0))
-	is.Equal(position("inner", 3), uint16(0))
-	is.Equal(position("direct", 3), uint16(3))
+	is.Equal(position(announced, "inner", 60_000), uint16(0))
+	is.Equal(position(announced, "inner", 3), uint16(0))
+	is.Equal(position(announced, "direct", 3), uint16(3))
+	is.Equal(position(own, "inner", 60_000), uint16(60_000)) // there calls inherit their request's place
 	close(target.hang)
-	s.settings.Admits = nil
-	is.Equal(position("inner", 60_000), uint16(60_000)) // there calls inherit their request's place
-	<-s.Drained()
+	<-announced.Drained()
+	<-own.Drained()
 }
--- a/internal/local/origin.go
+++ b/internal/local/origin.go
@@ -18,6 +18,10 @@
 	minOrigins = 5.0
 	// innerShare is the share of one service above which a kind counts as inner.
 	innerShare = 0.85
+	// Where several services make such calls, at least manyOrigins show that another
+	// makes none: less than strayShare of what would be its even part.
+	manyOrigins = 30.0
+	strayShare  = 0.1
 )
 
 func newOrigins() origins {
@@ -33,8 +37,8 @@
 	services[service]++
 }
 
-// inner says whether nearly all calls of a kind come from one service, or did when
-// there were last enough to tell.
+// inner says whether the calls of a kind come from one service, or from some while
+// others send other kinds only; or did when there were last enough to tell.
 func (o *origins) inner(kind string) bool {
 	sum, most := 0.0, 0.0
 	for _, count := range o.byKind[kind] {
@@ -42,11 +46,33 @@
 		most = max(most, count)
 	}
 	if sum >= minOrigins {
-		o.known[kind] = most >= innerShare*sum
+		o.known[kind] = most >= innerShare*sum || o.partial(kind, sum)
 	}
 	return o.known[kind]
 }
 
+// partial says whether some service sends other kinds, and next to none of this one.
+func (o *origins) partial(kind string, sum float64) bool {
+	if sum < manyOrigins {
+		return false
+	}
+	others := map[string]float64{}
+	for other, services := range o.byKind {
+		for service, count := range services {
+			if other != kind {
+				others[service] += count
+			}
+		}
+	}
+	even := sum / float64(max(len(others), 1))
+	for service, count := range others {
+		if count >= minOrigins && o.byKind[kind][service] < strayShare*even {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *origins) fade() {
 	for kind, services := range o.byKind {
 		for service := range services {
--- a/internal/local/origin_test.go
+++ b/internal/local/origin_test.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -39,3 +40,34 @@
 	}
 	is.True(!o.inner("direct"))
 }
+
+// Since a change of weights, orders run at two services, and both make the same
+// calls. They are calls of targets as long as other services make none.
+func TestCallsOfTwoServicesAreCallsOfTargets(t *testing.T) {
+	is := is.New(t)
+	o := newOrigins()
+	services := []string{"orders", "stock", "lines", "rounds"}
+	for i := range 200 {
+		o.count("inner", services[i%2])
+		o.count("direct", services[i%4])
+	}
+	is.True(o.inner("inner"))
+	is.True(!o.inner("direct"))
+}
+
+// Requests of callers that chance spreads unevenly stay what they are.
+func TestUnevenRequestsOfCallersAreNotTakenForCallsOfTargets(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	services := []string{"orders", "stock", "lines", "rounds"}
+	for range 1000 {
+		o := newOrigins()
+		for range 60 {
+			o.count("direct", services[random.IntN(4)])
+			o.count("other", services[random.IntN(4)])
+			o.count("inner", services[random.IntN(2)])
+		}
+		if o.inner("direct") || o.inner("other") || !o.inner("inner") {
+			t.Fatalf("taken wrongly: %v", o.byKind)
+		}
+	}
+}
