Tell a replaced host from a successor whose clock is behind

Found by reading: a host that left with its clock ahead would have kept its successor at the address out of every view for two hours, since the last start there counted also when it was gone; and a node could drop itself. A sign of life after the last one went tells; a node never drops itself. Test: TestSuccessorWithAClockBehindIsAMember, which fails without the change. The test of those that left ran on a clock a hundred times as fast, on which the minute could pass on a busy host; its clock stands still now.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -242,29 +242,38 @@
 	v.edition++
 }
 
-// lastStarts returns the last start of a process at each relay address. An earlier
-// process there has ended, although its lease has not: its host was replaced. That
-// holds also once the later one is gone.
-func (v *View) lastStarts() map[string]int64 {
-	last := make(map[string]int64, len(v.entries))
+// lastAtAddress returns the member that started last at each relay address.
+func (v *View) lastAtAddress() map[string]*entry {
+	last := make(map[string]*entry, len(v.entries))
 	for _, e := range v.entries {
-		if address := e.row.RelayAddress; address != "" {
-			last[address] = max(last[address], e.row.StartedMS)
+		address := e.row.RelayAddress
+		if known := last[address]; address != "" && (known == nil || e.row.StartedMS > known.row.StartedMS) {
+			last[address] = e
 		}
 	}
 	return last
 }
 
+// replacedBy says whether the last member at the address has taken this one's place:
+// its host was replaced, although its lease has not run out. That holds also once
+// the last one is gone, unless there was a sign of life after that; then it was a
+// predecessor whose clock was ahead.
+func (e *entry) replacedBy(last *entry) bool {
+	if last == nil || e.row.StartedMS >= last.row.StartedMS {
+		return false
+	}
+	return last.row.State != Gone || !e.heard.After(last.gone)
+}
+
 func (v *View) names() []string {
 	if !v.dirty {
 		return v.present
 	}
 	v.dirty = false
 	v.present = v.present[:0]
-	last := v.lastStarts()
+	last := v.lastAtAddress()
 	for name, e := range v.entries {
-		replaced := e.row.StartedMS < last[e.row.RelayAddress]
-		if e.row.State != Gone && e.lapsed.IsZero() && !replaced {
+		if e.row.State != Gone && e.lapsed.IsZero() && (name == v.name || !e.replacedBy(last[e.row.RelayAddress])) {
 			v.present = append(v.present, name)
 		}
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -227,3 +227,21 @@
 	view.Merge(now, []member.Member{successor})
 	is.Equal(names(), []string{"side-1"})
 }
+
+// The clock of a host that was replaced was ahead, so that its successor seems to be
+// the earlier one. Once the predecessor is gone, signs of life tell who is there; and
+// no node ever drops itself.
+func TestSuccessorWithAClockBehindIsAMember(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	ahead := member.Member{Name: "side-4", RelayAddress: "10.0.0.4:7100", StartedMS: 900, Version: 1, State: member.Gone}
+	successor := member.Member{Name: "side-6", RelayAddress: "10.0.0.4:7100", StartedMS: 895, Version: 1, State: member.Active}
+	other := member.NewView(member.Member{Name: "side-1", RelayAddress: "10.0.0.1:7100", StartedMS: 50})
+	other.Merge(now, []member.Member{ahead})
+	other.Merge(now.Add(time.Second), []member.Member{successor})
+	is.Equal(len(other.All(now)), 2)
+	own := member.NewView(successor)
+	ahead.State = member.Active
+	own.Merge(now, []member.Member{ahead})
+	is.Equal(own.All(now)[len(own.All(now))-1].Name, "side-6")
+}
--- a/internal/member/run_test.go
+++ b/internal/member/run_test.go
@@ -92,7 +92,7 @@
 func TestThoseThatLeftAreLookedForOften(t *testing.T) {
 	is := is.New(t)
 	const size = 12
-	clk := fastClock{start: time.Now()}
+	clk := &manualClock{now: time.UnixMilli(1_700_000_000_000)}
 	c := member.New(sampleRow(0), plat.NewMemory().Store(), clk, hclog.NewNullLogger())
 	c.Go = func(work func()) { work() }
 	asked := map[string]int{}
