Say that a node leaves, and let two tests judge what they claim

- A request refused in a planned stop was logged as no_configuration; it is leaving now.
TestPlannedStopCutsNothingOff asks for it, and failed before.
- comes_to counted 80 looks of a second each in a cut, so that the promised 4 s never bound.

--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -44,6 +44,8 @@
 	Log     hclog.Logger
 	// Rules returns the rules in force, nil before there are any.
 	Rules func() *Rules
+	// Leaving says whether there are none because the node leaves; nil stands for no.
+	Leaving func() bool
 	// Serving finds the attempt that a context handle stands for.
 	Serving func(handle string) (*call.Serving, bool)
 	// TargetHost is the IP number from which context handles are accepted.
@@ -165,7 +167,10 @@
 // classify finds the declared kind and fixes the deadline.
 func (f *Inward) classify(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	rules := f.Rules()
-	if rules == nil {
+	switch {
+	case rules == nil && f.Leaving != nil && f.Leaving():
+		return call.Refuse(result.Leaving, "")
+	case rules == nil:
 		return call.Refuse(result.NoConfiguration, "")
 	}
 	request := exchange.Request
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -203,6 +203,7 @@
 		Metrics:    n.metrics,
 		Log:        n.log.Named("filter"),
 		Rules:      n.inForce,
+		Leaving:    n.closed.Load,
 		Serving:    n.local.Serving,
 		TargetHost: host,
 		Allows:     n.sender.Allows,
--- a/internal/proof/steps_test.go
+++ b/internal/proof/steps_test.go
@@ -125,7 +125,15 @@
 func comesTo(ts *testscript.TestScript, neg bool, args []string) {
 	revision, err := strconv.ParseInt(args[0], 10, 64)
 	ts.Check(err)
-	awaitRevision(ts, args[1], looks(promisedTime), revision, "")
+	began := time.Now()
+	awaitRevision(ts, args[1], looks(inForceTimeout), revision, "")
+	status, err := statusOf(args[1], ts.Getenv("DANDELIONFIELD_TOKEN"))
+	ts.Check(err)
+	// A look takes a second in a cut, so that the node tells since when it has it.
+	age := time.Duration(status.RevisionAgeMS) * time.Millisecond
+	if took := time.Since(began) - age; took > promisedTime {
+		ts.Fatalf("revision %d came into force at %s after %s", revision, args[1], took)
+	}
 }
 
 // awaitRevision looks until the node shows the revision, and the digest unless that
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -89,7 +89,7 @@
 	{DeadlinePassed, "deadline_passed", "The deadline passed before anything was sent to a target.", "Send a longer deadline or try again.", 504},
 	{UnknownKind, "unknown_kind", "No declared request kind matches the method and path.", "Check the path, or declare the kind.", 404},
 	{NoConfiguration, "no_configuration", "The node has no configuration yet.", "Try another node, or try again in a moment.", 503},
-	{Leaving, "leaving", "The target is leaving and takes no new work.", "Try again; another target takes it.", 503},
+	{Leaving, "leaving", "The node or its target is leaving and takes no new work.", "Try again; another takes it.", 503},
 	{OtherIncarnation, "other_incarnation", "The attempt was addressed to a process that has been replaced, and the new one never saw it.", "Try again.", 503},
 	{Unreachable, "unreachable", "No connection to the target could be opened, so nothing was sent.", "Try again.", 503},
 	{TargetShed, "target_shed", "The target shed the call itself and none of its own calls ran.", "Try again after the time in Retry-After.", 503},
