Keep the last slots of an announced target free

The gate filled every slot that a target announces, so that under load the bottleneck worked in its slow state all the time and carried less than it could.

Change: admit.Usable keeps 6% of the slots free where there are 17 or more.

--- a/internal/admit/limit.go
+++ b/internal/admit/limit.go
@@ -16,8 +16,23 @@
 	// nearSlots is the share of the slots in use above which a shed of an opaque
 	// target speaks of its slots.
 	nearSlots = 0.8
+	// spareShare is the share of the announced slots that stays free, and spareFrom
+	// the number of slots from which on that costs no more than that share.
+	spareShare = 0.06
+	spareFrom  = 17
 )
 
+// Usable returns how many of the slots that a target announces are given work.
+// What it announces is the most that it holds; some targets work slower when they
+// are nearly full, all calls alike, so that the last slots cost more calls than
+// they carry.
+func Usable(slots int) int {
+	if slots < spareFrom {
+		return slots
+	}
+	return int(float64(slots) * (1 - spareShare))
+}
+
 // limiter adapts the number of calls in flight to what the target takes.
 //
 // A target that sheds has said how many it takes at the moment: those that
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -119,8 +119,8 @@
 func (n *Node) announcedSettings(target beat.Target) admit.Settings {
 	settings := n.gateSettings(n.declared(n.settings.Service))
 	if target.Slots > 0 {
-		settings.Slots = target.Slots
-		settings.Queue = queueFactor * target.Slots
+		settings.Slots = admit.Usable(target.Slots)
+		settings.Queue = queueFactor * settings.Slots
 	}
 	settings.Opaque = true
 	// A target that warms up is slow, but has all its slots; the choice between
