Go by the load that is offered, and tell of it with every answer

Symptom: in a surge the throttle swung in turns of three to four seconds, and nodes with few requests of a kind let it in again while the bottleneck was full.

The shares fell by 15% each period as long as it stood. - A node heard of the pressure only with answers of the kind itself. At a share of a few in a hundred that is less than once a second, and what is not heard for a second counted as room. - A kind with fewer than three ends in the last second never failed.

Changes: gates report the offered load (first attempts by their time, and what works the queue off in 0.3 s); shares move by the square root of what it asks for; answers tell of the fullest services with their age and whether they lie below the target; the last six ends of a kind are kept for up to 5 s.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -68,6 +68,9 @@
 		Importance schema.Importance
 		Position   uint16
 		Deadline   time.Time
+		// First is set on the first attempt of a call. Of a call that another target
+		// refused before it was sent, that target's gate has taken note.
+		First bool
 		// Waits reports whether the target waits for calls that it made for
 		// this one. Nil stands for a kind that makes none.
 		Waits func() bool
@@ -113,7 +116,10 @@
 		InFlight int
 		Limit    int
 		Queued   int
-		Cold     bool
+		// Offered is how many slots the calls that arrive would keep in use if all
+		// were served.
+		Offered float64
+		Cold    bool
 		// Stopped is how long the target has been known to have stopped, and 0
 		// while it works.
 		Stopped time.Duration
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -32,6 +32,7 @@
 		limiter  limiter
 		demand   demand
 		times    times
+		offer    offer
 		queue    queue
 		pulse    pulse
 		running  map[string]runner
@@ -74,6 +75,9 @@
 func (g *Gate) Offer(now time.Time, c Call) Decision {
 	g.demand.observe(now, Order(c.Importance, c.Position))
 	g.limiter.advance(now)
+	if c.First {
+		g.offer.take(now, g.times.expected(c.Kind))
+	}
 	if _, ok := g.running[c.ID]; ok {
 		return Decision{Code: result.RunningStill}
 	}
@@ -177,6 +181,7 @@
 		InFlight: len(g.running),
 		Limit:    g.limit(now),
 		Queued:   g.queue.len(),
+		Offered:  g.offer.load(now) + float64(g.queue.len())*g.times.mean()/queueDrain.Seconds(),
 		Cold:     g.limiter.cold(now),
 		Stopped:  g.stoppedFor(now),
 	}
--- a/internal/admit/throttle.go
+++ b/internal/admit/throttle.go
@@ -16,6 +16,10 @@
 	throttleMemory = time.Second
 	// minEnds is how many ends, weighted, say something about a kind.
 	minEnds = 3.0
+	// keptEnds is how many of the last ends are remembered beyond throttleMemory,
+	// for a node that sees few of a kind, and endsFresh for how long.
+	keptEnds  = 6.0
+	endsFresh = 5 * time.Second
 	// A kind fails when more than failAbove of its requests do.
 	failAbove = 0.08
 	// exposedFor is how long a kind that failed counts as one that leads to a
@@ -23,26 +27,29 @@
 	exposedFor = 5 * time.Second
 	// pressureFresh is how long a reported pressure counts.
 	pressureFresh = time.Second
-	// A service is full above fullPressure, where calls wait for its slots, and has
-	// room below roomPressure. In between the shares stay.
-	fullPressure = 1.05
-	roomPressure = 0.9
-	// aimPressure is what a cut aims at, and maxCut how far a share falls in one
-	// period at most: what was let in before arrives for another half second.
+	// A service is full above fullPressure and has room below roomPressure. In
+	// between the shares stay.
+	fullPressure = 1.0
+	roomPressure = 0.93
+	// aimPressure is what a change of a share aims at. In one period it falls to
+	// maxCut of itself or rises to maxGrowth of itself at most, and by leastGrowth.
 	aimPressure = 0.95
-	maxCut      = 0.85
+	maxCut      = 0.7
+	maxGrowth   = 1.3
+	leastGrowth = 0.005
+	// stepGain is how much of the way to the aim one period goes, as an exponent: what
+	// was let in before arrives for another half second, two to three periods.
+	stepGain = 0.5
 	// minShare keeps a few requests going, which show how the services are.
 	minShare = 0.03
-	// growStep is by how much a share grows in one period.
-	growStep = 0.04
 )
 
 type (
 	// End is how a request that was let in ended.
 	End uint8
 
-	// Pressure is how much work the targets of a service have, queued calls among
-	// it, in relation to what they take on at the same time.
+	// Pressure is the load that is offered to the targets of a service in relation
+	// to their slots: above 1, more calls arrive than they can carry.
 	Pressure struct {
 		// Own is that of the kind's own service, and Below the highest of the
 		// services that are called for it, as far as is known.
@@ -73,6 +80,7 @@
 		share      float64
 		good       float64
 		bad        float64
+		endedAt    time.Time
 		failedAt   time.Time
 		pressure   Pressure
 		pressedAt  time.Time
@@ -109,15 +117,6 @@
 	k.pressedAt = now
 }
 
-// Pressure returns the highest pressure that a kind leads to, 0 if unknown.
-func (t *Throttle) Pressure(now time.Time, kind string) float64 {
-	k := t.kinds[kind]
-	if k == nil || now.Sub(k.pressedAt) >= pressureFresh {
-		return 0
-	}
-	return max(k.pressure.Own, k.pressure.Below)
-}
-
 // Share returns the share of a kind's requests that are let in.
 func (t *Throttle) Share(kind string) float64 {
 	if k := t.kinds[kind]; k != nil {
@@ -143,7 +142,9 @@
 	case Overrun:
 		k.bad++
 	case Other:
+		return
 	}
+	k.endedAt = now
 }
 
 func (t *Throttle) kind(name string) *throttled {
@@ -167,8 +168,7 @@
 		t.at = now
 		keep := math.Exp(-elapsed.Seconds() / throttleMemory.Seconds())
 		for _, k := range t.kinds {
-			k.good *= keep
-			k.bad *= keep
+			k.fade(now, keep)
 		}
 	}
 	if now.Sub(t.setAt) >= throttlePeriod {
@@ -191,13 +191,20 @@
 		pressure := k.exposure(now)
 		switch {
 		case pressure < roomPressure:
-			k.share = min(1, k.share+growStep)
+			k.share = min(1, k.share*min(maxGrowth, step(pressure))+leastGrowth)
 		case pressure > fullPressure && !hasShield(now, kinds[:i], k):
-			k.share = max(minShare, k.share*max(maxCut, aimPressure/pressure))
+			k.share = max(minShare, k.share*max(maxCut, step(pressure)))
 		}
 	}
 }
 
+// step is by which factor a share changes in one period: the whole of the change that
+// the pressure asks for at once would come on top of those of the last periods, which
+// have not shown in the pressure yet.
+func step(pressure float64) float64 {
+	return math.Pow(aimPressure/pressure, stepGain)
+}
+
 // hasShield says whether a less important kind that leads to a full service too
 // can still give way.
 func hasShield(now time.Time, below []*throttled, k *throttled) bool {
@@ -226,6 +233,17 @@
 	return exposure
 }
 
+// fade lets the counts of ends come down to a share, but not below those that a
+// node remembers which sees few of the kind.
+func (k *throttled) fade(now time.Time, keep float64) {
+	ends := k.good + k.bad
+	if now.Sub(k.endedAt) < endsFresh && ends*keep < keptEnds {
+		keep = min(1, keptEnds/ends)
+	}
+	k.good *= keep
+	k.bad *= keep
+}
+
 func (k *throttled) failing() bool {
 	ends := k.good + k.bad
 	return ends >= minEnds && k.bad > failAbove*ends
--- a/internal/admit/throttle_test.go
+++ b/internal/admit/throttle_test.go
@@ -29,6 +29,8 @@
 		// direct is set where callers ask the scheduler itself: such calls wait ahead
 		// of those that targets make.
 		direct bool
+		// together is set where the calls go out in two lanes at once.
+		together bool
 	}
 
 	// surge multiplies the arrivals of all kinds for a while.
@@ -40,11 +42,14 @@
 	// mesh replays a load pattern in virtual time: requests pass a throttle, or
 	// none, and share the scheduler's slots.
 	mesh struct {
-		kinds    []meshKind
-		surges   []surge
-		throttle *admit.Throttle
-		slots    int
-		callTime time.Duration
+		kinds  []meshKind
+		surges []surge
+		// nodes are those through which callers come, evenly; none in a naive mesh.
+		nodes []*meshNode
+		slots int
+		// announced is how many slots the scheduler has, where it slows near them.
+		announced int
+		callTime  time.Duration
 		// shedShare of the calls are shed by the scheduler whatever its load, for a
 		// while.
 		shedShare float64
@@ -53,18 +58,39 @@
 		// up with the answers of calls that take their time.
 		newsDelay time.Duration
 
-		random *rand.Rand
-		now    time.Duration
-		events eventHeap
-		busy   int
-		queue  []*meshRequest
-		served map[string]*tally
+		// knee multiplies the time of calls that start while the scheduler is nearly
+		// full, unless it is 0.
+		knee float64
+
+		offered   float64
+		offeredAt time.Duration
+		random    *rand.Rand
+		asked     int
+		now       time.Duration
+		events    eventHeap
+		busy      int
+		queue     []*meshCall
+		served    map[string]*tally
+	}
+
+	// meshNode is an entry node.
+	meshNode struct {
+		throttle  *admit.Throttle
+		pressures *admit.Pressures
 	}
 
 	meshRequest struct {
-		kind     *meshKind
-		began    time.Duration
-		callsOut int
+		kind      *meshKind
+		node      *meshNode
+		began     time.Duration
+		lanesDone int
+		ended     bool
+	}
+
+	// meshCall is what a request calls one after the other.
+	meshCall struct {
+		request  *meshRequest
+		done     int
 		queuedAt time.Duration
 	}
 
@@ -83,9 +109,11 @@
 )
 
 const (
+	scheduler     = "scheduler"
 	meshLength    = 40 * time.Second
 	meshQueueWait = 250 * time.Millisecond
 	meshQueue     = 120
+	kneeFrom      = 0.95
 )
 
 var meshStart = time.Unix(1_800_000_000, 0)
@@ -102,14 +130,13 @@
 
 // newMesh is the load of a rope works at three quarters of its capacity:
 // look-ups and orders lead to the scheduler, certificates do not.
-func newMesh(throttle *admit.Throttle) *mesh {
+func newMesh(nodes int) *mesh {
 	m := &mesh{
 		kinds: []meshKind{
 			{name: "look_up", importance: schema.Normal, perSecond: 300, work: 160 * time.Millisecond, calls: 5, deadline: time.Second},
 			{name: "order", importance: schema.Critical, perSecond: 100, work: 210 * time.Millisecond, calls: 5, deadline: 1200 * time.Millisecond},
 			{name: "certificate", importance: schema.Normal, perSecond: 100, work: 400 * time.Millisecond, deadline: 2500 * time.Millisecond},
 		},
-		throttle: throttle,
 		slots:    107,
 		callTime: 40 * time.Millisecond,
 		random:   rand.New(rand.NewPCG(7, 7)),
@@ -118,6 +145,9 @@
 	for i := range m.kinds {
 		m.served[m.kinds[i].name] = &tally{}
 	}
+	for range nodes {
+		m.nodes = append(m.nodes, &meshNode{throttle: admit.NewThrottle(), pressures: admit.NewPressures()})
+	}
 	return m
 }
 
@@ -129,7 +159,6 @@
 	for i := range m.kinds {
 		m.arrive(&m.kinds[i])
 	}
-	m.report()
 	for len(m.events) > 0 {
 		event := heap.Pop(&m.events).(meshEvent)
 		m.now = event.at
@@ -153,62 +182,110 @@
 	})
 }
 
+func (k *meshKind) lanes() int {
+	if k.together {
+		return 2
+	}
+	return 1
+}
+
 func (m *mesh) time() time.Time { return meshStart.Add(m.now) }
 
 func (m *mesh) ask(kind *meshKind) {
 	m.served[kind.name].asked[int(m.now.Seconds())]++
-	if m.throttle != nil && !m.throttle.Offer(m.time(), kind.name, kind.importance, m.random.Float64()) {
-		return
-	}
 	r := &meshRequest{kind: kind, began: m.now}
-	m.after(kind.work, func() { m.next(r) })
+	if len(m.nodes) > 0 {
+		r.node = m.nodes[m.asked%len(m.nodes)]
+		m.asked++
+		if !m.letIn(r) {
+			return
+		}
+	}
+	m.after(kind.work, func() {
+		for range kind.lanes() {
+			m.next(&meshCall{request: r})
+		}
+	})
+}
+
+func (m *mesh) letIn(r *meshRequest) bool {
+	service := r.kind.name + "s"
+	if r.kind.direct {
+		service = scheduler
+	}
+	r.node.throttle.Press(m.time(), r.kind.name, r.node.pressures.Of(m.time(), r.kind.name, service))
+	return r.node.throttle.Offer(m.time(), r.kind.name, r.kind.importance, m.random.Float64())
 }
 
-// next sends the request's next call, or ends it.
-func (m *mesh) next(r *meshRequest) {
+// next sends the next call of one lane of a request, or ends it.
+func (m *mesh) next(c *meshCall) {
+	r := c.request
 	switch {
+	case r.ended:
 	case m.now-r.began > r.kind.deadline:
 		m.end(r, admit.Overrun)
-	case r.callsOut == r.kind.calls:
-		m.served[r.kind.name].good[int(r.began.Seconds())]++
-		m.end(r, admit.Good)
+	case c.done == r.kind.calls/r.kind.lanes():
+		m.laneDone(r)
 	case m.shed.times > 0 && m.now >= m.shed.from && m.now < m.shed.until && m.random.Float64() < m.shedShare:
 		m.end(r, admit.Overrun)
-	case m.busy < m.slots:
-		m.serve(r)
-	case len(m.queue) >= meshQueue && r.kind.direct && !m.queue[len(m.queue)-1].kind.direct:
-		m.end(m.queue[len(m.queue)-1], admit.Overrun)
+	case m.arrived() && m.busy < m.slots:
+		m.serve(c)
+	case len(m.queue) >= meshQueue && r.kind.direct && !m.queue[len(m.queue)-1].request.kind.direct:
+		m.end(m.queue[len(m.queue)-1].request, admit.Overrun)
 		m.queue = m.queue[:len(m.queue)-1]
-		r.queuedAt = m.now
-		m.enqueue(r)
+		m.enqueue(c)
 	case len(m.queue) >= meshQueue:
 		m.end(r, admit.Overrun)
 	default:
-		r.queuedAt = m.now
-		m.enqueue(r)
+		m.enqueue(c)
 	}
 }
 
-func (m *mesh) enqueue(r *meshRequest) {
+func (m *mesh) arrived() bool {
+	m.fadeOffered()
+	m.offered += m.callTime.Seconds() / 0.4
+	return true
+}
+
+func (m *mesh) fadeOffered() {
+	m.offered *= math.Exp(-(m.now - m.offeredAt).Seconds() / 0.4)
+	m.offeredAt = m.now
+}
+
+func (m *mesh) laneDone(r *meshRequest) {
+	r.lanesDone++
+	if r.lanesDone < r.kind.lanes() {
+		return
+	}
+	m.served[r.kind.name].good[int(r.began.Seconds())]++
+	m.end(r, admit.Good)
+}
+
+func (m *mesh) enqueue(c *meshCall) {
+	c.queuedAt = m.now
 	at := len(m.queue)
-	if r.kind.direct {
-		at = slices.IndexFunc(m.queue, func(other *meshRequest) bool { return !other.kind.direct })
+	if c.request.kind.direct {
+		at = slices.IndexFunc(m.queue, func(other *meshCall) bool { return !other.request.kind.direct })
 		at = max(at, 0)
 	}
-	m.queue = slices.Insert(m.queue, at, r)
+	m.queue = slices.Insert(m.queue, at, c)
 }
 
-func (m *mesh) serve(r *meshRequest) {
+func (m *mesh) serve(c *meshCall) {
+	took := m.callTime
+	if m.knee > 0 && float64(m.busy) >= kneeFrom*float64(m.announced) {
+		took = time.Duration(m.knee * float64(took))
+	}
 	m.busy++
-	r.callsOut++
-	m.after(m.callTime, func() {
+	m.after(took, func() {
 		m.busy--
-		m.next(r)
+		c.done++
+		m.next(c)
 		for len(m.queue) > 0 && m.busy < m.slots {
 			first := m.queue[0]
 			m.queue = m.queue[1:]
 			if m.now-first.queuedAt > meshQueueWait {
-				m.end(first, admit.Overrun)
+				m.end(first.request, admit.Overrun)
 				continue
 			}
 			m.serve(first)
@@ -217,27 +294,28 @@
 }
 
 func (m *mesh) end(r *meshRequest, end admit.End) {
-	if m.throttle != nil {
-		m.throttle.Ended(m.time(), r.kind.name, end)
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if r.node != nil {
+		r.node.throttle.Ended(m.time(), r.kind.name, end)
+		m.news(r)
 	}
 }
 
-// report hands the scheduler's pressure up, as answers do all the time.
-func (m *mesh) report() {
-	if m.now >= meshLength || m.throttle == nil {
-		return
-	}
-	pressure := float64(m.busy+len(m.queue)) / float64(m.slots)
+// news brings the scheduler's pressure to an entry node, as the answer of any kind
+// does, and that the kind leads there.
+func (m *mesh) news(r *meshRequest) {
+	m.fadeOffered()
+	heard := admit.Heard{Service: scheduler, Pressure: (m.offered + float64(len(m.queue))*m.callTime.Seconds()/0.3) / float64(m.slots)}
 	m.after(m.newsDelay, func() {
-		for i := range m.kinds {
-			known := admit.Pressure{Own: 0.3, Below: pressure}
-			if m.kinds[i].direct {
-				known = admit.Pressure{Own: pressure}
-			}
-			m.throttle.Press(m.time(), m.kinds[i].name, known)
+		heard.Age = m.newsDelay
+		r.node.pressures.Hear(m.time(), heard)
+		if r.kind.calls > 0 && !r.kind.direct {
+			r.node.pressures.Leads(m.time(), r.kind.name, scheduler)
 		}
 	})
-	m.after(50*time.Millisecond, m.report)
 }
 
 // share returns the part of a kind's requests of some seconds that ended well.
@@ -256,7 +334,7 @@
 func TestSurgeIsHeldBackInOrder(t *testing.T) {
 	is := is.New(t)
 	pattern := []surge{{from: 5 * time.Second, until: 20 * time.Second, times: 1.8}}
-	naive, held := newMesh(nil), newMesh(admit.NewThrottle())
+	naive, held := newMesh(0), newMesh(1)
 	naive.surges, held.surges = pattern, pattern
 	naive.run()
 	held.run()
@@ -280,7 +358,7 @@
 	for _, times := range []float64{1.8, 2.5} {
 		t.Run(fmt.Sprint(times), func(t *testing.T) {
 			is := is.New(t)
-			m := newMesh(admit.NewThrottle())
+			m := newMesh(1)
 			m.surges = []surge{{from: 5 * time.Second, until: 25 * time.Second, times: times}}
 			m.newsDelay = 500 * time.Millisecond
 			m.run()
@@ -298,7 +376,7 @@
 // there are next to no look-ups left to hold back.
 func TestWhatDoesWellIsLetIn(t *testing.T) {
 	is := is.New(t)
-	m := newMesh(admit.NewThrottle())
+	m := newMesh(1)
 	m.kinds[1].perSecond = 350 // orders alone ask for two thirds of the scheduler
 	m.kinds = append(m.kinds, meshKind{
 		name: "booking", importance: schema.High, perSecond: 60, calls: 1, deadline: 800 * time.Millisecond, direct: true,
@@ -314,7 +392,7 @@
 // in less, and comes back the moment it stops.
 func TestFailuresWithoutPressureHoldNothingBack(t *testing.T) {
 	is := is.New(t)
-	m := newMesh(admit.NewThrottle())
+	m := newMesh(1)
 	m.shedShare = 0.5
 	m.shed = surge{from: 5 * time.Second, until: 13 * time.Second, times: 1}
 	m.run()
@@ -323,6 +401,31 @@
 	is.True(m.share("certificate", 5, 13) >= 0.97)
 }
 
+// Three of four targets of the scheduler are gone, and requests enter through
+// thirteen nodes, each of which sees few ends of a kind. What is left of the
+// scheduler can do seven tenths of the renewals beside the collections.
+func TestFewEndsAtEachNode(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(13)
+	m.kinds = []meshKind{
+		{name: "round_view", importance: schema.Normal, perSecond: 180, work: 190 * time.Millisecond, calls: 4, deadline: time.Second},
+		{name: "renewal", importance: schema.Critical, perSecond: 90, work: 225 * time.Millisecond, calls: 8, together: true, deadline: 1200 * time.Millisecond},
+		{name: "collection", importance: schema.High, perSecond: 60, calls: 1, deadline: 800 * time.Millisecond, direct: true},
+	}
+	m.served = map[string]*tally{"round_view": {}, "renewal": {}, "collection": {}}
+	m.announced = 35
+	m.slots = admit.Usable(m.announced)
+	m.callTime = 57 * time.Millisecond
+	m.newsDelay = 200 * time.Millisecond
+	m.knee = 1.3
+	m.run()
+	goodput := 8*m.share("renewal", 5, 40)*90 + 4*m.share("round_view", 5, 40)*180 + m.share("collection", 5, 40)*60
+	t.Logf("renewal %.2f, round_view %.2f, collection %.2f, goodput %.0f of %.0f", m.share("renewal", 5, 40),
+		m.share("round_view", 5, 40), m.share("collection", 5, 40), goodput, 35/0.057)
+	is.True(m.share("collection", 5, 40) >= 0.95)
+	is.True(goodput >= 0.8*35/0.057)
+}
+
 func TestStalePressureCountsNoMore(t *testing.T) {
 	is := is.New(t)
 	throttle := admit.NewThrottle()
@@ -338,11 +441,9 @@
 		throttle.Offer(now, "order", schema.Critical, 0)
 	}
 	is.True(throttle.Share("order") < 0.3)
-	is.Equal(throttle.Pressure(now, "order"), 3.0)
 	for range 30 {
 		now = now.Add(200 * time.Millisecond)
 		throttle.Offer(now, "order", schema.Critical, 0)
 	}
 	is.Equal(throttle.Share("order"), 1.0)
-	is.Equal(throttle.Pressure(now, "order"), 0.0)
 }
--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -61,6 +61,15 @@
 	return time.Duration(t.byKind[kind].mean * float64(time.Second))
 }
 
+// expected returns the mean time of a kind in seconds, that of all kinds while it is
+// unknown.
+func (t *times) expected(kind string) float64 {
+	if e, ok := t.byKind[kind]; ok {
+		return e.mean
+	}
+	return t.all
+}
+
 // leastExpected returns a time that most calls of the kind take at least. A
 // call is given up only against this lower estimate: a kind whose times
 // spread widely may still end soon.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,13 +63,14 @@
 	// is behind: the incarnation it was addressed to is gone.
 	Moved func()
 
-	mu       sync.Mutex
-	services map[string]*service
-	door     *admit.Door
-	throttle *admit.Throttle
-	// inner holds the kinds that targets call and callers do not, with the time of
-	// the last call that entered here: it was the target's beside this node.
-	inner map[string]time.Time
+	mu        sync.Mutex
+	services  map[string]*service
+	door      *admit.Door
+	throttle  *admit.Throttle
+	pressures *admit.Pressures
+	// inner holds the kinds that targets call and callers do not. Those that entered
+	// here were called by the target beside this node.
+	inner map[string]innerKind
 }
 
 // service is what a sender knows of one service.
@@ -92,9 +93,6 @@
 	// spentFresh is how long a sender goes by a repeat that was refused for the
 	// shared budget.
 	spentFresh = 50 * time.Millisecond
-	// innerFresh is how long a call of the target shows that it makes such calls.
-	innerFresh = 2 * time.Second
-	permille   = 1000
 	// latencyWeight is the weight of a new reading in the smoothed latency.
 	latencyWeight = 0.2
 )
@@ -104,7 +102,8 @@
 	s.services = map[string]*service{}
 	s.door = door
 	s.throttle = admit.NewThrottle()
-	s.inner = map[string]time.Time{}
+	s.pressures = admit.NewPressures()
+	s.inner = map[string]innerKind{}
 }
 
 // Admits says whether a new request of a kind is let in, going by how the ones
@@ -116,7 +115,9 @@
 	if _, inner := s.inner[kind.Name]; inner {
 		return 1, true
 	}
-	ok = s.throttle.Offer(s.Clock.Now(), kind.Name, kind.Importance, s.Route.Random())
+	now := s.Clock.Now()
+	s.throttle.Press(now, kind.Name, s.pressures.Of(now, kind.Name, kind.Service))
+	ok = s.throttle.Offer(now, kind.Name, kind.Importance, s.Route.Random())
 	return s.throttle.Share(kind.Name), ok
 }
 
@@ -302,36 +303,6 @@
 	s.door.Learn(s.Clock.Now(), service, node, floor, 0)
 }
 
-// learnPressure takes in what an answer says of the services that a kind leads to.
-func (s *Sender) learnPressure(kind *schema.Kind, response *relaypb.CarryResponse) {
-	now := s.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.inner, kind.Name)
-	if response.Inner {
-		s.inner[kind.Name] = now
-	}
-	s.throttle.Press(now, kind.Name, admit.Pressure{
-		Own:   s.service(kind.Service).table.Pressure(now),
-		Below: float64(response.BelowPermille) / permille,
-	})
-}
-
-// Below returns the highest pressure of the services that the target beside this
-// node calls.
-func (s *Sender) Below() float64 {
-	now := s.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	highest := 0.0
-	for kind, called := range s.inner {
-		if now.Sub(called) < innerFresh {
-			highest = max(highest, s.throttle.Pressure(now, kind))
-		}
-	}
-	return highest
-}
-
 // calm says whether the requests of a kind mostly end well.
 func (s *Sender) calm(kind string) bool {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/entry/pressure_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+	"github.com/dandelionfield/dandelionfield/pkg/result"
+)
+
+// An answer tells of the pressure of services. The node passes it on with its age,
+// and says which of the services its own target calls: those that the target's own
+// calls lead to, and none of which it heard by chance.
+func TestAnswersBringThePressureOfServices(t *testing.T) {
+	for _, inner := range []bool{false, true} {
+		is := is.New(t)
+		clock := &hasty{now: time.Now()}
+		s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+			return &relaypb.CarryResponse{
+				AttemptId: request.AttemptId,
+				Code:      uint32(result.OK),
+				Inner:     inner,
+				Pressed: []*relaypb.Pressed{
+					{Service: "scheduler", Permille: 2000, AgeMs: 100, Below: true},
+					{Service: "elsewhere", Permille: 1500, AgeMs: 100},
+				},
+			}
+		})
+		s.Clock = clock
+		s.Opaque = true
+		is.Equal(len(s.Pressed()), 0) // nothing is known yet
+		is.Equal(s.Send(context.Background(), order()).Code, result.OK)
+
+		clock.now = clock.now.Add(200 * time.Millisecond)
+		pressed := s.Pressed()
+		is.Equal(len(pressed), 2)
+		is.Equal(pressed[0].Service, "scheduler")
+		is.Equal(pressed[0].Permille, uint32(2000))
+		is.Equal(pressed[0].AgeMs, uint32(300))
+		is.Equal(pressed[0].Below, inner)
+		is.Equal(pressed[1].Service, "elsewhere")
+		is.Equal(pressed[1].Below, false)
+
+		clock.now = clock.now.Add(time.Second)
+		is.Equal(len(s.Pressed()), 0) // nobody goes by what is old
+	}
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -309,6 +309,7 @@
 		report.InFlight = int(load.InFlight)
 		report.Limit = int(load.Limit)
 		report.Queued = int(load.Queued)
+		report.Offered = float64(load.OfferedPermille) / permille
 		report.Leaving = load.Leaving
 	}
 	s.sender.ended(s.call, target, report)
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -186,6 +186,7 @@
 		Importance: a.serving.Importance,
 		Position:   a.position(),
 		Deadline:   a.serving.Deadline,
+		First:      a.request.Earlier == relaypb.Earlier_EARLIER_UNSPECIFIED,
 		Waits:      a.serving.Waits,
 	})
 	if decision.Verdict == admit.Queued {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -62,9 +62,9 @@
 	// RetryRule is the part of the budget of repeats that this node keeps for its
 	// target, where all nodes share one; nil where they do not.
 	RetryRule func() budget.Rule
-	// Below returns the highest pressure of the services that the target calls; nil
-	// where that is not known.
-	Below func() float64
+	// Pressed returns the pressure of services, as far as it is known here, for
+	// passing on with an answer; nil where requests do not go by it.
+	Pressed func() []*relaypb.Pressed
 }
 
 // Server runs attempts at the target beside this node. One lock guards the
@@ -351,7 +351,7 @@
 		s.window.SetRule(rule)
 	}
 	load := s.settings.Gate.Load(now)
-	s.settings.Log.Debug("gate_load", "in_flight", load.InFlight, "limit", load.Limit, "queued", load.Queued, "cold", load.Cold)
+	s.settings.Log.Debug("gate_load", "in_flight", load.InFlight, "limit", load.Limit, "queued", load.Queued, "offered", load.Offered, "cold", load.Cold)
 	s.settings.Book.Forget(now)
 	s.settings.Ledger.Forget(now)
 	bytes := s.settings.Book.Stats().Bytes + s.settings.Ledger.Stats().Bytes
@@ -433,14 +433,12 @@
 func (s *Server) dress(request *relaypb.CarryRequest, answer *relaypb.CarryResponse) *relaypb.CarryResponse {
 	now := s.settings.Clock.Now()
 	levels := s.settings.Levels(now, request.Kind)
-	below := uint32(0)
-	if s.settings.Below != nil {
-		below = uint32(permille * s.settings.Below())
+	if s.settings.Pressed != nil {
+		answer.Pressed = s.settings.Pressed()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := s.settings.Gate.Load(now)
-	answer.BelowPermille = below
 	answer.AttemptId = request.AttemptId
 	answer.Inner = s.settings.Admits != nil && s.origins.inner(request.Kind)
 	answer.Revision = s.settings.Revision()
@@ -457,11 +455,12 @@
 // PackLoad returns a load in the form that travels between nodes.
 func PackLoad(load admit.Load, leaving bool) *relaypb.Load {
 	return &relaypb.Load{
-		InFlight:  uint32(load.InFlight),
-		Limit:     uint32(load.Limit),
-		Queued:    uint32(load.Queued),
-		Cold:      load.Cold,
-		Leaving:   leaving,
-		StoppedMs: uint32(load.Stopped.Milliseconds()),
+		InFlight:        uint32(load.InFlight),
+		Limit:           uint32(load.Limit),
+		Queued:          uint32(load.Queued),
+		OfferedPermille: uint32(permille * load.Offered),
+		Cold:            load.Cold,
+		Leaving:         leaving,
+		StoppedMs:       uint32(load.Stopped.Milliseconds()),
 	}
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -147,14 +147,14 @@
 	target := local.NewTarget(n.settings.TargetAddress, service.Connections, n.held)
 	target.Wire = n.doors.Target
 	var admits func(targetID string) result.Code
-	var below func() float64
+	var pressed func() []*relaypb.Pressed
 	var retryRule func() budget.Rule
 	if n.settings.RetryWindow > 0 {
 		retryRule = n.retryRule
 	}
 	if n.announced() {
 		admits = n.admits
-		below = n.sender.Below
+		pressed = n.sender.Pressed
 	}
 	return local.New(local.Settings{
 		Incarnation: n.incarnation,
@@ -162,7 +162,7 @@
 		Target:      target,
 		Admits:      admits,
 		RetryRule:   retryRule,
-		Below:       below,
+		Pressed:     pressed,
 		Failures:    trail.NewLimiter(failureLines, time.Second),
 		Clock:       n.clock,
 		Metrics:     n.metrics,
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -51,6 +51,7 @@
 	latency time.Duration
 	// reported is the load that the target's node gave last, at reportedAt.
 	reported    int
+	offered     float64
 	limitGiven  int
 	lastReport  Report
 	reportedAt  time.Time
@@ -83,6 +84,7 @@
 	e.inFlight = max(0, e.inFlight-1)
 	if r.Known {
 		e.reported = r.InFlight + r.Queued
+		e.offered = r.Offered
 		e.limitGiven = r.Limit
 		e.lastReport = r
 		e.reportedAt = now
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -63,7 +63,9 @@
 		InFlight int
 		Limit    int
 		Queued   int
-		Leaving  bool
+		// Offered is how many slots the calls that arrive there would keep in use.
+		Offered float64
+		Leaving bool
 		// Known says that InFlight, Limit, Queued and Leaving are set.
 		Known bool
 	}
@@ -170,15 +172,15 @@
 	e.restore()
 }
 
-// Pressure returns the work that the targets have over what they take on at the
-// same time, by what they reported; 0 while nothing is known.
+// Pressure returns how many slots the calls that arrive at the targets would keep in
+// use over the slots that they have, by what they reported; 0 while nothing is known.
 func (t *Table) Pressure(now time.Time) float64 {
 	load, limit := 0.0, 0.0
 	for _, e := range t.entries {
 		if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportValid || e.target.Leaving {
 			continue
 		}
-		load += float64(e.reported)
+		load += e.offered
 		limit += e.limit()
 	}
 	if limit == 0 {
