Let the heap grow further while a node is busy

A profile of the whole path: a third of the time in collection, sweeping and assists, at a heap that grew by three tenths.

Ruled out: one place that allocates (40 KB a call over all libraries, none above 6%).

Change: internal/heap lets the heap grow by 100% from seven collections a second on, by 16 MiB at most, and by 30% again below one. Both counts are far enough apart that a steady load does not change it to and fro (tested for 1 to 40).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/config"
 	"github.com/dandelionfield/dandelionfield/internal/entry"
 	"github.com/dandelionfield/dandelionfield/internal/filter"
+	"github.com/dandelionfield/dandelionfield/internal/heap"
 	"github.com/dandelionfield/dandelionfield/internal/local"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
@@ -84,9 +84,6 @@
 	readHeaderTimeout = 5 * time.Second
 	// closeTimeout bounds the closing of the listeners after the drain.
 	closeTimeout = 200 * time.Millisecond
-	// gcPercent lets the heap grow by three tenths before it is collected. A node has a
-	// tight budget of memory and uses little of its processor time.
-	gcPercent = 30
 )
 
 // Run runs a node until the context ends, and then drains it.
@@ -96,7 +93,7 @@
 
 // RunWith is Run with other doors than the project's own.
 func RunWith(ctx context.Context, settings *setup.Node, log hclog.Logger, doors Doors) error {
-	debug.SetGCPercent(gcPercent)
+	heap.Start()
 	bound, err := listen(settings)
 	if err != nil {
 		return err
@@ -143,6 +140,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	servers := n.serve(bound)
+	go heap.Run(work, n.clock, n.log.Named("heap"))
 	go n.local.Run(work)
 	go n.members.Run(work)
 	go n.start(work)
