--- a/internal/admit/throttle_test.go
+++ b/internal/admit/throttle_test.go
@@ -114,6 +114,9 @@
 	meshQueueWait = 250 * time.Millisecond
 	meshQueue     = 120
 	kneeFrom      = 0.95
+	// The gate's own, see offer.go.
+	meshOfferMemory = 400 * time.Millisecond
+	meshQueueDrain  = 300 * time.Millisecond
 )
 
 var meshStart = time.Unix(1_800_000_000, 0)
@@ -228,7 +231,18 @@
 		m.laneDone(r)
 	case m.shed.times > 0 && m.now >= m.shed.from && m.now < m.shed.until && m.random.Float64() < m.shedShare:
 		m.end(r, admit.Overrun)
-	case m.arrived() && m.busy < m.slots:
+	default:
+		m.offer(c)
+	}
+}
+
+// offer is a call that arrives at the scheduler.
+func (m *mesh) offer(c *meshCall) {
+	r := c.request
+	m.fadeOffered()
+	m.offered += m.callTime.Seconds() / meshOfferMemory.Seconds()
+	switch {
+	case m.busy < m.slots:
 		m.serve(c)
 	case len(m.queue) >= meshQueue && r.kind.direct && !m.queue[len(m.queue)-1].request.kind.direct:
 		m.end(m.queue[len(m.queue)-1].request, admit.Overrun)
@@ -241,17 +255,18 @@
 	}
 }
 
-func (m *mesh) arrived() bool {
-	m.fadeOffered()
-	m.offered += m.callTime.Seconds() / 0.4
-	return true
-}
-
 func (m *mesh) fadeOffered() {
-	m.offered *= math.Exp(-(m.now - m.offeredAt).Seconds() / 0.4)
+	m.offered *= math.Exp(-(m.now - m.offeredAt).Seconds() / meshOfferMemory.Seconds())
 	m.offeredAt = m.now
 }
 
+// pressure is what the gates beside the scheduler's targets report.
+func (m *mesh) pressure() float64 {
+	m.fadeOffered()
+	drain := float64(len(m.queue)) * m.callTime.Seconds() / meshQueueDrain.Seconds()
+	return (m.offered + drain) / float64(m.slots)
+}
+
 func (m *mesh) laneDone(r *meshRequest) {
 	r.lanesDone++
 	if r.lanesDone < r.kind.lanes() {
@@ -307,8 +322,7 @@
 // news brings the scheduler's pressure to an entry node, as the answer of any kind
 // does, and that the kind leads there.
 func (m *mesh) news(r *meshRequest) {
-	m.fadeOffered()
-	heard := admit.Heard{Service: scheduler, Pressure: (m.offered + float64(len(m.queue))*m.callTime.Seconds()/0.3) / float64(m.slots)}
+	heard := admit.Heard{Service: scheduler, Pressure: m.pressure()}
 	m.after(m.newsDelay, func() {
 		heard.Age = m.newsDelay
 		r.node.pressures.Hear(m.time(), heard)
