Let the raw target of a test say that it closes its connections

Cause: the raw target closes its connection after each answer without saying so. The first of the two calls that were to hang could go out on that connection and was lost with it, so that one call hung in place of two, and one overdue call does not make a target stopped. A run that printed what became of the calls shows it: 'lost, connection reset by peer', two requests at the target in place of three. Ruled out: the product. A call on a kept connection that closes may have run, so 'lost' is the true answer. The target says 'Connection: close' now, and the test checks that all calls reached it.

--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -140,7 +140,9 @@
 func TestKeysOfAStoppedTargetGoOnward(t *testing.T) {
 	is := is.New(t)
 	target := newRawTarget(t)
-	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhere"
+	// The raw target closes each connection after its answer, and has to say so: a
+	// call on a connection that was announced as kept would be lost with it.
+	target.answer = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nhere"
 	kind := &schema.Kind{Name: "k", Service: "s", Repeat: schema.Never}
 	server := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
 	server.settings.Ledger = owningLedger(t)
@@ -156,10 +158,12 @@
 	go server.Run(ctx)
 	is.Equal(string(server.Carry(ctx, newKeyed(kind)).Body), "here")
 	target.hang = make(chan struct{})
-	for range 2 {
+	const hanging = 2
+	for range hanging {
 		go server.Carry(ctx, newKeyed(kind))
 	}
-	time.Sleep(time.Second) // twice the least silence
+	time.Sleep(time.Second)                            // twice the least silence
+	is.Equal(target.requests.Load(), int32(1+hanging)) // all of them reached the target
 	keyed := newKeyed(kind)
 	is.Equal(string(server.Carry(ctx, keyed).Body), "there")
 	is.Equal(len(onward), 1)
