Keep what others told of a service when a leaving target answers

Found in reading: after an answer every sender set the pressure of the service from its own table. When the only target that had reported within a second was leaving, the table knew nothing and said 0, newer than what others had told, so that the throttle opened. The table says now whether it knows. The new test fails without the change (nothing to pass on in place of 1800).

--- a/internal/entry/pressure.go
+++ b/internal/entry/pressure.go
@@ -46,7 +46,11 @@
 			s.pressures.Leads(now, kind.Name, pressed.Service)
 		}
 	}
-	s.pressures.Hear(now, admit.Heard{Service: kind.Service, Pressure: s.service(kind.Service).table.Pressure(now)})
+	// The answer of a target that leaves says nothing of those that stay. What others
+	// told of them is in force meanwhile.
+	if pressure, known := s.service(kind.Service).table.Pressure(now); known {
+		s.pressures.Hear(now, admit.Heard{Service: kind.Service, Pressure: pressure})
+	}
 }
 
 // Pressed returns what this node knows of the pressure of services, for passing on
--- a/internal/entry/pressure_test.go
+++ b/internal/entry/pressure_test.go
@@ -50,3 +50,23 @@
 		is.Equal(len(s.Pressed("order")), 0) // nobody goes by what is old
 	}
 }
+
+// The only target of which a node has heard of late leaves. Its answer says nothing
+// of the targets that stay, so that what others told of them stays in force.
+func TestAnswerOfALeavingTargetKeepsThePressureThatOthersTold(t *testing.T) {
+	is := is.New(t)
+	s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		return &relaypb.CarryResponse{
+			AttemptId: request.AttemptId,
+			Code:      uint32(result.OK),
+			Load:      &relaypb.Load{InFlight: 1, Limit: 4, OfferedPermille: 1000, Leaving: true},
+			Pressed:   []*relaypb.Pressed{{Service: order().Kind.Service, Permille: 1800, AgeMs: 20}},
+		}
+	})
+	s.Clock = &hasty{now: time.Now()}
+	s.Opaque = true
+	is.Equal(s.Send(context.Background(), order()).Code, result.OK)
+	pressed := s.Pressed("order")
+	is.Equal(len(pressed), 1)
+	is.Equal(pressed[0].Permille, uint32(1800))
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -173,8 +173,9 @@
 }
 
 // Pressure returns how many slots the calls that arrive at the targets would keep in
-// use over the slots that they have, by what they reported; 0 while nothing is known.
-func (t *Table) Pressure(now time.Time) float64 {
+// use over the slots that they have, by what they reported, and whether a target that
+// stays reported of late: nothing else says how full the service is.
+func (t *Table) Pressure(now time.Time) (pressure float64, known bool) {
 	load, limit := 0.0, 0.0
 	for _, e := range t.entries {
 		if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportValid || e.target.Leaving {
@@ -184,9 +185,9 @@
 		limit += e.limit()
 	}
 	if limit == 0 {
-		return 0
+		return 0, false
 	}
-	return load / limit
+	return load / limit, true
 }
 
 // Targets returns the state of all targets, ordered by name.
