--- a/internal/ahead/conn.go
+++ b/internal/ahead/conn.go
@@ -61,6 +61,8 @@
 	// acceptPause is the wait after an accept that failed for want of descriptors.
 	acceptPause = 20 * time.Millisecond
 	readBuffer  = 4 << 10
+	// headRoom is the memory, in bytes, that is taken for the head of an answer.
+	headRoom = 512
 )
 
 func newConn(server *Server, raw net.Conn) *conn {
@@ -183,6 +185,7 @@
 		return false
 	}
 	var head bytes.Buffer
+	head.Grow(headRoom + len(p.answer.Body))
 	head.WriteString("HTTP/1.1 " + strconv.Itoa(p.answer.Status) + " " + http.StatusText(p.answer.Status) + "\r\n")
 	if err := p.answer.Header.WriteSubset(&head, ownHeaders); err != nil {
 		return false
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -275,6 +275,9 @@
 
 // body takes the request's body whole, within the declared size.
 func (f *Inward) body(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
+	if exchange.Request.ContentLength == 0 {
+		return next(ctx, exchange)
+	}
 	most := exchange.Call.Limits.MaxRequestBytes
 	body, err := io.ReadAll(http.MaxBytesReader(nil, exchange.Request.Body, most))
 	var tooLarge *http.MaxBytesError
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -76,7 +76,11 @@
 			sends = 2
 		}
 		for range sends {
-			answer = server.Carry(context.Background(), newAttempt(kind))
+			attempt := newAttempt(kind)
+			if d.HasArg("head") {
+				attempt.Method = http.MethodHead
+			}
+			answer = server.Carry(context.Background(), attempt)
 		}
 		return fmt.Sprintf("%s status=%d body=%q requests=%d\n",
 			result.Code(answer.Code), answer.Status, answer.Body, target.requests.Load())
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -155,17 +155,16 @@
 // Call sends one attempt and holds the answer until it is whole.
 func (t *Target) Call(ctx context.Context, handle string, attempt *relaypb.CarryRequest, limits schema.Limits) *Reply {
 	reply := &Reply{}
-	request, err := t.request(ctx, handle, attempt)
-	if err != nil {
-		reply.Detail = err.Error()
-		return reply
-	}
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{
 		// From here on bytes may reach the target, so the call may run.
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	}
-	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	request, err := t.request(httptrace.WithClientTrace(ctx, trace), handle, attempt)
+	if err != nil {
+		reply.Detail = err.Error()
+		return reply
+	}
 	response, err := t.transport.Load().RoundTrip(request)
 	reply.Facts.Sent = sent.Load()
 	if err != nil {
@@ -184,10 +183,45 @@
 		reply.Detail = "the answer bears the id of another request"
 		return reply
 	}
-	t.read(ctx, reply, response.Body, limits.MaxAnswerBytes)
+	t.readBody(ctx, reply, response, limits.MaxAnswerBytes)
 	return reply
 }
 
+// readBody takes the body whole, or says in the facts why it could not.
+func (t *Target) readBody(ctx context.Context, reply *Reply, response *http.Response, most int64) {
+	if fitsOneChunk(response, most) {
+		t.readAtOnce(ctx, reply, response)
+		return
+	}
+	t.readInSteps(ctx, reply, response.Body, most)
+}
+
+// fitsOneChunk says whether a body is announced with a length for which memory may be
+// taken before any of it has come. The answer to HEAD announces a body that never comes.
+func fitsOneChunk(response *http.Response, most int64) bool {
+	return response.Body != http.NoBody && response.ContentLength >= 0 && response.ContentLength <= min(most, readChunkBytes)
+}
+
+// readAtOnce takes a body of a known length. A buffer that grows with it takes three
+// times the memory and is then copied, a tenth of all memory that calls took.
+func (t *Target) readAtOnce(ctx context.Context, reply *Reply, response *http.Response) {
+	if t.held.bytes.Load() > t.held.limit() {
+		reply.Facts.TooLarge = true
+		reply.Detail = errHeldFull.Error()
+		return
+	}
+	t.held.bytes.Add(response.ContentLength)
+	defer t.held.bytes.Add(-response.ContentLength)
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		reply.Detail = err.Error()
+		t.interrupted(ctx, reply)
+		return
+	}
+	reply.Facts.BodyWhole = true
+	reply.Body = body
+}
+
 // judge takes in what the head of an answer says. A connection that brought a
 // foreign answer is not used again.
 func (t *Target) judge(attempt *relaypb.CarryRequest, response *http.Response, facts *fate.Facts) {
@@ -203,8 +237,8 @@
 	}
 }
 
-// read takes the body whole, or says in the facts why it could not.
-func (t *Target) read(ctx context.Context, reply *Reply, body io.Reader, most int64) {
+// readInSteps takes a body of unknown length, or a long one, as far as it comes.
+func (t *Target) readInSteps(ctx context.Context, reply *Reply, body io.Reader, most int64) {
 	var buffer bytes.Buffer
 	defer func() { t.held.bytes.Add(-int64(buffer.Cap())) }()
 	for {
