Show in metrics what the throttle goes by, and forget kinds that are gone

Offered load, pressure by service and admitted share by kind were in debug lines only, so that a reader with logs and metrics could not tell why a kind was cut. Each revision in force drops what is not declared now; a request that was under way may bring a kind back, and it goes with the next.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -216,6 +216,11 @@
 	g.limiter.settings = s
 }
 
+// Keep forgets what is known of kinds that are not declared.
+func (g *Gate) Keep(declared func(kind string) bool) {
+	g.times.keep(declared)
+}
+
 // Restart takes on a new process of the target. What was learned of the former
 // one is forgotten; its calls that have not ended still count until they do.
 func (g *Gate) Restart(now time.Time, s Settings) {
--- a/internal/admit/pressure.go
+++ b/internal/admit/pressure.go
@@ -99,6 +99,22 @@
 	return told
 }
 
+// Fresh returns the pressure of each service of which something fresh is known.
+func (p *Pressures) Fresh(now time.Time) map[string]float64 {
+	fresh := map[string]float64{}
+	for service, m := range p.heard {
+		if now.Sub(m.at) < pressureFresh {
+			fresh[service] = m.pressure
+		}
+	}
+	return fresh
+}
+
+// Keep forgets what kinds lead to that are not declared.
+func (p *Pressures) Keep(declared func(kind string) bool) {
+	maps.DeleteFunc(p.leads, func(kind string, _ map[string]time.Time) bool { return !declared(kind) })
+}
+
 // at returns the pressure of a service, 0 when nothing fresh is known of it.
 func (p *Pressures) at(now time.Time, service string) float64 {
 	m := p.heard[service]
--- a/internal/admit/throttle.go
+++ b/internal/admit/throttle.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -147,6 +148,21 @@
 	k.endedAt = now
 }
 
+// Shares returns the share that is let in of each kind of which requests came.
+func (t *Throttle) Shares() map[string]float64 {
+	shares := make(map[string]float64, len(t.kinds))
+	for name, k := range t.kinds {
+		shares[name] = k.share
+	}
+	return shares
+}
+
+// Keep forgets the kinds that are not declared, so that what is known stays in bounds
+// while declarations come and go.
+func (t *Throttle) Keep(declared func(kind string) bool) {
+	maps.DeleteFunc(t.kinds, func(name string, _ *throttled) bool { return !declared(name) })
+}
+
 func (t *Throttle) kind(name string) *throttled {
 	k := t.kinds[name]
 	if k == nil {
--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	meanWeight    = 0.1
@@ -51,6 +54,11 @@
 	t.byKind[kind] = e
 }
 
+// keep forgets the kinds that are not declared.
+func (t *times) keep(declared func(kind string) bool) {
+	maps.DeleteFunc(t.byKind, func(kind string, _ estimate) bool { return !declared(kind) })
+}
+
 // mean returns the mean time over all kinds in seconds, 0 while unknown.
 func (t *times) mean() float64 {
 	return t.all
--- a/internal/entry/pressure_test.go
+++ b/internal/entry/pressure_test.go
@@ -70,3 +70,48 @@
 	is.Equal(len(pressed), 1)
 	is.Equal(pressed[0].Permille, uint32(1800))
 }
+
+// The metrics show what is known of late, and nothing that is old.
+func TestMetricsShowFreshPressures(t *testing.T) {
+	is := is.New(t)
+	clock := &hasty{now: time.Now()}
+	s := newNear(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		return &relaypb.CarryResponse{
+			AttemptId: request.AttemptId,
+			Code:      uint32(result.OK),
+			Pressed:   []*relaypb.Pressed{{Service: "scheduler", Permille: 1250, AgeMs: 100}},
+		}
+	})
+	s.Clock = clock
+	s.Opaque = true
+	s.Metrics.Pressure.From(s.Pressures)
+	s.Metrics.Admitted.From(s.Admitted)
+	kind := order().Kind
+	_, admitted := s.Admits(kind)
+	is.True(admitted)
+	is.Equal(s.Send(context.Background(), order()).Code, result.OK)
+	is.Equal(gauges(t, s, "dandelionfield_service_pressure")["scheduler"], 1.25)
+	is.Equal(gauges(t, s, "dandelionfield_admitted_share")[kind.Name], 1.0)
+
+	clock.now = clock.now.Add(time.Second)
+	is.Equal(len(gauges(t, s, "dandelionfield_service_pressure")), 0)
+}
+
+// gauges returns the values of a metric by its one label.
+func gauges(t *testing.T, s *Sender, name string) map[string]float64 {
+	t.Helper()
+	families, err := s.Metrics.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]float64{}
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			values[metric.GetLabel()[0].GetValue()] = metric.GetGauge().GetValue()
+		}
+	}
+	return values
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -287,6 +287,14 @@
 	s.settings.Ledger = once.NewLedger[*relaypb.CarryResponse](self, rules, min(recordBytes, s.settings.LedgerBytes))
 }
 
+// Keep forgets what is known of kinds that are not declared.
+func (s *Server) Keep(declared func(kind string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.origins.keep(declared)
+	s.settings.Gate.Keep(declared)
+}
+
 // Ledger runs a function on the idempotency records under the server's lock.
 func (s *Server) Ledger(use func(ledger *once.Ledger[*relaypb.CarryResponse])) {
 	s.mu.Lock()
@@ -301,6 +309,7 @@
 	s.settings.Metrics.InFlight.Set(float64(load.InFlight))
 	s.settings.Metrics.Limit.Set(float64(load.Limit))
 	s.settings.Metrics.Queued.Set(float64(load.Queued))
+	s.settings.Metrics.Offered.Set(load.Offered)
 	s.settings.Metrics.Floor.Set(float64(floor))
 	if load.InFlight+load.Queued > 0 {
 		return tickPeriod
--- a/internal/local/origin.go
+++ b/internal/local/origin.go
@@ -1,5 +1,7 @@
 package local
 
+import "maps"
+
 // origins counts which services the calls of each kind come from. Callers send
 // their requests through all nodes alike, while calls that targets make for other
 // calls enter at the nodes of one or two services.
@@ -73,6 +75,11 @@
 	return false
 }
 
+// keep forgets the kinds that are not declared.
+func (o *origins) keep(declared func(kind string) bool) {
+	maps.DeleteFunc(o.known, func(kind string, _ bool) bool { return !declared(kind) })
+}
+
 func (o *origins) fade() {
 	for kind, services := range o.byKind {
 		for service := range services {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,6 +27,7 @@
 	InFlight       prometheus.Gauge
 	Limit          prometheus.Gauge
 	Queued         prometheus.Gauge
+	Offered        prometheus.Gauge
 	Floor          prometheus.Gauge
 	Revision       prometheus.Gauge
 	Members        prometheus.Gauge
@@ -38,6 +39,11 @@
 	UnownedKeyShare  *prometheus.GaugeVec
 	PendingHandovers prometheus.Gauge
 	PlatformSilent   prometheus.Gauge
+	// Pressure and Admitted are what the throttle goes by and what it decided.
+	Pressure *Levels
+	Admitted *Levels
+	// kinds are those that were declared, and whether they still are.
+	kinds map[string]bool
 }
 
 const namespace = "dandelionfield"
@@ -62,6 +68,7 @@
 	s.InFlight = gauge("in_flight", "Calls that the target is at work on.")
 	s.Limit = gauge("limit", "Calls that the target is given at the same time.")
 	s.Queued = gauge("queued", "Calls that wait for the target.")
+	s.Offered = gauge("offered_calls", "Calls that the target would be at work on if all that arrive were taken.")
 	s.Floor = gauge("floor", "Order below which calls are refused.")
 	s.Revision = gauge("revision", "Configuration revision in force.")
 	s.Members = gauge("members", "Nodes in the view.")
@@ -72,6 +79,9 @@
 	s.UnownedKeyShare = gauges("unowned_key_share", "Share of fresh idempotency keys without a living owner, of the node's own service.", "service")
 	s.PendingHandovers = gauge("pending_handovers", "Handovers taken over that the owner plan does not show yet.")
 	s.PlatformSilent = gauge("platform_silent_seconds", "Time since the platform last answered; 0 while it answers.")
+	s.Pressure = newLevels("service_pressure", "Load offered to a service over what it takes, as far as this node has heard of late; above 1 it is full.", "service")
+	s.Admitted = newLevels("admitted_share", "Share of the requests of a kind that this node lets in.", "kind")
+	s.kinds = map[string]bool{}
 	s.register()
 	return s
 }
@@ -81,9 +91,10 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Moves, s.Attempts, s.FateAsked,
-		s.Replayed, s.TargetStops, s.RelaySeconds, s.RequestSeconds, s.QueueSeconds, s.TargetSeconds, s.InFlight, s.Limit, s.Queued, s.Floor,
+		s.Replayed, s.TargetStops, s.RelaySeconds, s.RequestSeconds, s.QueueSeconds, s.TargetSeconds, s.InFlight, s.Limit, s.Queued, s.Offered, s.Floor,
 		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
 		s.TargetStopped, s.UnownedKeyShare, s.PendingHandovers, s.PlatformSilent,
+		s.Pressure, s.Admitted,
 	)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,8 @@
 	n.members = n.newMembers()
 	n.sender = n.newSender()
 	n.local = n.newLocal()
+	n.metrics.Pressure.From(n.sender.Pressures)
+	n.metrics.Admitted.From(n.sender.Admitted)
 	n.callers = n.callerServer()
 	return n
 }
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,7 @@
 			n.sender.SetDistances(centre.Distances)
 		}
 	}
+	n.keepKinds(chains)
 	n.local.Regulate(n.owner(), ownerRules(set.Limits), set.Limits.RecordBytes)
 	if document, version := n.config.Plan(n.settings.Service); version > 0 {
 		n.learnPlan(n.settings.Service, document, version)
@@ -68,6 +71,18 @@
 	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest)
 }
 
+// keepKinds lets all parts forget kinds that are not declared any more. Otherwise
+// each that ever was would take memory until the node ends.
+func (n *Node) keepKinds(chains map[string][]string) {
+	declared := func(kind string) bool {
+		_, ok := chains[kind]
+		return ok
+	}
+	n.sender.Keep(declared)
+	n.local.Keep(declared)
+	n.metrics.Keep(slices.Collect(maps.Keys(chains)))
+}
+
 // becomeActive announces the node as a target once it has the configuration, a
 // view of the others, and the owners of idempotency keys. It does not wait for
 // owners for ever: a service without living targets has none.
