--- a/internal/route/poor_test.go
+++ b/internal/route/poor_test.go
@@ -22,7 +22,7 @@
 
 // oneIn returns one target for each data centre.
 func oneIn(dataCentres ...string) []Target {
-	var targets []Target
+	targets := make([]Target, 0, len(dataCentres))
 	for _, dc := range dataCentres {
 		targets = append(targets, targetsIn(dc)[0])
 	}
