Play random faults against the real processes, by seeds

The soak draws faults at nodes, targets and the platform, several at once, and states what must hold whatever happens.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 PACKAGES := ./...
 
-.PHONY: setup build test prove vet lint format generate check demo mesh bench scale clean
+.PHONY: setup build test prove soak vet lint format generate check demo mesh bench scale clean
 
 setup: $(TOOLS)/golangci-lint
 	go mod download
@@ -24,6 +24,13 @@
 prove:
 	TRIALS_TIMED=1 go test -count=1 ./internal/proof
 
+# Random faults against real processes, as in `make soak SOAK_SEEDS="4 5 6"`.
+SOAK_SEEDS := 1 2 3 4 5 6 7 8
+soak:
+	for seed in $(SOAK_SEEDS); do \
+		SOAK_SEED=$$seed go test -count=1 -run TestTrials/soak ./internal/proof || exit 1; \
+	done
+
 vet:
 	go vet $(PACKAGES)
 
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -118,6 +118,7 @@
 			"revisions_rose":  revisionsRose,
 			"note_calls":      noteCalls,
 			"no_calls_since":  noCallsSince,
+			"disturb":         disturb,
 		},
 	})
 }
