Let the alerts hear of throttled refusals and of the shared budget

Found in reading: on the users' platform calls are mostly refused by the throttle, and repeats denied by the budget that all nodes share. Both count with reasons of their own, which no alert rule selected, so that half an hour of overload told nobody.

--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -297,8 +297,8 @@
 func (f *Inward) door(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	c := exchange.Call
 	if share, ok := f.admits(c); !ok {
-		f.Metrics.Refusals.WithLabelValues(c.Kind.Service, "throttled").Inc()
-		refused := call.Refuse(result.DoorClosed, "throttled")
+		f.Metrics.Refusals.WithLabelValues(c.Kind.Service, metric.Throttled).Inc()
+		refused := call.Refuse(result.DoorClosed, metric.Throttled)
 		refused.Admitted = share
 		return refused
 	}
--- a/internal/metric/alerts_test.go
+++ b/internal/metric/alerts_test.go
@@ -86,13 +86,17 @@
 // unknownCodes returns the values of reasons and results that are no result codes.
 // Repeats are also denied for reasons of their own.
 func unknownCodes(metric string, selection []string) []string {
-	own := []string{"tokens", "deadline", "allowance"}
+	own := map[string][]string{
+		"dandelionfield_retries_denied_total": {"tokens", "deadline", "allowance", "budget"},
+		"dandelionfield_refusals_total":       {Throttled},
+	}
 	var missing []string
 	for _, value := range strings.Split(selection[2], "|") {
 		_, ok := result.Parse(value)
 		if metric == "dandelionfield_retries_denied_total" {
-			ok = slices.Contains(own, value)
+			ok = false // never one of the results
 		}
+		ok = ok || slices.Contains(own[metric], value)
 		if !ok && (selection[1] == "reason" || selection[1] == "result") {
 			missing = append(missing, value)
 		}
@@ -128,6 +132,26 @@
 	is.Equal(strings.Count(string(page), "| `Dandelionfield"), len(rules.Groups[0].Rules))
 }
 
+// Refusals of every kind of node tell of overload, and so do repeats that are held
+// back, whatever budget they come from.
+func TestAlertsCoverEveryWayOfRefusing(t *testing.T) {
+	is := is.New(t)
+	document, err := os.ReadFile("../../examples/alerts.yaml")
+	is.NoErr(err)
+	var rules alerts
+	is.NoErr(yaml.Unmarshal(document, &rules))
+	selected := map[string]string{}
+	for _, rule := range rules.Groups[0].Rules {
+		selected[rule.Alert] = rule.Expr
+	}
+	for _, reason := range []string{"overloaded", "evicted", "queue_expired", "door_closed", Throttled} {
+		is.True(strings.Contains(selected["DandelionfieldOverload"], reason))
+	}
+	for _, reason := range []string{"allowance", "budget"} {
+		is.True(strings.Contains(selected["DandelionfieldRetriesHeldBack"], reason))
+	}
+}
+
 // TestUnknownMetricsAreFound makes the mistakes that the rules must not have.
 func TestUnknownMetricsAreFound(t *testing.T) {
 	is := is.New(t)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -48,6 +48,10 @@
 
 const namespace = "dandelionfield"
 
+// Throttled is the reason of refusals by the throttle at the entry, which have the
+// result of all that a door turns away.
+const Throttled = "throttled"
+
 // New returns the metrics of one node, registered together with the usual
 // process and runtime collectors.
 func New() *Set {
