--- a/internal/fate/fate.go
+++ b/internal/fate/fate.go
@@ -234,6 +234,11 @@
 	return stats
 }
 
+// MaxBytes returns the bound on the memory of the book.
+func (b *Book[A]) MaxBytes() int64 {
+	return b.settings.MaxBytes
+}
+
 func (b *Book[A]) advance(now time.Time) time.Time {
 	if now.After(b.latest) {
 		b.latest = now
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -87,6 +87,7 @@
 	regulated bool
 	// stopped is whether the target was last seen to have stopped.
 	stopped bool
+	watch   *watch
 	running sync.WaitGroup
 }
 
@@ -115,6 +116,7 @@
 		serving:  map[string]*call.Serving{},
 		byKey:    map[string]*attempt{},
 		origins:  newOrigins(),
+		watch:    &watch{metrics: settings.Metrics, log: settings.Log},
 	}
 	if settings.RetryRule != nil {
 		s.window = budget.NewWindow(settings.RetryRule())
@@ -126,11 +128,13 @@
 func (s *Server) Run(ctx context.Context) {
 	forget, period := time.Duration(0), idlePeriod
 	for {
+		due := s.settings.Clock.Now().Add(period)
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.settings.Clock.After(period):
 		}
+		s.watch.timer(s.settings.Clock.Now().Sub(due))
 		forget += period
 		period = s.tick()
 		if forget >= forgetPeriod {
@@ -363,8 +367,9 @@
 	s.settings.Log.Debug("gate_load", "in_flight", load.InFlight, "limit", load.Limit, "queued", load.Queued, "offered", load.Offered, "cold", load.Cold)
 	s.settings.Book.Forget(now)
 	s.settings.Ledger.Forget(now)
-	bytes := s.settings.Book.Stats().Bytes + s.settings.Ledger.Stats().Bytes
-	s.settings.Metrics.RecordBytes.Set(float64(bytes))
+	book := s.settings.Book.Stats()
+	s.settings.Metrics.RecordBytes.Set(float64(book.Bytes + s.settings.Ledger.Stats().Bytes))
+	s.watch.look(book, s.settings.Book.MaxBytes())
 	s.settings.Metrics.HeldBytes.Set(float64(s.settings.Target.HeldBytes()))
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -34,6 +34,11 @@
 	HeldBytes      prometheus.Gauge
 	TargetHealth   prometheus.Gauge
 	RecordBytes    prometheus.Gauge
+	// BookUse is how much of the room for records of attempts is taken, and
+	// TimerLate how late the node's own timers fire, which tells of a lack of
+	// processor time.
+	BookUse   prometheus.Gauge
+	TimerLate prometheus.Histogram
 	// These follow what a status shows of this node.
 	TargetStopped    *prometheus.GaugeVec
 	UnownedKeyShare  *prometheus.GaugeVec
@@ -79,6 +84,13 @@
 	s.HeldBytes = gauge("held_bytes", "Bytes of answers held until whole.")
 	s.TargetHealth = gauge("target_health", "1 when the target's health endpoint says so; decides nothing.")
 	s.RecordBytes = gauge("record_bytes", "Bytes of idempotency and attempt records.")
+	s.BookUse = gauge("attempt_records_used", "Used share of the room for records of attempts; at 1 attempts are refused.")
+	s.TimerLate = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "timer_late_seconds",
+		Help:      "How late the node's timers fire; late ones tell of a lack of processor time.",
+		Buckets:   prometheus.ExponentialBuckets(0.001, 2, 11),
+	})
 	s.TargetStopped = gauges("target_stopped", "1 while the target has stopped, by its service.", "service")
 	s.UnownedKeyShare = gauges("unowned_key_share", "Share of fresh idempotency keys without a living owner, of the node's own service.", "service")
 	s.PendingHandovers = gauge("pending_handovers", "Handovers taken over that the owner plan does not show yet.")
@@ -96,7 +108,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Moves, s.Attempts, s.FateAsked,
 		s.Replayed, s.TargetStops, s.RelaySeconds, s.RequestSeconds, s.QueueSeconds, s.TargetSeconds, s.InFlight, s.Limit, s.Queued, s.Offered, s.Floor,
-		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes,
+		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes, s.BookUse, s.TimerLate,
 		s.TargetStopped, s.UnownedKeyShare, s.PendingHandovers, s.PlatformSilent,
 		s.Pressure, s.Admitted,
 	)
