--- a/internal/node/book_test.go
+++ b/internal/node/book_test.go
@@ -44,6 +44,32 @@
 	is.True(book.Stats().Bytes <= n.settings.MemoryBytes/bookShare)
 }
 
+// Four targets of the deepest service get 8,700 calls a second between them on an
+// ordinary day, and one of the four may be gone in a surge of 1.7.
+func TestBookHoldsTheBusiestService(t *testing.T) {
+	const perSecond = 5000
+	is := is.New(t)
+	store := plat.NewMemory().Store()
+	n := New(&setup.Node{Name: "node", MemoryBytes: 48 << 20}, hclog.NewNullLogger(), clock.System{}, Doors{
+		Store:   &store,
+		Control: heartbeatsOf,
+	})
+	book := fate.New[*relaypb.CarryResponse](n.bookSettings(n.settings.MemoryBytes / bookShare))
+	start := time.Now()
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for range perSecond {
+			id := mintedAt(now)
+			if verdict, _ := book.Begin(now, id); verdict != fate.Fresh {
+				t.Fatalf("verdict %v in second %d", verdict, second)
+			}
+			book.End(now, id, &relaypb.CarryResponse{}, 400)
+		}
+		book.Forget(now)
+	}
+	is.True(book.Stats().Bytes <= n.settings.MemoryBytes/bookShare)
+}
+
 // mintedAt returns a fresh id that was minted at a time.
 func mintedAt(at time.Time) string {
 	id := uuid.Must(uuid.NewV7())
