Keep only the id of an attempt once its answer is dropped

An attempt whose answer is dropped now leaves the random part of its id, by the second in which it was minted, and is forgotten once ids of that second are refused for their age.

--- a/internal/fate/bench_test.go
+++ b/internal/fate/bench_test.go
@@ -42,3 +42,36 @@
 		})
 	}
 }
+
+// BenchmarkBareRecords measures the memory of records without their answers.
+func BenchmarkBareRecords(b *testing.B) {
+	for _, held := range []int{30_000, 50_000, 100_000, 150_000} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			var before, after runtime.MemStats
+			var charged int64
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				book := fate.New[*relaypb.CarryResponse](fate.Settings{Keep: 90 * time.Second, KeepAnswers: time.Second, MaxBytes: 1 << 40})
+				now := time.Now()
+				for i := range held {
+					now = now.Add(100 * time.Microsecond)
+					id := uuid.Must(uuid.NewV7()).String()
+					if verdict, _ := book.Begin(now, id); verdict != fate.Fresh {
+						b.Fatalf("verdict %d", verdict)
+					}
+					book.End(now, id, &relaypb.CarryResponse{}, 0)
+					if i%1000 == 0 {
+						book.Forget(now)
+					}
+				}
+				book.Forget(now.Add(2 * time.Second))
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				charged = book.Stats().Bytes
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(held), "bytes/record")
+			b.ReportMetric(float64(charged)/float64(held), "bytes/charged")
+		})
+	}
+}
--- a/internal/fate/fate.go
+++ b/internal/fate/fate.go
@@ -7,6 +7,7 @@
 package fate
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/google/uuid"
@@ -51,13 +52,16 @@
 	// concurrent use.
 	Book[A any] struct {
 		settings Settings
-		entries  map[string]*entry[A]
-		// ended lists the ids of ended attempts and tombstones, oldest first.
-		ended []endedID
-		// nextAnswer is the index in ended of the oldest answer still held.
-		nextAnswer int
-		// bareBytes is the cost of the entries without their answers.
-		bareBytes   int64
+		// entries holds the attempts that run or whose answer is kept, and bare the
+		// verdict alone of all others, by the second in which they were minted. A busy
+		// node has many more of the latter, so that they are small and hold no pointer
+		// for the garbage collector to follow.
+		entries map[uuid.UUID]*entry[A]
+		bare    map[int64]map[bareID]Verdict
+		// answered lists the ended attempts whose answer is kept, oldest first.
+		answered []endedID
+		// recordBytes is the cost of the attempts without their answers.
+		recordBytes int64
 		answerBytes int64
 		// refusedThroughMS is the newest mint time that was refused without
 		// leaving an entry. Nothing minted up to then is begun any more.
@@ -74,9 +78,15 @@
 		size    int64
 	}
 
+	// bareID is the random part of an attempt's id. Should two of one second share
+	// it, which is less likely than one in 2^30 with 100,000 of them, the later one is
+	// not begun.
+	bareID uint64
+
 	endedID struct {
-		id string
-		at time.Time
+		id uuid.UUID
+		// atMS is when the attempt ended, in Unix milliseconds.
+		atMS int64
 	}
 )
 
@@ -112,7 +122,9 @@
 	DefaultMargin = time.Second
 	// entryBytes is the memory of one entry: id, map cell, struct, list cell.
 	entryBytes = 256
-	// compactAt is the length of the dropped head of ended that is worth a copy.
+	// bareBytes is the memory of a verdict alone.
+	bareBytes = 48
+	// compactAt is the length of the dropped head of a list that is worth a copy.
 	compactAt = 1024
 )
 
@@ -121,17 +133,17 @@
 	if s.Margin == 0 {
 		s.Margin = DefaultMargin
 	}
-	return &Book[A]{settings: s, entries: make(map[string]*entry[A])}
+	return &Book[A]{settings: s, entries: map[uuid.UUID]*entry[A]{}, bare: map[int64]map[bareID]Verdict{}}
 }
 
 // Begin records a fresh attempt as running. The answer is set for Done only.
 func (b *Book[A]) Begin(now time.Time, attempt string) (Verdict, A) {
 	var none A
 	now = b.advance(now)
-	if e, ok := b.entries[attempt]; ok {
-		return e.verdict, e.answer
+	id, minted, ok := b.parse(now, attempt)
+	if verdict, answer, known := b.known(id); known {
+		return verdict, answer
 	}
-	minted, ok := b.mintTime(now, attempt)
 	if !ok {
 		return Invalid, none
 	}
@@ -147,8 +159,8 @@
 		b.stats.Refused++
 		return Full, none
 	}
-	b.bareBytes += entryBytes
-	b.entries[attempt] = &entry[A]{verdict: Running}
+	b.recordBytes += entryBytes
+	b.entries[id] = &entry[A]{verdict: Running}
 	b.stats.Running++
 	return Fresh, none
 }
@@ -157,17 +169,17 @@
 // second end of the same attempt changes nothing.
 func (b *Book[A]) End(now time.Time, attempt string, answer A, size int) {
 	now = b.advance(now)
-	e, ok := b.entries[attempt]
+	id, _, _ := b.parse(now, attempt)
+	e, ok := b.entries[id]
 	if !ok || e.verdict != Running {
 		return
 	}
 	b.stats.Running--
-	b.ended = append(b.ended, endedID{attempt, now})
 	if !b.makeRoom(int64(size)) {
-		e.verdict = Dropped
-		b.stats.Dropped++
+		b.strip(id)
 		return
 	}
+	b.answered = append(b.answered, endedID{id, now.UnixMilli()})
 	e.verdict = Done
 	e.answer = answer
 	e.size = int64(size)
@@ -179,13 +191,13 @@
 func (b *Book[A]) Ask(now time.Time, attempt string) (State, A) {
 	var none A
 	now = b.advance(now)
-	if e, ok := b.entries[attempt]; ok {
-		if e.verdict == Tombstoned {
-			return NeverSeen, none
+	id, minted, ok := b.parse(now, attempt)
+	if verdict, answer, known := b.known(id); known {
+		if verdict == Tombstoned {
+			verdict = NeverSeen
 		}
-		return e.verdict, e.answer
+		return verdict, answer
 	}
-	minted, ok := b.mintTime(now, attempt)
 	if !ok {
 		return Invalid, none
 	}
@@ -195,42 +207,49 @@
 	if minted.UnixMilli() <= b.refusedThroughMS {
 		return NeverSeen, none
 	}
-	if !b.makeRoom(entryBytes) {
+	if !b.makeRoom(bareBytes) {
 		b.refuseThrough(minted)
 		return NeverSeen, none
 	}
-	b.bareBytes += entryBytes
-	b.entries[attempt] = &entry[A]{verdict: Tombstoned}
-	b.ended = append(b.ended, endedID{attempt, now})
+	b.keepBare(id, Tombstoned)
 	b.stats.Tombstones++
 	return NeverSeen, none
 }
 
-// Forget drops the ended attempts and tombstones that are past Keep.
+// Forget drops the answers that are past KeepAnswers, and the attempts and
+// tombstones that are past Keep.
 func (b *Book[A]) Forget(now time.Time) {
 	now = b.advance(now)
 	if keep := b.settings.KeepAnswers; keep > 0 {
-		for b.nextAnswer < len(b.ended) && now.Sub(b.ended[b.nextAnswer].at) > keep {
+		for len(b.answered) > 0 && b.answered[0].past(now, keep) {
 			b.dropOldestAnswer()
 		}
 	}
-	dropped := 0
-	for dropped < len(b.ended) && now.Sub(b.ended[dropped].at) > b.settings.Keep {
-		b.remove(b.ended[dropped].id)
-		dropped++
+	past := 0
+	for past < len(b.answered) && b.answered[past].past(now, b.settings.Keep) {
+		b.removeEntry(b.answered[past].id)
+		past++
 	}
-	b.ended = b.ended[dropped:]
-	b.nextAnswer = max(0, b.nextAnswer-dropped)
-	if dropped > compactAt {
-		b.ended = append([]endedID(nil), b.ended...)
+	b.answered = b.answered[past:]
+	if past > compactAt {
+		b.answered = append([]endedID(nil), b.answered...)
+	}
+	for second, verdicts := range b.bare {
+		if b.expired(now, time.Unix(second+1, 0)) {
+			b.removeBare(second, verdicts)
+		}
 	}
 }
 
+func (e endedID) past(now time.Time, keep time.Duration) bool {
+	return now.UnixMilli()-e.atMS > keep.Milliseconds()
+}
+
 // Stats returns the book's gauges and counters.
 func (b *Book[A]) Stats() Stats {
 	stats := b.stats
-	stats.Entries = len(b.entries)
-	stats.Bytes = b.bareBytes + b.answerBytes
+	stats.Entries = len(b.entries) + b.bareCount()
+	stats.Bytes = b.recordBytes + b.answerBytes
 	return stats
 }
 
@@ -246,15 +265,57 @@
 	return b.latest
 }
 
-// mintTime returns the time inside the id, and false for an id that the book
+// known returns what is recorded of an attempt.
+func (b *Book[A]) known(id uuid.UUID) (Verdict, A, bool) {
+	var none A
+	if e, ok := b.entries[id]; ok {
+		return e.verdict, e.answer, true
+	}
+	verdict, ok := b.bare[mintSecond(id)][bare(id)]
+	return verdict, none, ok
+}
+
+// keepBare records a verdict without an answer.
+func (b *Book[A]) keepBare(id uuid.UUID, verdict Verdict) {
+	second := mintSecond(id)
+	if b.bare[second] == nil {
+		b.bare[second] = map[bareID]Verdict{}
+	}
+	b.bare[second][bare(id)] = verdict
+	b.recordBytes += bareBytes
+}
+
+func (b *Book[A]) bareCount() int {
+	count := 0
+	for _, verdicts := range b.bare {
+		count += len(verdicts)
+	}
+	return count
+}
+
+func mintSecond(id uuid.UUID) int64 {
+	second, _ := id.Time().UnixTime()
+	return second
+}
+
+func bare(id uuid.UUID) bareID {
+	return bareID(binary.BigEndian.Uint64(id[8:]))
+}
+
+// parse returns an id and the time inside it, and false for an id that the book
 // cannot judge by its time.
-func (b *Book[A]) mintTime(now time.Time, attempt string) (time.Time, bool) {
+func (b *Book[A]) parse(now time.Time, attempt string) (uuid.UUID, time.Time, bool) {
 	id, err := uuid.Parse(attempt)
-	if err != nil || id.Version() != 7 || id.String() != attempt {
-		return time.Time{}, false
+	if err != nil || id.Version() != 7 || !canonical(id, attempt) {
+		return uuid.Nil, time.Time{}, false
 	}
 	minted := time.Unix(id.Time().UnixTime())
-	return minted, !minted.After(now.Add(b.settings.Margin))
+	return id, minted, !minted.After(now.Add(b.settings.Margin))
+}
+
+// canonical says whether an id was written in its usual form.
+func canonical(id uuid.UUID, text string) bool {
+	return id.String() == text
 }
 
 // expired says whether the book may have forgotten an attempt with this mint
@@ -277,35 +338,44 @@
 // makeRoom drops the oldest answers until need more bytes fit, and says
 // whether they do.
 func (b *Book[A]) makeRoom(need int64) bool {
-	if b.bareBytes+need > b.settings.MaxBytes {
+	stripped := b.recordBytes - int64(len(b.answered))*(entryBytes-bareBytes)
+	if stripped+need > b.settings.MaxBytes {
 		return false
 	}
-	for b.bareBytes+b.answerBytes+need > b.settings.MaxBytes {
+	for b.recordBytes+b.answerBytes+need > b.settings.MaxBytes {
 		b.dropOldestAnswer()
 	}
 	return true
 }
 
 func (b *Book[A]) dropOldestAnswer() {
-	var none A
-	e := b.entries[b.ended[b.nextAnswer].id]
-	b.nextAnswer++
-	if e.verdict != Done {
-		return
-	}
-	b.answerBytes -= e.size
-	e.verdict = Dropped
-	e.answer = none
-	e.size = 0
+	oldest := b.answered[0]
+	b.answered = b.answered[1:]
+	b.answerBytes -= b.entries[oldest.id].size
+	b.strip(oldest.id)
+}
+
+// strip leaves nothing of an ended attempt but that it has been.
+func (b *Book[A]) strip(id uuid.UUID) {
+	delete(b.entries, id)
+	b.recordBytes -= entryBytes
+	b.keepBare(id, Dropped)
 	b.stats.Dropped++
 }
 
-func (b *Book[A]) remove(id string) {
-	e := b.entries[id]
-	if e.verdict == Tombstoned {
-		b.stats.Tombstones--
-	}
-	b.answerBytes -= e.size
-	b.bareBytes -= entryBytes
+func (b *Book[A]) removeEntry(id uuid.UUID) {
+	b.answerBytes -= b.entries[id].size
+	b.recordBytes -= entryBytes
 	delete(b.entries, id)
 }
+
+// removeBare forgets the verdicts of one second, whose attempts have all expired.
+func (b *Book[A]) removeBare(second int64, verdicts map[bareID]Verdict) {
+	for _, verdict := range verdicts {
+		if verdict == Tombstoned {
+			b.stats.Tombstones--
+		}
+	}
+	b.recordBytes -= bareBytes * int64(len(verdicts))
+	delete(b.bare, second)
+}
