Carry calls between nodes on links in place of HTTP/2

A profile of BenchmarkCallThroughTwoNodes showed most of a call in HTTP/2, connect-go and the garbage that they make. Calls now travel as frames of one connection to each node, on the port of connect-go, which carries all else and also calls to nodes that know no links. Pings find a silent connection in 600 ms as before, a caller that leaves cancels its call, a node that closes says which calls it did not take.

The tests of lost connections in internal/entry now play on links, with the same demands.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
@@ -415,9 +414,5 @@
 		}
 		return response, nil
 	}
-	response, err := s.Client.To(target.Address).Carry(ctx, connect.NewRequest(request))
-	if err != nil {
-		return nil, err
-	}
-	return response.Msg, nil
+	return s.Client.Carry(ctx, target.Address, request)
 }
--- a/internal/entry/probe_test.go
+++ b/internal/entry/probe_test.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
+	"github.com/dandelionfield/dandelionfield/internal/link"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
@@ -33,10 +34,11 @@
 	}
 )
 
-func (a *asked) Carry(ctx context.Context, _ *connect.Request[relaypb.CarryRequest]) (*connect.Response[relaypb.CarryResponse], error) {
+// carry takes a call and never answers it.
+func (a *asked) carry(ctx context.Context, _ *relaypb.CarryRequest) *relaypb.CarryResponse {
 	a.began <- struct{}{}
 	<-ctx.Done()
-	return nil, ctx.Err()
+	return nil
 }
 
 func (a *asked) Fate(ctx context.Context, request *connect.Request[relaypb.FateRequest]) (*connect.Response[relaypb.FateResponse], error) {
@@ -68,6 +70,7 @@
 			server := httptest.NewUnstartedServer(handler)
 			server.Config.Protocols = relay.Protocols()
 			server.Config.HTTP2 = relay.HTTP2()
+			server.Listener = link.Split(server.Listener, &link.Server{Carry: node.carry})
 			server.Start()
 			t.Cleanup(server.CloseClientConnections)
 			between := newWire(t, server.Listener.Addr().String())
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -360,9 +360,9 @@
 // and what the loss shows of the target.
 func (s *sending) settle(ctx context.Context, target route.Target, request *relaypb.CarryRequest, err error) (*relaypb.CarryResponse, result.Code, route.Outcome) {
 	if relay.NeverSent(err) {
-		return nil, result.Unreachable, route.Unreachable
+		return nil, result.Unreachable, s.blame(ctx, route.Unreachable)
 	}
-	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+	if relay.TooLarge(err) {
 		return nil, result.AnswerTooLarge, route.Blameless
 	}
 	// A node whose connection stood until the deadline answers pings, so it is
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -22,6 +22,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/link"
 	"github.com/dandelionfield/dandelionfield/internal/local"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/internal/once"
@@ -188,7 +189,8 @@
 		t.Fatal(err)
 	}
 	served := &http.Server{Handler: mux, Protocols: relay.Protocols(), HTTP2: relay.HTTP2()}
-	go func() { _ = served.Serve(listener) }()
+	links := &link.Server{Carry: server.Carry}
+	go func() { _ = served.Serve(link.Split(listener, links)) }()
 	t.Cleanup(func() { _ = served.Close() })
 	return listener.Addr().String()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/entry"
 	"github.com/dandelionfield/dandelionfield/internal/filter"
 	"github.com/dandelionfield/dandelionfield/internal/heap"
+	"github.com/dandelionfield/dandelionfield/internal/link"
 	"github.com/dandelionfield/dandelionfield/internal/local"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
@@ -210,6 +211,7 @@
 // servers are the servers of a node.
 type servers struct {
 	callers *ahead.Server
+	links   *link.Server
 	all     []*http.Server
 	failed  chan error
 }
@@ -218,13 +220,17 @@
 const serverCount = 5
 
 func (n *Node) serve(bound *listeners) *servers {
-	s := &servers{callers: n.callers, failed: make(chan error, serverCount)}
+	s := &servers{
+		callers: n.callers,
+		links:   &link.Server{Carry: n.carry},
+		failed:  make(chan error, serverCount),
+	}
 	go func() {
 		if err := n.callers.Serve(bound.caller); !errors.Is(err, ahead.ErrClosed) {
 			s.failed <- err
 		}
 	}()
-	s.start(bound.relay, &http.Server{
+	s.start(link.Split(bound.relay, s.links), &http.Server{
 		Handler:   n.relayHandler(),
 		Protocols: relay.Protocols(),
 		HTTP2:     relay.HTTP2(),
@@ -249,6 +255,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	s.callers.Close()
+	s.links.Close(ctx)
 	for _, server := range s.all {
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -27,17 +27,22 @@
 
 // Carry runs an attempt, or joins it when it came before.
 func (r *relayService) Carry(ctx context.Context, request *connect.Request[relaypb.CarryRequest]) (*connect.Response[relaypb.CarryResponse], error) {
-	if !r.node.members.Ready() {
-		// After a freeze the node may be out of its lease and behind its peers.
-		return connect.NewResponse(r.node.local.Refuse(request.Msg, result.NoConfiguration)), nil
-	}
-	answer := r.node.local.Carry(ctx, request.Msg)
+	answer := r.node.carry(ctx, request.Msg)
 	if answer == nil {
 		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 	}
 	return connect.NewResponse(answer), nil
 }
 
+// carry runs an attempt of another node. It returns nil when the context ends first.
+func (n *Node) carry(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
+	if !n.members.Ready() {
+		// After a freeze the node may be out of its lease and behind its peers.
+		return n.local.Refuse(request, result.NoConfiguration)
+	}
+	return n.local.Carry(ctx, request)
+}
+
 // Fate says what became of an attempt.
 func (r *relayService) Fate(ctx context.Context, request *connect.Request[relaypb.FateRequest]) (*connect.Response[relaypb.FateResponse], error) {
 	return connect.NewResponse(r.node.local.Fate(ctx, request.Msg)), nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,6 @@
-// Package relay is the connection between nodes: a connect-go client that
-// drops silent connections, and the server's transport settings to match.
+// Package relay is the connection between nodes. Calls travel on links, all else by
+// connect-go, on connections that are dropped when they fall silent; the server's
+// transport settings match.
 package relay
 
 import (
@@ -13,6 +14,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/dandelionfield/dandelionfield/internal/link"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb/relaypbconnect"
 )
@@ -24,6 +26,9 @@
 	// leaves the choice to the system.
 	From net.IP
 
+	// links carry the calls.
+	links *link.Pool
+
 	mu sync.Mutex
 	// calls are pinged, so that a call on a silent connection is settled in
 	// time. Control traffic has connections of its own without pings: a node
@@ -64,7 +69,32 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{calls: map[string]*peer{}, control: map[string]*peer{}}
+	c := &Client{calls: map[string]*peer{}, control: map[string]*peer{}}
+	c.links = link.NewPool(c.open, link.Watch{PingAfter: pingAfter, PingTimeout: pingTimeout, Idle: callIdleTimeout})
+	return c
+}
+
+// Carry sends an attempt to the node at an address and waits for its answer. A node
+// that knows no links is called by connect-go.
+func (c *Client) Carry(ctx context.Context, address string, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
+	answer, err := c.links.Carry(ctx, address, request)
+	if !errors.Is(err, link.ErrOtherProtocol) {
+		return answer, err
+	}
+	response, err := c.To(address).Carry(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// open opens a connection to another node.
+func (c *Client) open(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if c.From != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.From}
+	}
+	return dialer.DialContext(ctx, network, address)
 }
 
 // To returns the client for calls through the node at an address. Nothing is
@@ -115,13 +145,22 @@
 	}
 }
 
-// NeverSent says whether an error proves that nothing reached the other node:
-// the connection could not be opened at all.
+// NeverSent says whether an error proves that the other node took nothing of the call,
+// for instance since the connection could not be opened at all.
 func NeverSent(err error) bool {
+	if errors.Is(err, link.ErrNeverTaken) {
+		return true
+	}
 	var dial *net.OpError
 	return errors.As(err, &dial) && dial.Op == "dial"
 }
 
+// TooLarge says whether an error means that the message is larger than one between
+// nodes may be.
+func TooLarge(err error) bool {
+	return errors.Is(err, link.ErrTooLarge) || connect.CodeOf(err) == connect.CodeResourceExhausted
+}
+
 // JoinIncarnation names a process of a target together with the node beside it.
 func JoinIncarnation(node, target string) string {
 	if target == "" {
@@ -162,12 +201,8 @@
 }
 
 func (c *Client) newPeer(address string, settings *http.HTTP2Config, idleTimeout time.Duration) *peer {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if c.From != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: c.From}
-	}
 	transport := &http.Transport{
-		DialContext:     dialer.DialContext,
+		DialContext:     c.open,
 		Protocols:       Protocols(),
 		HTTP2:           settings,
 		IdleConnTimeout: idleTimeout,
