Judge by what the collector follows whether a node is busy

The heap now grows further where many bytes are followed in a period, by 150% and 32 MB at most (100% and 16 MB before).

Buffers that a link keeps are 8 KB in place of 64 KB: a node of the grown sites has more than a hundred links.

--- a/internal/heap/heap.go
+++ b/internal/heap/heap.go
@@ -19,15 +19,17 @@
 	CalmPercent = 30
 	// BusyPercent takes its place in a surge, when time that the collector takes is
 	// time for which calls wait; but the heap grows by busyRoom, in bytes, at most.
-	BusyPercent = 100
-	busyRoom    = 16 << 20
+	BusyPercent = 150
+	busyRoom    = 32 << 20
 
 	lookPeriod = 2 * time.Second
-	// busyCycles is how many collections in a period show a busy node, and calmCycles
-	// how many a calm one, where the heap grows three times as far. A load in between
-	// leaves it as it is, so that a steady one does not change it to and fro.
-	busyCycles = 14
-	calmCycles = 2
+	// busyMarked is how many bytes the collector follows in a period on a busy node,
+	// and calmMarked how many on a calm one, where the heap grows five times as far.
+	// That is what it costs; a node with much in use has few collections, and dear
+	// ones. A load in between leaves it as it is, so that a steady one does not change
+	// it to and fro.
+	busyMarked = 88 << 20
+	calmMarked = 8 << 20
 
 	cyclesMetric = "/gc/cycles/total:gc-cycles"
 	liveMetric   = "/gc/heap/live:bytes"
@@ -56,12 +58,12 @@
 // Next takes in the state one period after the last time, and returns the percentage
 // by which the heap grows from now on.
 func (c *Collector) Next(state State) int {
-	since := state.Cycles - c.cycles
+	marked := (state.Cycles - c.cycles) * state.Live
 	c.cycles = state.Cycles
 	switch {
-	case since >= busyCycles:
+	case marked >= busyMarked:
 		c.busy = true
-	case since <= calmCycles:
+	case marked <= calmMarked:
 		c.busy = false
 	}
 	if !c.busy {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -82,9 +82,10 @@
 	maxFrameBytes = 16 << 20
 	// maxQueueBytes bounds what is held for a peer that does not read.
 	maxQueueBytes = 32 << 20
-	// keptBytes is the largest buffer that is kept for further frames.
-	keptBytes   = 64 << 10
-	readBytes   = 8 << 10
+	// keptBytes is the largest buffer that is kept for further frames. A node of a
+	// large installation has a hundred connections and more.
+	keptBytes   = 8 << 10
+	readBytes   = 4 << 10
 	helloWait   = 500 * time.Millisecond
 	writeWait   = 5 * time.Second
 	firstNumber = 1
