--- a/internal/heap/heap.go
+++ b/internal/heap/heap.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// CalmPercent lets the heap grow by three tenths before it is collected: a node
+	// CalmPercent lets the heap grow by six tenths before it is collected: a node
 	// has a tight budget of memory and mostly uses little of its processor time.
-	CalmPercent = 30
+	CalmPercent = 60
 	// BusyPercent takes its place in a surge, when time that the collector takes is
 	// time for which calls wait; but the heap grows by busyRoom, in bytes, at most.
 	BusyPercent = 150
@@ -24,12 +24,12 @@
 
 	lookPeriod = 2 * time.Second
 	// busyMarked is how many bytes the collector follows in a period on a busy node,
-	// and calmMarked how many on a calm one, where the heap grows five times as far.
+	// and calmMarked how many on a calm one, where the heap grows further.
 	// That is what it costs; a node with much in use has few collections, and dear
 	// ones. A load in between leaves it as it is, so that a steady one does not change
 	// it to and fro.
-	busyMarked = 88 << 20
-	calmMarked = 8 << 20
+	busyMarked = 80 << 20
+	calmMarked = 16 << 20
 
 	cyclesMetric = "/gc/cycles/total:gc-cycles"
 	liveMetric   = "/gc/heap/live:bytes"
