--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,9 +50,13 @@
 	bootInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation on the platform while nodes follow it.
 	storeTimeout = 3 * time.Second
-	// followWait is how long one question to a source waits for news. A source
-	// that has become silent is noticed after that.
-	followWait = 2 * time.Second
+	// followWait is how long one question to a source waits for news where nodes are
+	// few. A source that has become silent is noticed after that, if not by the
+	// connection before. Each further followNodes wait as much longer, since one node
+	// that hears tells the others within a second, up to maxFollowWait.
+	followWait    = 2 * time.Second
+	followNodes   = 12
+	maxFollowWait = 16 * time.Second
 	// followRetry is the mean wait before a source that failed is asked again.
 	followRetry = 400 * time.Millisecond
 	// fetchTimeout bounds one fetch from a peer.
@@ -108,6 +112,9 @@
 		// there themselves. It returns the newest revision, or nil when none came
 		// in the time. Nil stands for revisions that nodes accept.
 		Source func(ctx context.Context, wait time.Duration) (*Revision, error)
+		// Nodes returns how many nodes follow the same source and tell each other; nil
+		// stands for few.
+		Nodes func() int
 		// OnRevision is called after a revision came into force; may be nil.
 		OnRevision func(revision *Revision)
 		// OnPlan is called after a newer owner plan was taken; may be nil.
@@ -318,7 +325,7 @@
 func (c *Controller) follow(ctx context.Context) {
 	lost := false
 	for ctx.Err() == nil {
-		err := c.pull(ctx, followWait)
+		err := c.pull(ctx, c.followWait())
 		if err != nil && !lost {
 			c.log.Warn("source_lost", "revision", c.Number(), "error", err)
 		}
@@ -336,6 +343,15 @@
 	}
 }
 
+// followWait returns how long a question to the source waits.
+func (c *Controller) followWait() time.Duration {
+	if c.Nodes == nil {
+		return followWait
+	}
+	shared := min(followWait*time.Duration(c.Nodes())/followNodes, maxFollowWait)
+	return max(c.jitter(shared), followWait)
+}
+
 // pull takes what the source has or brings within the wait.
 func (c *Controller) pull(ctx context.Context, wait time.Duration) error {
 	revision, err := c.Source(ctx, wait)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -58,6 +58,7 @@
 	c.Name = n.settings.Name
 	c.Service = n.settings.Service
 	c.Source = n.doors.Source
+	c.Nodes = func() int { return len(n.members.All()) }
 	c.Fetch = n.fetch
 	c.OnRevision = n.enforce
 	c.OnPlan = n.learnPlan
