Answer what has been read before the last connections close

The node's log has the request as refused, leaving, 0.2 s before the process ended, so that it had been read: the connections of callers were closed at once after the drain, with a request that came in between still on its way. TestShutdownLeavesNoRequestWithoutItsAnswer fails without that (unexpected EOF).

--- a/internal/ahead/ahead.go
+++ b/internal/ahead/ahead.go
@@ -59,6 +59,9 @@
 	}
 )
 
+// shutdownPoll is the time between two looks at whether requests have ended.
+const shutdownPoll = 5 * time.Millisecond
+
 // ErrClosed is what Serve returns after Close.
 var ErrClosed = errors.New("ahead: server closed")
 
@@ -117,24 +120,41 @@
 	return time.Unix(0, nanos)
 }
 
+// Shutdown stops accepting, and closes all connections once the requests under way
+// have their answers, or when the context ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.closeListener()
+	for s.Busy() > 0 && ctx.Err() == nil {
+		time.Sleep(shutdownPoll)
+	}
+	s.Close()
+}
+
 // Close stops accepting and closes all connections.
 func (s *Server) Close() {
+	s.closeListener()
 	s.mu.Lock()
-	s.closed = true
-	listener := s.listener
 	conns := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
 	s.mu.Unlock()
-	if listener != nil {
-		_ = listener.Close()
-	}
 	for _, c := range conns {
 		_ = c.raw.Close()
 	}
 }
 
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	s.closed = true
+	listener := s.listener
+	s.listener = nil
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+}
+
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/ahead/shutdown_test.go
@@ -0,0 +1,65 @@
+package ahead_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/ahead"
+)
+
+// A request that has been read when the last listeners close gets its answer: a stop
+// cuts nothing off.
+func TestShutdownLeavesNoRequestWithoutItsAnswer(t *testing.T) {
+	is := is.New(t)
+	p := begin(t, ahead.Bounds{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}, "/held")
+	conn, err := net.Dial("tcp", p.address)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-p.began
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		p.server.Shutdown(ctx)
+		close(ended)
+	}()
+	for {
+		probe, err := net.Dial("tcp", p.address)
+		if err != nil {
+			break // the listener is closed
+		}
+		_ = probe.Close()
+		time.Sleep(time.Millisecond)
+	}
+	p.release["/held"] <- struct{}{}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	_ = response.Body.Close()
+	<-ended
+}
+
+// A request that does not end holds up no stop.
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	p := begin(t, ahead.Bounds{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}, "/held")
+	is := is.New(t)
+	conn, err := net.Dial("tcp", p.address)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-p.began
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	p.server.Shutdown(ctx)
+	is.Equal(<-p.ended, "/held cancelled")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,7 +254,7 @@
 func (s *servers) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	s.callers.Close()
+	s.callers.Shutdown(ctx)
 	s.links.Close(ctx)
 	for _, server := range s.all {
 		if server.Shutdown(ctx) != nil {
