--- a/internal/ahead/shutdown_test.go
+++ b/internal/ahead/shutdown_test.go
@@ -21,7 +21,7 @@
 	p := begin(t, ahead.Bounds{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}, "/held")
 	conn, err := net.Dial("tcp", p.address)
 	is.NoErr(err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.NoErr(err)
 	<-p.began
@@ -54,7 +54,7 @@
 	is := is.New(t)
 	conn, err := net.Dial("tcp", p.address)
 	is.NoErr(err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.NoErr(err)
 	<-p.began
