--- a/internal/ahead/ahead.go
+++ b/internal/ahead/ahead.go
@@ -50,6 +50,8 @@
 
 		leaving  atomic.Bool
 		requests atomic.Int64
+		// taken counts the requests that were read so far.
+		taken    atomic.Int64
 		mu       sync.Mutex
 		closed   bool
 		listener net.Listener
@@ -111,6 +113,11 @@
 	return int(s.requests.Load())
 }
 
+// Taken returns how many requests have been read so far.
+func (s *Server) Taken() int64 {
+	return s.taken.Load()
+}
+
 // LastRequest returns when the last request arrived, the zero time before any.
 func (s *Server) LastRequest() time.Time {
 	nanos := s.arrived.Load()
--- a/internal/ahead/conn.go
+++ b/internal/ahead/conn.go
@@ -107,6 +107,7 @@
 	c.mu.Unlock()
 	c.server.arrived.Store(time.Now().UnixNano())
 	c.server.requests.Add(1)
+	c.server.taken.Add(1)
 	go func() {
 		defer c.server.requests.Add(-1)
 		c.end(p, c.server.Handle(c.ctx, request))
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -39,6 +39,9 @@
 	Body     []byte
 	Limits   schema.Limits
 	Revision int64
+	// Admitted is the share of such requests that was let in when this one came; 0
+	// where that is not asked.
+	Admitted float64
 	// Steps are the attempts so far.
 	Steps []Step
 }
--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -129,7 +129,7 @@
 		"status", answer.Status,
 		"took_ms", took.Milliseconds(),
 		"revision", c.Revision,
-		"admitted_share", strconv.FormatFloat(answer.Admitted, 'f', 2, 64),
+		"admitted_share", strconv.FormatFloat(c.Admitted, 'f', 2, 64),
 		"steps", describeSteps(c.Steps),
 		"detail", answer.Detail,
 		"left_out", leftOut,
@@ -296,7 +296,9 @@
 // refused here: work has been done for it, and the target's node decides.
 func (f *Inward) door(ctx context.Context, exchange *Exchange, next Next) *call.Answer {
 	c := exchange.Call
-	if share, ok := f.admits(c); !ok {
+	share, ok := f.admits(c)
+	c.Admitted = share
+	if !ok {
 		f.Metrics.Refusals.WithLabelValues(c.Kind.Service, metric.Throttled).Inc()
 		refused := call.Refuse(result.DoorClosed, metric.Throttled)
 		refused.Admitted = share
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -62,6 +62,9 @@
 	// RetryRule is the part of the budget of repeats that this node keeps for its
 	// target, where all nodes share one; nil where they do not.
 	RetryRule func() budget.Rule
+	// Requests returns how many requests the node has taken so far, for the log; it
+	// may be nil.
+	Requests func() int64
 	// Pressed returns the pressure of services, as far as it is known here, for
 	// passing on with an answer of a kind; nil where requests do not go by it.
 	Pressed func(kind string) []*relaypb.Pressed
@@ -87,6 +90,8 @@
 	regulated bool
 	// stopped is whether the target was last seen to have stopped.
 	stopped bool
+	// begun counts the attempts that were carried.
+	begun   int64
 	watch   *watch
 	running sync.WaitGroup
 }
@@ -370,9 +375,17 @@
 	book := s.settings.Book.Stats()
 	s.settings.Metrics.RecordBytes.Set(float64(book.Bytes + s.settings.Ledger.Stats().Bytes))
 	s.watch.look(book, s.settings.Book.MaxBytes())
+	s.watch.report(now, s.begun, s.requests())
 	s.settings.Metrics.HeldBytes.Set(float64(s.settings.Target.HeldBytes()))
 }
 
+func (s *Server) requests() int64 {
+	if s.settings.Requests == nil {
+		return 0
+	}
+	return s.settings.Requests()
+}
+
 // start begins an attempt of which the book has just been told. The lock is held.
 func (s *Server) start(now time.Time, request *relaypb.CarryRequest) *attempt {
 	a := &attempt{
@@ -392,6 +405,7 @@
 		},
 	}
 	s.attempts[request.AttemptId] = a
+	s.begun++
 	s.origins.count(request.Kind, request.CallerService)
 	s.requested(now, request)
 	s.running.Add(1)
--- a/internal/local/watch_test.go
+++ b/internal/local/watch_test.go
@@ -34,3 +34,22 @@
 	is.True(strings.Contains(out.String(), "attempt_records_full: full=false"))
 	is.True(strings.Contains(out.String(), "node_behind: behind=false"))
 }
+
+// The cost of calls can be told from that of the time that passes, and the part of the
+// collector from the rest.
+func TestUsageIsLoggedOncePerPeriod(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	w := &watch{metrics: metric.New(), log: hclog.New(&hclog.LoggerOptions{Output: &out})}
+	began := time.Unix(1_800_000_000, 0)
+	w.report(began, 5, 7)
+	is.Equal(out.String(), "") // nothing to compare with yet
+	for second := range 20 {
+		w.report(began.Add(time.Duration(second+1)*time.Second), 5+int64(second), 7+2*int64(second))
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "node_usage: period_ms=10000 processor_ms="))
+	is.True(strings.Contains(lines[0], "attempts=9 requests=18"))
+	is.True(strings.Contains(lines[1], "attempts=10 requests=20"))
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -181,6 +181,7 @@
 		},
 		Onward:   n.sender.Onward,
 		Revision: n.config.Number,
+		Requests: func() int64 { return n.callers.Taken() },
 	})
 }
 
