Read the answers of targets by a client that knows what belongs to a request

A faulty target wrote an earlier refusal once more on a kept connection, and the repeat of the same request, which ran, was answered 'not run'. Heads and interim answers without end were read up to 10 MB and more a connection.

Cause: net/http's transport hands out whatever comes next on a connection as the answer to the request that was written last. A refusal bears the id of its request, and the repeat bears the same. Its bound on a head is 10 MB, that on interim answers counts heads.

Change: package http1, a client of one server. A request does not use a connection on which it was refused; after a refusal without an id nobody does; bytes that came before a request was written end the connection; heads take 64 KB at most. A write of which no byte left proves that nothing was sent. The time for which a server keeps idle connections is heeded.

--- /dev/null
+++ b/internal/http1/client_test.go
@@ -0,0 +1,309 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/http1"
+)
+
+// server speaks by a script on each connection.
+type server struct {
+	listener net.Listener
+	opened   atomic.Int32
+	// ended counts the connections that the client has closed.
+	ended atomic.Int32
+}
+
+func serve(t testing.TB, script func(s *server, conn net.Conn, reader *bufio.Reader)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(s, conn, bufio.NewReader(conn))
+				s.ended.Add(1)
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *server) client(t testing.TB, connections int) *http1.Client {
+	client := http1.New(s.listener.Addr().String(), connections, 5*time.Second, (&net.Dialer{}).DialContext)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// answers reads requests and writes the same answer to each of them.
+func answers(text string) func(s *server, conn net.Conn, reader *bufio.Reader) {
+	return func(_ *server, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func get() *http1.Request {
+	return &http1.Request{Method: "GET", Target: "/", Host: "h", ID: "r"}
+}
+
+// take makes one call and returns its body.
+func take(client *http1.Client, request *http1.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	call, err := client.Do(ctx, request)
+	defer call.Close()
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(call)
+	return string(body), err
+}
+
+// TestAnswers reads what a server sends, and says what is taken from it and whether the
+// connection is used for the next call.
+func TestAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
+		text := strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), `\n`, "\r\n")
+		text = strings.ReplaceAll(text, `\l`, "\n")
+		serving := answers(text)
+		s := serve(t, func(s *server, conn net.Conn, reader *bufio.Reader) {
+			if d.HasArg("close") {
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, text)
+				}
+				return
+			}
+			serving(s, conn, reader)
+		})
+		client := s.client(t, 4)
+		request := get()
+		if d.HasArg("head") {
+			request.Method = "HEAD"
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		call, err := client.Do(ctx, request)
+		if err != nil {
+			call.Close()
+			return fmt.Sprintf("sent=%t error: %s\n", call.Sent, err)
+		}
+		status, fields := call.Answer.Status, call.Answer.Fields
+		body, err := io.ReadAll(call)
+		call.Close()
+		if err != nil {
+			return fmt.Sprintf("status=%d body=%q error: %s\n", status, body, err)
+		}
+		_, _ = take(client, request)
+		return fmt.Sprintf("status=%d fields=%d body=%q kept=%t\n", status, len(fields), body, s.opened.Load() == 1)
+	})
+}
+
+// A request is written as it is given, in one piece.
+func TestRequestOnTheWire(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	s := serve(t, func(_ *server, conn net.Conn, reader *bufio.Reader) {
+		text := make([]byte, 1024)
+		n, _ := reader.Read(text)
+		got <- string(text[:n])
+		_, _ = io.WriteString(conn, ok)
+	})
+	_, err := take(s.client(t, 1), &http1.Request{Method: "POST", Target: "/a%2Fb?c", Host: "shop", Fields: http1.Fields{{Name: "x-y", Value: "z"}}, Body: []byte("rope")})
+	is.NoErr(err)
+	is.Equal(<-got, "POST /a%2Fb?c HTTP/1.1\r\nHost: shop\r\nx-y: z\r\nContent-Length: 4\r\n\r\nrope")
+}
+
+// A line that would end within itself is a request of its own for the server, so that
+// nothing is sent.
+func TestRequestThatWouldBreakItsLinesIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, answers(ok))
+	client := s.client(t, 1)
+	for _, bad := range []*http1.Request{
+		{Method: "GET /x", Target: "/", Host: "h"},
+		{Method: "GET", Target: "/ HTTP/1.1\r\nX: y", Host: "h"},
+		{Method: "GET", Target: "/", Host: "h\r\nX: y"},
+		{Method: "GET", Target: "/", Host: "h", Fields: http1.Fields{{Name: "X", Value: "y\r\n\r\nGET /"}}},
+		{Method: "GET", Target: "/", Host: "h", Fields: http1.Fields{{Name: "X: y\r\nZ", Value: "z"}}},
+		{Method: "GET", Target: "", Host: "h"},
+	} {
+		call, err := client.Do(context.Background(), bad)
+		call.Close()
+		is.True(errors.Is(err, http1.ErrUnsendable))
+		is.True(!call.Sent)
+	}
+	is.Equal(s.opened.Load(), int32(0))
+}
+
+// A connection that the server has closed, or on which it has written something that
+// nobody asked for, is not used again.
+func TestIdleConnectionIsLookedAtBeforeUse(t *testing.T) {
+	for name, ending := range map[string]string{"closed": "", "extra bytes": ok} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			over := make(chan struct{}, 1)
+			s := serve(t, func(s *server, conn net.Conn, reader *bufio.Reader) {
+				first := s.opened.Load() == 1
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, ok)
+					if !first {
+						continue
+					}
+					time.Sleep(20 * time.Millisecond) // the answer has been read
+					_, _ = io.WriteString(conn, ending)
+					if ending == "" {
+						_ = conn.Close()
+					}
+					over <- struct{}{}
+				}
+			})
+			client := s.client(t, 4)
+			for range 2 {
+				body, err := take(client, get())
+				is.NoErr(err)
+				is.Equal(body, "ok")
+				if s.opened.Load() == 1 {
+					<-over
+				}
+			}
+			is.Equal(s.opened.Load(), int32(2))
+		})
+	}
+}
+
+// The server says for how long it keeps an idle connection; one that is about to lapse is
+// not used.
+func TestKeepAliveOfTheServerIsHeeded(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, answers("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1, max=9\r\nContent-Length: 0\r\n\r\n"))
+	client := s.client(t, 4)
+	for range 2 {
+		_, err := take(client, get())
+		is.NoErr(err)
+	}
+	is.Equal(s.opened.Load(), int32(2))
+}
+
+// A server may answer before it has read a long body, and reads on later.
+func TestAnswerBeforeALongBodyIsRead(t *testing.T) {
+	is := is.New(t)
+	rest := make(chan int64, 1)
+	answered := make(chan struct{})
+	s := serve(t, func(s *server, conn net.Conn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, ok)
+		if s.opened.Load() > 1 {
+			return
+		}
+		<-answered
+		n, _ := io.Copy(io.Discard, request.Body)
+		rest <- n
+	})
+	client := s.client(t, 4)
+	long := &http1.Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 32<<20)}
+	body, err := take(client, long)
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	body, err = take(client, get()) // nothing else goes out where the rest of the body is due
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	is.Equal(s.opened.Load(), int32(2))
+	close(answered)
+	is.True(<-rest <= 32<<20)
+}
+
+// A call that is given up ends its connection at once, and is no answer.
+func TestCancelledCallEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	began := make(chan struct{})
+	s := serve(t, func(_ *server, conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		close(began)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	call, err := s.client(t, 1).Do(ctx, get())
+	is.True(err != nil)
+	is.Equal(ctx.Err(), context.Canceled)
+	is.True(call.Sent)
+	call.Close()
+	for s.ended.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// No more connections are open than the server takes, whatever is asked at once.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, answers(ok))
+	client := s.client(t, 3)
+	errs := make(chan error)
+	const calls = 60
+	for i := range calls {
+		go func() {
+			request := get()
+			request.ID = fmt.Sprint(i)
+			_, err := take(client, request)
+			errs <- err
+		}()
+	}
+	for range calls {
+		is.NoErr(<-errs)
+	}
+	is.True(s.opened.Load() <= 3)
+}
+
+// A server that can't be connected to has not been reached.
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, answers(ok))
+	_ = s.listener.Close()
+	call, err := s.client(t, 1).Do(context.Background(), get())
+	call.Close()
+	is.True(err != nil)
+	is.True(!call.Sent)
+}
--- a/internal/local/garble_test.go
+++ b/internal/local/garble_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/http1"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
@@ -97,8 +98,11 @@
 // marked is how the targets of these tests speak of a call.
 func marked() Wire {
 	return Wire{
-		Dress: func(header http.Header, about About) { header.Set(idHeader, about.RequestID) },
-		Judge: func(requestID string, status int, header http.Header) Mark {
+		IDHeader: idHeader,
+		Dress: func(about About) http1.Fields {
+			return http1.Fields{{Name: idHeader, Value: about.RequestID}}
+		},
+		Judge: func(requestID string, status int, header http1.Fields) Mark {
 			switch echoed := header.Get(idHeader); {
 			case echoed != "" && echoed != requestID:
 				return Foreign
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -5,14 +5,13 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/dial"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
+	"github.com/dandelionfield/dandelionfield/internal/http1"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
@@ -23,7 +22,7 @@
 	Target struct {
 		address     string
 		connections int
-		transport   atomic.Pointer[http.Transport]
+		client      atomic.Pointer[http1.Client]
 		held        *Held
 		// Wire is set before the first call.
 		Wire Wire
@@ -32,11 +31,16 @@
 	// Wire is how a node and its target speak about a call. The zero value is
 	// the project's own way.
 	Wire struct {
-		// Dress adds what the target has to know of a call to its headers.
-		Dress func(header http.Header, about About)
+		// IDHeader is the header by which an answer names its request, and Hidden one
+		// of the caller's that the target is not shown.
+		IDHeader string
+		Hidden   string
+		// Dress returns the headers that tell the target what it has to know of a
+		// call. They take the place of any of the caller's by the same name.
+		Dress func(about About) http1.Fields
 		// Judge says what the head of an answer tells of the call; nil takes the
 		// status for it.
-		Judge func(requestID string, status int, header http.Header) Mark
+		Judge func(requestID string, status int, header http1.Fields) Mark
 	}
 
 	// About is what a target has to know of a call.
@@ -124,16 +128,9 @@
 }
 
 func (t *Target) renew() {
-	connections := t.connections
-	former := t.transport.Swap(&http.Transport{
-		DialContext:         dial.Dialer(targetDialTimeout).DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     targetIdleTimeout,
-		DisableCompression:  true,
-	})
+	former := t.client.Swap(http1.New(t.address, t.connections, targetIdleTimeout, dial.Dialer(targetDialTimeout).DialContext))
 	if former != nil {
-		former.CloseIdleConnections()
+		former.Close()
 	}
 }
 
@@ -155,65 +152,52 @@
 // Call sends one attempt and holds the answer until it is whole.
 func (t *Target) Call(ctx context.Context, handle string, attempt *relaypb.CarryRequest, limits schema.Limits) *Reply {
 	reply := &Reply{}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{
-		// From here on bytes may reach the target, so the call may run.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	}
-	request, err := t.request(httptrace.WithClientTrace(ctx, trace), handle, attempt)
-	if err != nil {
-		reply.Detail = err.Error()
-		return reply
-	}
-	response, err := t.transport.Load().RoundTrip(request)
-	reply.Facts.Sent = sent.Load()
+	call, err := t.client.Load().Do(ctx, t.request(ctx, handle, attempt))
+	defer call.Close()
+	// Once a byte may have reached the target, the call may run.
+	reply.Facts.Sent = call.Sent
 	if err != nil {
 		reply.Detail = err.Error()
 		t.interrupted(ctx, reply)
 		return reply
 	}
-	defer response.Body.Close()
-	reply.Status = response.StatusCode
-	reply.Facts.Status = response.StatusCode
-	reply.Headers = pack(response.Header)
+	reply.Status = call.Answer.Status
+	reply.Facts.Status = call.Answer.Status
+	reply.Headers = packFields(call.Answer.Fields)
 	if t.Wire.Judge != nil {
-		t.judge(attempt, response, &reply.Facts)
+		t.judge(attempt, call, &reply.Facts)
 	}
 	if reply.Facts.Foreign {
+		call.Discard()
 		reply.Detail = "the answer bears the id of another request"
 		return reply
 	}
-	t.readBody(ctx, reply, response, limits.MaxAnswerBytes)
+	t.readBody(ctx, reply, call, call.BodyLength(), limits.MaxAnswerBytes)
 	return reply
 }
 
-// readBody takes the body whole, or says in the facts why it could not.
-func (t *Target) readBody(ctx context.Context, reply *Reply, response *http.Response, most int64) {
-	if fitsOneChunk(response, most) {
-		t.readAtOnce(ctx, reply, response)
+// readBody takes the body whole, or says in the facts why it could not. Its length is -1
+// where that is not known.
+func (t *Target) readBody(ctx context.Context, reply *Reply, from io.Reader, length, most int64) {
+	if length >= 0 && length <= min(most, readChunkBytes) {
+		t.readAtOnce(ctx, reply, from, length)
 		return
 	}
-	t.readInSteps(ctx, reply, response.Body, most)
-}
-
-// fitsOneChunk says whether a body is announced with a length for which memory may be
-// taken before any of it has come. The answer to HEAD announces a body that never comes.
-func fitsOneChunk(response *http.Response, most int64) bool {
-	return response.Body != http.NoBody && response.ContentLength >= 0 && response.ContentLength <= min(most, readChunkBytes)
+	t.readInSteps(ctx, reply, from, most)
 }
 
 // readAtOnce takes a body of a known length. A buffer that grows with it takes nearly
 // three times the memory and is then copied, a tenth of all memory that calls took.
-func (t *Target) readAtOnce(ctx context.Context, reply *Reply, response *http.Response) {
+func (t *Target) readAtOnce(ctx context.Context, reply *Reply, from io.Reader, length int64) {
 	if t.held.bytes.Load() > t.held.limit() {
 		reply.Facts.TooLarge = true
 		reply.Detail = errHeldFull.Error()
 		return
 	}
-	t.held.bytes.Add(response.ContentLength)
-	defer t.held.bytes.Add(-response.ContentLength)
-	body := make([]byte, response.ContentLength)
-	if _, err := io.ReadFull(response.Body, body); err != nil {
+	t.held.bytes.Add(length)
+	defer t.held.bytes.Add(-length)
+	body := make([]byte, length)
+	if _, err := io.ReadFull(from, body); err != nil {
 		reply.Detail = err.Error()
 		t.interrupted(ctx, reply)
 		return
@@ -222,21 +206,27 @@
 	reply.Body = body
 }
 
-// judge takes in what the head of an answer says. A connection that brought a
-// foreign answer is not used again.
-func (t *Target) judge(attempt *relaypb.CarryRequest, response *http.Response, facts *fate.Facts) {
+// judge takes in what the head of an answer says.
+func (t *Target) judge(attempt *relaypb.CarryRequest, call *http1.Call, facts *fate.Facts) {
 	facts.Marks = true
-	switch t.Wire.Judge(attempt.RequestId, response.StatusCode, response.Header) {
+	switch t.Wire.Judge(attempt.RequestId, call.Answer.Status, call.Answer.Fields) {
 	case NotRun:
 		facts.NotRun = true
+		call.Refused(t.Wire.named(attempt.RequestId, call.Answer.Fields))
 	case Moved:
 		facts.Moved = true
+		call.Refused(t.Wire.named(attempt.RequestId, call.Answer.Fields))
 	case Foreign:
 		facts.Foreign = true
 	case Answered:
 	}
 }
 
+// named says whether an answer says which request it speaks of.
+func (w Wire) named(requestID string, header http1.Fields) bool {
+	return w.IDHeader != "" && header.Get(w.IDHeader) == requestID
+}
+
 // readInSteps takes a body of unknown length, or a long one, as far as it comes.
 func (t *Target) readInSteps(ctx context.Context, reply *Reply, body io.Reader, most int64) {
 	var buffer bytes.Buffer
@@ -281,49 +271,45 @@
 	}
 }
 
-func (t *Target) request(ctx context.Context, handle string, attempt *relaypb.CarryRequest) (*http.Request, error) {
-	// The body's type hides that it could be read again, so that net/http
-	// never repeats the call by itself on another connection.
-	body := io.NopCloser(struct{ io.Reader }{bytes.NewReader(attempt.Body)})
-	request, err := http.NewRequestWithContext(ctx, attempt.Method, "http://"+t.address+attempt.Path, body)
-	if err != nil {
-		return nil, err
+func (t *Target) request(ctx context.Context, handle string, attempt *relaypb.CarryRequest) *http1.Request {
+	request := &http1.Request{
+		Method: attempt.Method,
+		Target: attempt.Path,
+		Host:   attempt.Host,
+		Body:   attempt.Body,
+		ID:     attempt.RequestId,
+	}
+	if request.Host == "" {
+		request.Host = t.address
 	}
-	request.ContentLength = int64(len(attempt.Body))
+	own := t.ownHeaders(ctx, handle, attempt)
+	request.Fields = make(http1.Fields, 0, len(attempt.Headers)+len(own))
 	for _, header := range attempt.Headers {
-		request.Header.Add(header.Name, header.Value)
+		if !own.Has(header.Name) && header.Name != t.Wire.Hidden {
+			request.Fields = append(request.Fields, http1.Field{Name: header.Name, Value: header.Value})
+		}
 	}
-	request.Host = attempt.Host
+	request.Fields = append(request.Fields, own...)
+	return request
+}
+
+// ownHeaders are those by which the node speaks to its target about a call.
+func (t *Target) ownHeaders(ctx context.Context, handle string, attempt *relaypb.CarryRequest) http1.Fields {
 	left := time.Duration(0)
 	if deadline, ok := ctx.Deadline(); ok {
 		left = time.Until(deadline)
 	}
-	if t.Wire.Dress != nil {
-		_, targetID := relay.SplitIncarnation(attempt.Incarnation)
-		t.Wire.Dress(request.Header, About{
-			RequestID:     attempt.RequestId,
-			CallerService: attempt.CallerService,
-			TargetID:      targetID,
-			Left:          left,
-		})
-		return request, nil
-	}
-	request.Header.Set(ContextHeader, handle)
-	request.Header.Set(TimeLeftHeader, strconv.FormatInt(left.Milliseconds(), 10))
-	return request, nil
-}
-
-// pack turns HTTP headers into the form in which they travel, without those
-// that belong to one connection only.
-func pack(header http.Header) []*relaypb.Header {
-	packed := make([]*relaypb.Header, 0, len(header))
-	for name, values := range header {
-		if hopByHop[name] {
-			continue
-		}
-		for _, value := range values {
-			packed = append(packed, &relaypb.Header{Name: name, Value: value})
+	if t.Wire.Dress == nil {
+		return http1.Fields{
+			{Name: ContextHeader, Value: handle},
+			{Name: TimeLeftHeader, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		}
 	}
-	return packed
+	_, targetID := relay.SplitIncarnation(attempt.Incarnation)
+	return t.Wire.Dress(About{
+		RequestID:     attempt.RequestId,
+		CallerService: attempt.CallerService,
+		TargetID:      targetID,
+		Left:          left,
+	})
 }
--- a/internal/local/target_test.go
+++ b/internal/local/target_test.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
-	"net/http"
 	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/http1"
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
 
 // A body of a known length takes its own memory and little more: a surge is carried
@@ -24,8 +25,7 @@
 	target := NewTarget("127.0.0.1:1", 1, NewHeld(func() int64 { return 1 << 20 }))
 	take := func() *Reply {
 		reply := &Reply{}
-		response := &http.Response{ContentLength: bytesOfBody, Body: io.NopCloser(bytes.NewReader(whole))}
-		target.readBody(context.Background(), reply, response, 1<<20)
+		target.readBody(context.Background(), reply, bytes.NewReader(whole), bytesOfBody, 1<<20)
 		return reply
 	}
 	is.True(bytes.Equal(take().Body, whole))
@@ -45,9 +45,26 @@
 	is := is.New(t)
 	target := NewTarget("127.0.0.1:1", 1, NewHeld(func() int64 { return 1 << 20 }))
 	reply := &Reply{}
-	response := &http.Response{ContentLength: 10, Body: io.NopCloser(bytes.NewReader([]byte("short")))}
-	target.readBody(context.Background(), reply, response, 1<<20)
+	target.readBody(context.Background(), reply, bytes.NewReader([]byte("short")), 10, 1<<20)
 	is.Equal(reply.Facts.BodyWhole, false)
 	is.Equal(reply.Body, nil)
 	is.Equal(target.HeldBytes(), int64(0))
 }
+
+// What a node tells its target takes the place of what a caller wrote under the same
+// name, and a header that is the node's own business does not go on.
+func TestTargetSeesTheNodesOwnHeadersOnly(t *testing.T) {
+	is := is.New(t)
+	target := NewTarget("127.0.0.1:1", 1, NewHeld(func() int64 { return 1 << 20 }))
+	target.Wire = Wire{
+		Hidden: "Dandelion-Deadline",
+		Dress:  func(about About) http1.Fields { return http1.Fields{{Name: "Target", Value: about.TargetID}} },
+	}
+	request := target.request(context.Background(), "", &relaypb.CarryRequest{
+		Method: "GET", Path: "/a?b=c", Incarnation: "node/i-1",
+		Headers: []*relaypb.Header{{Name: "target", Value: "forged"}, {Name: "Dandelion-Deadline", Value: "1s"}, {Name: "X", Value: "kept"}},
+	})
+	is.Equal(request.Fields, http1.Fields{{Name: "X", Value: "kept"}, {Name: "Target", Value: "i-1"}})
+	is.Equal(request.Target, "/a?b=c")
+	is.Equal(request.Host, "127.0.0.1:1")
+}
