Read the messages of links without a memory of its own for each text

Change: a decoder of the same form whose texts are parts of one. Lines of the level debug are not prepared when nobody reads them.

--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -99,6 +99,9 @@
 	f.Metrics.Requests.WithLabelValues(kind, answer.Code.String()).Inc()
 	f.Metrics.RequestSeconds.WithLabelValues(kind).Observe(took.Seconds())
 	f.noteFailure(exchange.Call, kind, answer, took)
+	if !f.Log.IsDebug() {
+		return answer
+	}
 	f.Log.Debug("request_ended",
 		"request", exchange.Call.RequestID,
 		"kind", kind,
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
 
@@ -154,8 +152,7 @@
 	switch got.kind {
 	case answerFrame:
 		if p := c.take(got.call); p != nil {
-			p.answer = &relaypb.CarryResponse{}
-			p.err = proto.Unmarshal(got.body, p.answer)
+			p.answer, p.err = decodeResponse(got.body)
 			close(p.done)
 		}
 	case noAnswerFrame:
--- /dev/null
+++ b/internal/link/codec.go
@@ -0,0 +1,288 @@
+package link
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/dandelionfield/dandelionfield/internal/relaypb"
+)
+
+// decoder reads the message of a call or of an answer. It knows the same form as the
+// generated code, and differs in memory: all texts of a message are parts of one, and
+// its headers lie side by side. A message has some thirty texts.
+type decoder struct {
+	frame []byte
+	// text is the frame without its body, which begins and ends at these places.
+	text      string
+	bodyBegin int
+	bodyEnd   int
+	headers   []relaypb.Header
+	packed    []*relaypb.Header
+	err       error
+}
+
+// field is one field of a message in the frame.
+type field struct {
+	number protowire.Number
+	// value is that of a number, and begin and end the place of anything longer.
+	value uint64
+	begin int
+	end   int
+}
+
+// The numbers of the fields of relay.proto that the decoder has to find first.
+const (
+	requestHeaders  = 13
+	requestBody     = 14
+	responseHeaders = 4
+	responseBody    = 5
+)
+
+var errFrame = errors.New("link: frame holds no message")
+
+func newDecoder(frame []byte, headers, body protowire.Number) *decoder {
+	d := &decoder{frame: frame, bodyBegin: len(frame), bodyEnd: len(frame)}
+	count := 0
+	d.each(0, len(frame), func(f field) {
+		switch f.number {
+		case headers:
+			count++
+		case body:
+			d.bodyBegin, d.bodyEnd = f.begin, f.end
+		}
+	})
+	d.text = string(frame[:d.bodyBegin]) + string(frame[d.bodyEnd:])
+	if count > 0 {
+		d.headers = make([]relaypb.Header, 0, count)
+		d.packed = make([]*relaypb.Header, 0, count)
+	}
+	return d
+}
+
+// each calls a function with the fields of the message at a place of the frame.
+func (d *decoder) each(begin, end int, use func(f field)) {
+	for begin < end && d.err == nil {
+		f, next := d.next(begin, end)
+		if d.err == nil {
+			use(f)
+		}
+		begin = next
+	}
+}
+
+// next reads the field at a place, and returns the place behind it.
+func (d *decoder) next(begin, end int) (field, int) {
+	number, kind, n := protowire.ConsumeTag(d.frame[begin:end])
+	if n < 0 {
+		d.err = errFrame
+		return field{}, end
+	}
+	begin += n
+	f := field{number: number}
+	switch kind {
+	case protowire.VarintType:
+		f.value, n = protowire.ConsumeVarint(d.frame[begin:end])
+	case protowire.Fixed64Type:
+		f.value, n = protowire.ConsumeFixed64(d.frame[begin:end])
+	case protowire.BytesType:
+		var bytes []byte
+		bytes, n = protowire.ConsumeBytes(d.frame[begin:end])
+		f.end = begin + n
+		f.begin = f.end - len(bytes)
+	default:
+		n = protowire.ConsumeFieldValue(number, kind, d.frame[begin:end])
+	}
+	if n < 0 {
+		d.err = errFrame
+		return field{}, end
+	}
+	return f, begin + n
+}
+
+// string returns the text at a field's place.
+func (d *decoder) string(f field) string {
+	if f.begin >= d.bodyEnd {
+		skipped := d.bodyEnd - d.bodyBegin
+		return d.text[f.begin-skipped : f.end-skipped]
+	}
+	if f.end > d.bodyBegin {
+		d.err = errFrame
+		return ""
+	}
+	return d.text[f.begin:f.end]
+}
+
+func (d *decoder) body() []byte {
+	if d.bodyBegin == d.bodyEnd {
+		return nil
+	}
+	return append([]byte(nil), d.frame[d.bodyBegin:d.bodyEnd]...)
+}
+
+func (d *decoder) header(at field) {
+	d.headers = append(d.headers, relaypb.Header{})
+	header := &d.headers[len(d.headers)-1]
+	d.packed = append(d.packed, header)
+	d.each(at.begin, at.end, func(f field) {
+		switch f.number {
+		case 1:
+			header.Name = d.string(f)
+		case 2:
+			header.Value = d.string(f)
+		}
+	})
+}
+
+// decodeRequest reads the message of a call.
+func decodeRequest(frame []byte) (*relaypb.CarryRequest, error) {
+	d := newDecoder(frame, requestHeaders, requestBody)
+	r := &relaypb.CarryRequest{}
+	d.each(0, len(frame), func(f field) { d.requestField(r, f) })
+	r.Headers = d.packed
+	r.Body = d.body()
+	return r, d.err
+}
+
+func (d *decoder) requestField(r *relaypb.CarryRequest, f field) {
+	switch f.number {
+	case 1:
+		r.AttemptId = d.string(f)
+	case 2:
+		r.RequestId = d.string(f)
+	case 3:
+		r.Incarnation = d.string(f)
+	case 4:
+		r.Service = d.string(f)
+	case 5:
+		r.Kind = d.string(f)
+	case 6:
+		r.Importance = uint32(f.value)
+	case 7:
+		r.Position = uint32(f.value)
+	case 8:
+		r.Tokens = uint32(f.value)
+	case 9:
+		r.TimeLeftMs = uint32(f.value)
+	case 10:
+		r.Key = d.string(f)
+	case 11:
+		r.Method = d.string(f)
+	case 12:
+		r.Path = d.string(f)
+	case requestHeaders:
+		d.header(f)
+	case 15:
+		r.OriginDataCentre = d.string(f)
+	case 16:
+		r.Revision = int64(f.value)
+	case 17:
+		r.Host = d.string(f)
+	case 18:
+		r.CallerService = d.string(f)
+	case 19:
+		r.Repeatable = f.value != 0
+	case 20:
+		r.Earlier = relaypb.Earlier(f.value)
+	}
+}
+
+// decodeResponse reads the message of an answer.
+func decodeResponse(frame []byte) (*relaypb.CarryResponse, error) {
+	d := newDecoder(frame, responseHeaders, responseBody)
+	r := &relaypb.CarryResponse{}
+	d.each(0, len(frame), func(f field) { d.responseField(r, f) })
+	r.Headers = d.packed
+	r.Body = d.body()
+	return r, d.err
+}
+
+func (d *decoder) responseField(r *relaypb.CarryResponse, f field) {
+	switch f.number {
+	case 1:
+		r.Code = uint32(f.value)
+	case 2:
+		r.Detail = d.string(f)
+	case 3:
+		r.Status = uint32(f.value)
+	case responseHeaders:
+		d.header(f)
+	case 6:
+		r.Digest = f.value
+	case 7:
+		r.TokensLeft = uint32(f.value)
+	case 8:
+		r.Levels = append(r.Levels, d.level(f))
+	case 9:
+		r.Load = d.load(f)
+	case 10:
+		r.Revision = int64(f.value)
+	case 11:
+		r.AttemptId = d.string(f)
+	case 12:
+		r.Replayed = f.value != 0
+	case 13:
+		r.Below = f.value != 0
+	case 14:
+		r.Inner = f.value != 0
+	case 16:
+		r.Pressed = append(r.Pressed, d.pressed(f))
+	}
+}
+
+func (d *decoder) level(at field) *relaypb.Level {
+	level := &relaypb.Level{}
+	d.each(at.begin, at.end, func(f field) {
+		switch f.number {
+		case 1:
+			level.Service = d.string(f)
+		case 2:
+			level.Node = d.string(f)
+		case 3:
+			level.Floor = uint32(f.value)
+		case 4:
+			level.AgeMs = uint32(f.value)
+		}
+	})
+	return level
+}
+
+func (d *decoder) load(at field) *relaypb.Load {
+	load := &relaypb.Load{}
+	d.each(at.begin, at.end, func(f field) {
+		switch f.number {
+		case 1:
+			load.InFlight = uint32(f.value)
+		case 2:
+			load.Limit = uint32(f.value)
+		case 3:
+			load.Queued = uint32(f.value)
+		case 4:
+			load.Leaving = f.value != 0
+		case 5:
+			load.Cold = f.value != 0
+		case 6:
+			load.StoppedMs = uint32(f.value)
+		case 7:
+			load.OfferedPermille = uint32(f.value)
+		}
+	})
+	return load
+}
+
+func (d *decoder) pressed(at field) *relaypb.Pressed {
+	pressed := &relaypb.Pressed{}
+	d.each(at.begin, at.end, func(f field) {
+		switch f.number {
+		case 1:
+			pressed.Service = d.string(f)
+		case 2:
+			pressed.Permille = uint32(f.value)
+		case 3:
+			pressed.AgeMs = uint32(f.value)
+		case 4:
+			pressed.Below = f.value != 0
+		}
+	})
+	return pressed
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
 
@@ -158,8 +156,8 @@
 func (p *peer) handle(got frame) {
 	switch got.kind {
 	case callFrame:
-		request := &relaypb.CarryRequest{}
-		if err := proto.Unmarshal(got.body, request); err != nil {
+		request, err := decodeRequest(got.body)
+		if err != nil {
 			p.conn.fail(err)
 			return
 		}
