Keep links that answer their pings, and ping only while a call waits

Cause: the watch of a link pinged after 300 ms of silence and looked again 300 ms later. The answer to the ping had come 2 ms after it, so that the link was silent for 300 ms once more, and was closed as silent. So no link lived for more than 0.6 s without a call or with a long one, nearly every call between two nodes opened a connection, and calls under way were cut off and settled by a question. Each link had a timer of its own.

Evidence: TestLongCallIsWaitedFor (a call of 3 s with the watch that nodes use) and TestNothingIsSentWithoutACall failed before, three of three times each.

Change: the ping is answered when anything has come since. A link is pinged only while a call has waited for 300 ms; the idle ones of a node, up to one for each other node, cost nothing. One goroutine looks at all links of a node.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -17,10 +17,15 @@
 		mu      sync.Mutex
 		last    uint32
 		pending map[uint32]*pending
-		// used is when the last call ended or began.
-		used time.Time
+		// used is when the last call ended or began, and busySince when one began while
+		// no other waited.
+		used      time.Time
+		busySince time.Time
 		// left is set once the other side has said that it takes no further call.
 		left bool
+		// pinged is when the other side was pinged that has not been heard since. Only
+		// the watch of the pool uses it.
+		pinged time.Time
 	}
 
 	// pending is a call that waits for its answer.
@@ -29,21 +34,11 @@
 		answer *relaypb.CarryResponse
 		err    error
 	}
-
-	// Watch says how a connection is kept.
-	Watch struct {
-		// PingAfter is the silence after which the other side is pinged, and
-		// PingTimeout how long the answer to that may take.
-		PingAfter   time.Duration
-		PingTimeout time.Duration
-		// Idle is how long a connection without calls stays open.
-		Idle time.Duration
-	}
 )
 
 // Dial opens a connection by a function and greets the other side. An error of the
 // function is returned as it is.
-func Dial(ctx context.Context, open Opener, address string, watch Watch) (*Client, error) {
+func Dial(ctx context.Context, open Opener, address string) (*Client, error) {
 	raw, err := open(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -57,7 +52,6 @@
 	c.stop = stop
 	go c.conn.write(running)
 	go c.receive()
-	go c.watch(running, watch)
 	return c, nil
 }
 
@@ -109,6 +103,9 @@
 	}
 	c.last++
 	c.used = time.Now()
+	if len(c.pending) == 0 {
+		c.busySince = c.used
+	}
 	c.pending[c.last] = p
 	return c.last, p
 }
@@ -205,44 +202,3 @@
 	p.err = reason
 	close(p.done)
 }
-
-// watch pings a silent connection, and closes one that stays silent or that nobody
-// uses.
-func (c *Client) watch(ctx context.Context, watch Watch) {
-	wait := watch.PingAfter
-	pinged := false
-	for {
-		due := time.Now().Add(wait)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		silent := c.conn.silence()
-		late := time.Since(due)
-		switch {
-		case c.idle() > watch.Idle:
-			c.conn.fail(errIdle)
-			return
-		case silent < watch.PingAfter:
-			wait, pinged = watch.PingAfter-silent, false
-		case pinged && late < watch.PingTimeout/2:
-			c.conn.fail(ErrSilent)
-			return
-		default:
-			// A process that was late itself cannot tell whether the other side was.
-			_ = c.conn.send(pingFrame, firstNumber, nil)
-			wait, pinged = watch.PingTimeout, true
-		}
-	}
-}
-
-// idle returns how long there has been no call.
-func (c *Client) idle() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.pending) > 0 {
-		return 0
-	}
-	return time.Since(c.used)
-}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -219,3 +219,45 @@
 	t.Logf("allocations of a call: %.0f on a link, %.0f by HTTP/2", onLink, onHTTP2)
 	is.True(onLink*3 < onHTTP2)
 }
+
+// countingConn counts what goes out.
+type countingConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	c.sent.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// A connection without a call costs nothing: a node has one to each other node that it
+// calls now and then, and pings on all of them took a tenth of its processor time.
+func TestNothingIsSentWithoutACall(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	address := serve(t, &Server{Carry: answer})
+	pool := NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{conn, &sent}, err
+	}, Watch{PingAfter: 50 * time.Millisecond, PingTimeout: 50 * time.Millisecond, Idle: 10 * time.Second})
+	_, err := pool.Carry(withinSeconds(t), address, &relaypb.CarryRequest{})
+	is.NoErr(err)
+	before := sent.Load()
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(sent.Load(), before)
+	_, err = pool.Carry(withinSeconds(t), address, &relaypb.CarryRequest{})
+	is.NoErr(err)
+}
+
+// A call that takes long on a connection that works is not taken for a silent one.
+func TestLongCallIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, &Server{Carry: func(ctx context.Context, request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		time.Sleep(time.Second)
+		return answer(ctx, request)
+	}})
+	pool := NewPool((&net.Dialer{}).DialContext, Watch{PingAfter: 50 * time.Millisecond, PingTimeout: 100 * time.Millisecond, Idle: time.Second})
+	_, err := pool.Carry(withinSeconds(t), address, &relaypb.CarryRequest{})
+	is.NoErr(err)
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -22,6 +22,8 @@
 
 		mu    sync.Mutex
 		slots map[string]*slot
+		// clients are the connections that are looked at.
+		clients []*Client
 	}
 
 	// slot is the connection to one address.
@@ -98,7 +100,10 @@
 
 // fill opens the connection for all calls that wait for it.
 func (s *slot) fill(opening *opening, pool *Pool, address string) {
-	client, err := Dial(context.Background(), pool.open, address, pool.watch)
+	client, err := Dial(context.Background(), pool.open, address)
+	if client != nil {
+		pool.keep(client)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if errors.Is(err, ErrOtherProtocol) {
