Wake a node less often, and keep the stacks of its goroutines

The goroutines that serve a call grew and copied their stacks each time: 3.4% of the processor samples of BenchmarkCallThroughTwoNodes.

Change: 10 ms while calls wait, 50 ms otherwise, at once when one begins to wait; targets without heartbeats are watched as before.

--- a/internal/ahead/conn.go
+++ b/internal/ahead/conn.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/crew"
 )
 
 type (
@@ -108,10 +110,10 @@
 	c.server.arrived.Store(time.Now().UnixNano())
 	c.server.requests.Add(1)
 	c.server.taken.Add(1)
-	go func() {
+	crew.Go(func() {
 		defer c.server.requests.Add(-1)
 		c.end(p, c.server.Handle(c.ctx, request))
-	}()
+	})
 	return last
 }
 
--- /dev/null
+++ b/internal/crew/crew_test.go
@@ -0,0 +1,54 @@
+package crew_test
+
+import (
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dandelionfield/dandelionfield/internal/crew"
+)
+
+// Work never waits for other work, however much there is.
+func TestAllWorkRunsAtOnce(t *testing.T) {
+	c := crew.New(4)
+	const count = 100
+	var begun, ended sync.WaitGroup
+	release := make(chan struct{})
+	for range 3 {
+		begun.Add(count)
+		ended.Add(count)
+		for range count {
+			c.Go(func() {
+				begun.Done()
+				<-release
+				ended.Done()
+			})
+		}
+		begun.Wait()
+		close(release)
+		ended.Wait()
+		release = make(chan struct{})
+	}
+}
+
+// Only so many goroutines wait for work.
+func TestIdleGoroutinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	before := runtime.NumGoroutine()
+	c := crew.New(4)
+	var done sync.WaitGroup
+	for range 200 {
+		done.Add(1)
+		c.Go(done.Done)
+	}
+	done.Wait()
+	for end := time.Now().Add(5 * time.Second); runtime.NumGoroutine() > before+4; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines more", runtime.NumGoroutine()-before)
+		}
+	}
+	is.True(runtime.NumGoroutine() <= before+4)
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/dandelionfield/dandelionfield/internal/crew"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
 
@@ -162,7 +163,7 @@
 			return
 		}
 		if ctx, taken := p.begin(got.call); taken {
-			go p.carry(ctx, got.call, request)
+			crew.Go(func() { p.carry(ctx, got.call, request) })
 		}
 	case cancelFrame:
 		p.end(got.call)
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -191,6 +191,7 @@
 	})
 	if decision.Verdict == admit.Queued {
 		s.waiting[id] = a
+		s.hasten()
 	}
 	s.release(decision.Released)
 	s.mu.Unlock()
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -14,6 +14,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/budget"
 	"github.com/dandelionfield/dandelionfield/internal/call"
 	"github.com/dandelionfield/dandelionfield/internal/clock"
+	"github.com/dandelionfield/dandelionfield/internal/crew"
 	"github.com/dandelionfield/dandelionfield/internal/fate"
 	"github.com/dandelionfield/dandelionfield/internal/metric"
 	"github.com/dandelionfield/dandelionfield/internal/once"
@@ -86,6 +87,8 @@
 	origins  origins
 	// window is the budget of repeats; nil without a RetryRule.
 	window *budget.Window
+	// queued is signalled when a call begins to wait.
+	queued chan struct{}
 	// regulated is set once the ledger has the declared rules.
 	regulated bool
 	// stopped is whether the target was last seen to have stopped.
@@ -98,9 +101,10 @@
 
 const (
 	// tickPeriod is how often the gate drops expired calls and adapts while
-	// there are calls.
+	// calls wait. While calls run it is the same for a target that does not
+	// announce itself, which the gate watches for signs of life.
 	tickPeriod = 10 * time.Millisecond
-	// idlePeriod takes its place while there are none. It is the interval in
+	// idlePeriod takes its place otherwise. It is the interval in
 	// which the gate sets its floor anew, so that a floor relaxes as fast.
 	idlePeriod = 50 * time.Millisecond
 	// forgetPeriod is how often old records are dropped.
@@ -121,6 +125,7 @@
 		serving:  map[string]*call.Serving{},
 		byKey:    map[string]*attempt{},
 		origins:  newOrigins(),
+		queued:   make(chan struct{}, 1),
 		watch:    &watch{metrics: settings.Metrics, log: settings.Log},
 	}
 	if settings.RetryRule != nil {
@@ -131,19 +136,21 @@
 
 // Run keeps the gate and the records up to date until the context ends.
 func (s *Server) Run(ctx context.Context) {
-	forget, period := time.Duration(0), idlePeriod
+	period := idlePeriod
+	forgetAt := s.settings.Clock.Now().Add(forgetPeriod)
 	for {
 		due := s.settings.Clock.Now().Add(period)
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.settings.Clock.After(period):
+			s.watch.timer(s.settings.Clock.Now().Sub(due))
+		case <-s.queued:
+			// A call that waits is looked at more often from now on.
 		}
-		s.watch.timer(s.settings.Clock.Now().Sub(due))
-		forget += period
 		period = s.tick()
-		if forget >= forgetPeriod {
-			forget = 0
+		if now := s.settings.Clock.Now(); !now.Before(forgetAt) {
+			forgetAt = now.Add(forgetPeriod)
 			s.forget()
 		}
 	}
@@ -320,12 +327,23 @@
 	s.settings.Metrics.Queued.Set(float64(load.Queued))
 	s.settings.Metrics.Offered.Set(load.Offered)
 	s.settings.Metrics.Floor.Set(float64(floor))
-	if load.InFlight+load.Queued > 0 {
+	if load.Queued > 0 || load.InFlight > 0 && s.settings.Admits == nil {
 		return tickPeriod
 	}
 	return idlePeriod
 }
 
+// hasten has the gate looked at soon, as a call waits.
+func (s *Server) hasten() {
+	if len(s.waiting) > 1 {
+		return // it is looked at often already
+	}
+	select {
+	case s.queued <- struct{}{}:
+	default:
+	}
+}
+
 // adapt lets the gate follow the time, and returns its load and its floor.
 func (s *Server) adapt() (admit.Load, uint32) {
 	s.mu.Lock()
@@ -409,7 +427,7 @@
 	s.origins.count(request.Kind, request.CallerService)
 	s.requested(now, request)
 	s.running.Add(1)
-	go a.run()
+	crew.Go(a.run)
 	return a
 }
 
