Refuse what comes late in a planned stop and may outlast it

In a planned stop in calm, requests that came late were taken, passed on, and cut at its end without an answer, among them such that may not be repeated.

Cause: up to half of the drain timeout a leaving node takes what comes, whatever time it may take. A request of 3 s that comes 1.3 s into a stop of 3 s outlasts it. The same holds for attempts of other nodes at the target beside it.

Change: after a third of the drain timeout, when callers have had the time to notice, only what surely ends before the stop does is taken; the rest is refused unsent, and attempts of other nodes move on to another target.

--- a/internal/filter/inward.go
+++ b/internal/filter/inward.go
@@ -46,6 +46,9 @@
 	Rules func() *Rules
 	// Leaving says whether there are none because the node leaves; nil stands for no.
 	Leaving func() bool
+	// Fits says whether a request with a deadline ends before a planned stop does; nil
+	// stands for yes.
+	Fits func(deadline time.Time) bool
 	// Serving finds the attempt that a context handle stands for.
 	Serving func(handle string) (*call.Serving, bool)
 	// TargetHost is the IP number from which context handles are accepted.
@@ -188,6 +191,9 @@
 	if err != nil {
 		return call.Refuse(result.BadRequest, DeadlineHeader+": "+err.Error())
 	}
+	if f.Fits != nil && !f.Fits(deadline) {
+		return call.Refuse(result.Leaving, "it may take longer than the planned stop")
+	}
 	c := exchange.Call
 	c.Kind = kind
 	c.Limits = rules.Limits
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -176,7 +176,7 @@
 	s := a.server
 	id := a.request.AttemptId
 	s.mu.Lock()
-	if s.refusing {
+	if s.refusing || !s.endBy.IsZero() && a.serving.Deadline.After(s.endBy) {
 		s.mu.Unlock()
 		return result.Leaving
 	}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -84,7 +84,10 @@
 	// refusing is set once a leaving node takes no new work.
 	refusing bool
 	leaving  bool
-	origins  origins
+	// endBy is when all that a leaving node still takes has to have ended; zero while
+	// that does not matter.
+	endBy   time.Time
+	origins origins
 	// window is the budget of repeats; nil without a RetryRule.
 	window *budget.Window
 	// queued is signalled when a call begins to wait.
@@ -257,6 +260,14 @@
 	s.settings.Ledger.Leave(s.settings.Clock.Now())
 }
 
+// EndBy has attempts that may go on beyond a time refused; their senders go elsewhere
+// with them.
+func (s *Server) EndBy(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endBy = end
+}
+
 // Drained returns a channel that is closed when no attempt is left.
 func (s *Server) Drained() <-chan struct{} {
 	drained := make(chan struct{})
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -22,8 +22,11 @@
 	// lullTime without a request means that callers have gone.
 	lullTime = 400 * time.Millisecond
 	// doorShare is the share of the drain timeout after which requests that still
-	// come are refused unsent, so that those before them can end.
+	// come are refused unsent, so that those before them can end; and lateShare the
+	// one after which those are that may take longer than the rest of it. Callers
+	// have had the time to go elsewhere then.
 	doorShare = 0.5
+	lateShare = 1.0 / 3
 	// lullPeriod is how often it is looked for a lull.
 	lullPeriod = 50 * time.Millisecond
 	// stopMargin is kept back of the drain timeout for the end of the process.
@@ -50,6 +53,8 @@
 		n.changePlan(ctx, n.nextPlan)
 		n.members.Kick()
 	}
+	late := time.AfterFunc(time.Duration(lateShare*float64(timeout)), func() { n.endBy(end) })
+	defer late.Stop()
 	n.pause(ctx, n.leaveGrace(timeout)-n.clock.Now().Sub(started))
 	n.awaitLull(ctx, started, timeout)
 	n.local.RefuseNew()
@@ -67,6 +72,19 @@
 	n.members.Depart(departing)
 }
 
+// endBy has what comes from now on refused unsent if it may go on beyond a time: it
+// would be cut off then, and nobody could tell whether it ran.
+func (n *Node) endBy(end time.Time) {
+	n.mustEnd.Store(&end)
+	n.local.EndBy(end)
+}
+
+// fits says whether a request with a deadline ends in time for a planned stop.
+func (n *Node) fits(deadline time.Time) bool {
+	end := n.mustEnd.Load()
+	return end == nil || !deadline.After(*end)
+}
+
 // awaitLull goes on taking requests while callers cannot know yet that the node
 // is not ready. Where they never ask that, there is nothing to wait for.
 func (n *Node) awaitLull(ctx context.Context, started time.Time, timeout time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,9 @@
 	leaving atomic.Bool
 	// closed is set once a leaving node takes no more requests of callers.
 	closed atomic.Bool
+	// mustEnd is when all that a leaving node still takes has to have ended; nil while
+	// that does not matter.
+	mustEnd atomic.Pointer[time.Time]
 	// drainTimeout is that of the settings, in nanoseconds.
 	drainTimeout atomic.Int64
 	drain        chan struct{}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -206,6 +206,7 @@
 		Log:        n.log.Named("filter"),
 		Rules:      n.inForce,
 		Leaving:    n.closed.Load,
+		Fits:       n.fits,
 		Serving:    n.local.Serving,
 		TargetHost: host,
 		Allows:     n.sender.Allows,
