Leave no timer behind for an attempt that has its answer

A sender that goes starts the wait after which a call that nobody waits for is cancelled, also where the answer was there: each safe call woke its node once more, 250 ms after its end.

Evidence: TestEndedAttemptLeavesNoTimer failed before.

--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -58,7 +58,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.waiters--
-	if a.waiters > 0 || a.kind == nil || a.kind.Repeat == schema.Never {
+	if a.waiters > 0 || a.kind == nil || a.kind.Repeat == schema.Never || a.ended() {
 		return
 	}
 	a.idle = time.AfterFunc(abandonAfter, func() {
@@ -70,6 +70,16 @@
 	})
 }
 
+// ended says whether the answer is there.
+func (a *attempt) ended() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *attempt) run() {
 	defer a.server.running.Done()
 	ctx, cancel := context.WithDeadline(context.Background(), a.serving.Deadline)
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -279,3 +279,18 @@
 		}
 	}
 }
+
+// An attempt that has its answer leaves no timer behind: at 2,000 calls a second their
+// ends would wake the node as often once more.
+func TestEndedAttemptLeavesNoTimer(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t)
+	target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine"
+	kind := &schema.Kind{Name: "k", Service: "s", Repeat: schema.Safe}
+	server := newServer(target.listener.Addr().String(), kind, schema.DefaultLimits())
+	server.mu.Lock()
+	a := server.start(time.Now(), newAttempt(kind))
+	server.mu.Unlock()
+	is.Equal(string(server.wait(context.Background(), a).Body), "mine")
+	is.True(a.idle == nil)
+}
