End a planned stop before its time is over

Cause: where calls were still under way, the wait for them ended 0.5 s before the drain timeout. The last news to the others (0.3 s, with a store that does not answer) and the closing of connections (0.2 s) took all of that, and nothing was left for the end of the process itself.

Change: what is kept back is the sum of what follows, and 0.4 s for the process.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -29,10 +29,13 @@
 	lateShare = 1.0 / 3
 	// lullPeriod is how often it is looked for a lull.
 	lullPeriod = 50 * time.Millisecond
-	// stopMargin is kept back of the drain timeout for the end of the process.
-	stopMargin = 500 * time.Millisecond
 	// departTimeout bounds the last news of a node.
 	departTimeout = 300 * time.Millisecond
+	// endTime is what a busy process takes to end.
+	endTime = 400 * time.Millisecond
+	// stopMargin is kept back of the drain timeout for all that follows the wait for
+	// calls under way.
+	stopMargin = departTimeout + closeTimeout + endTime
 )
 
 // leave takes the node out of service without cutting anything off. The news
