Let a kind in again that its own full service had turned away

Cause: stock readings that wait for the full collections kept the slots of allowances for a moment, so that look-ups were turned away there. A kind that fails counts for 5 s as one that leads to whatever is full below its service, and nothing told that these look-ups call nobody.

Evidence: TestVictimOfAFullServiceBelowIsLetInAgain; before, the share stayed cut for as long as the service below was full.

Change: a kind that its own service turned away, and that does not fail otherwise, is held back for the pressure of that service alone.

--- a/internal/admit/throttle.go
+++ b/internal/admit/throttle.go
@@ -80,11 +80,14 @@
 		importance schema.Importance
 		share      float64
 		good       float64
-		bad        float64
-		endedAt    time.Time
-		failedAt   time.Time
-		pressure   Pressure
-		pressedAt  time.Time
+		// bad counts all that failed, and full those among them for which the kind's
+		// own service had no room.
+		bad       float64
+		full      float64
+		endedAt   time.Time
+		failedAt  time.Time
+		pressure  Pressure
+		pressedAt time.Time
 	}
 )
 
@@ -92,8 +95,11 @@
 const (
 	// Good means that the request was answered.
 	Good End = iota
-	// Overrun means that it failed in a way that load can cause.
+	// Overrun means that it failed in a way that load can cause, here or below.
 	Overrun
+	// NoRoom means that the kind's own service turned it away, which says nothing of
+	// the services below.
+	NoRoom
 	// Other means an end that says nothing of load.
 	Other
 )
@@ -142,6 +148,9 @@
 		k.good++
 	case Overrun:
 		k.bad++
+	case NoRoom:
+		k.bad++
+		k.full++
 	case Other:
 		return
 	}
@@ -198,7 +207,7 @@
 	kinds := make([]*throttled, 0, len(t.kinds))
 	for _, k := range t.kinds {
 		kinds = append(kinds, k)
-		if k.failing() {
+		if k.failingBelow() {
 			k.failedAt = now
 		}
 	}
@@ -258,6 +267,16 @@
 	}
 	k.good *= keep
 	k.bad *= keep
+	k.full *= keep
+}
+
+// failingBelow says whether the kind fails for another reason than that its own service
+// has no room. One that is turned away there may be the victim of others, whose calls
+// wait for a full service below and keep the slots of this one meanwhile; it does well
+// again as soon as they give way.
+func (k *throttled) failingBelow() bool {
+	ends := k.good + k.bad
+	return ends >= minEnds && k.bad-k.full > failAbove*ends
 }
 
 func (k *throttled) failing() bool {
--- a/internal/admit/throttle_test.go
+++ b/internal/admit/throttle_test.go
@@ -461,3 +461,29 @@
 	}
 	is.Equal(throttle.Share("order"), 1.0)
 }
+
+// A kind whose own service is full for a while, since calls that wait for a service below
+// keep its slots, is let in again once they have given way, though the one below is full
+// still.
+func TestVictimOfAFullServiceBelowIsLetInAgain(t *testing.T) {
+	is := is.New(t)
+	throttle := admit.NewThrottle()
+	now := time.Unix(1_800_000_000, 0)
+	const step = 20 * time.Millisecond
+	spell := func(d time.Duration, own float64, end admit.End) {
+		for until := now.Add(d); now.Before(until); now = now.Add(step) {
+			throttle.Press(now, "look-up", admit.Pressure{Own: own, Below: 1.5})
+			if throttle.Offer(now, "look-up", schema.Low, 0) {
+				throttle.Ended(now, "look-up", end)
+			}
+		}
+	}
+	spell(time.Second, 0.5, admit.Good)
+	spell(2*time.Second, 1.3, admit.NoRoom)
+	is.True(throttle.Share("look-up") < 0.5) // its own service was full
+	spell(3*time.Second, 0.8, admit.Good)
+	is.True(throttle.Share("look-up") > 0.9)
+
+	spell(2*time.Second, 0.8, admit.Overrun)
+	is.True(throttle.Share("look-up") < 0.5) // this one meets the bottleneck
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,9 +135,10 @@
 	switch code {
 	case result.OK, result.Replayed:
 		return admit.Good
-	case result.TimedOut, result.TargetFailed, result.PartlyRun, result.DeadlinePassed, result.Overloaded,
-		result.QueueExpired, result.Evicted, result.TargetShed, result.TargetStopped:
+	case result.TimedOut, result.TargetFailed, result.PartlyRun:
 		return admit.Overrun
+	case result.DeadlinePassed, result.Overloaded, result.QueueExpired, result.Evicted, result.TargetShed, result.TargetStopped:
+		return admit.NoRoom
 	}
 	return admit.Other
 }
