--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -33,6 +33,8 @@
 		Answer Answer
 		// Sent is set once a byte of the request may have reached the server.
 		Sent bool
+		// Err is why there is no answer, nil if there is one.
+		Err error
 
 		client  *Client
 		conn    *conn
@@ -66,31 +68,36 @@
 	}
 }
 
-// Do sends a request and reads the head of its answer. The call is never nil and has to
-// be closed; it says whether the request may have reached the server also where there is
-// an error.
-func (c *Client) Do(ctx context.Context, request *Request) (*Call, error) {
+// Do sends a request and reads the head of its answer. The call has to be closed, also
+// where it has no answer.
+func (c *Client) Do(ctx context.Context, request *Request) *Call {
 	call := &Call{client: c, request: request}
-	if !request.sendable() {
-		return call, ErrUnsendable
+	if call.Err = c.begin(ctx, call); call.Err != nil {
+		return call
+	}
+	call.watch(ctx)
+	call.Err = call.exchange()
+	call.failed = call.Err != nil
+	return call
+}
+
+// begin gives a call its connection.
+func (c *Client) begin(ctx context.Context, call *Call) error {
+	if !call.request.sendable() {
+		return ErrUnsendable
 	}
 	select {
 	case c.busy <- struct{}{}:
 	case <-ctx.Done():
-		return call, ctx.Err()
+		return ctx.Err()
 	}
-	used, err := c.connect(ctx, request.ID)
+	used, err := c.connect(ctx, call.request.ID)
 	if err != nil {
 		<-c.busy
-		return call, err
+		return err
 	}
 	call.conn = used
-	call.watch(ctx)
-	if err := call.exchange(); err != nil {
-		call.failed = true
-		return call, err
-	}
-	return call, nil
+	return nil
 }
 
 // connect returns the idle connection that was used last and may carry the request, or a
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -84,10 +84,10 @@
 func take(client *http1.Client, request *http1.Request) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	call, err := client.Do(ctx, request)
+	call := client.Do(ctx, request)
 	defer call.Close()
-	if err != nil {
-		return "", err
+	if call.Err != nil {
+		return "", call.Err
 	}
 	body, err := io.ReadAll(call)
 	return string(body), err
@@ -116,10 +116,10 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		call, err := client.Do(ctx, request)
-		if err != nil {
+		call := client.Do(ctx, request)
+		if call.Err != nil {
 			call.Close()
-			return fmt.Sprintf("sent=%t error: %s\n", call.Sent, err)
+			return fmt.Sprintf("sent=%t error: %s\n", call.Sent, call.Err)
 		}
 		status, fields := call.Answer.Status, call.Answer.Fields
 		body, err := io.ReadAll(call)
@@ -161,9 +161,9 @@
 		{Method: "GET", Target: "/", Host: "h", Fields: http1.Fields{{Name: "X: y\r\nZ", Value: "z"}}},
 		{Method: "GET", Target: "", Host: "h"},
 	} {
-		call, err := client.Do(context.Background(), bad)
+		call := client.Do(context.Background(), bad)
 		call.Close()
-		is.True(errors.Is(err, http1.ErrUnsendable))
+		is.True(errors.Is(call.Err, http1.ErrUnsendable))
 		is.True(!call.Sent)
 	}
 	is.Equal(s.opened.Load(), int32(0))
@@ -266,8 +266,8 @@
 		<-began
 		cancel()
 	}()
-	call, err := s.client(t, 1).Do(ctx, get())
-	is.True(err != nil)
+	call := s.client(t, 1).Do(ctx, get())
+	is.True(call.Err != nil)
 	is.Equal(ctx.Err(), context.Canceled)
 	is.True(call.Sent)
 	call.Close()
@@ -302,8 +302,8 @@
 	is := is.New(t)
 	s := serve(t, answers(ok))
 	_ = s.listener.Close()
-	call, err := s.client(t, 1).Do(context.Background(), get())
+	call := s.client(t, 1).Do(context.Background(), get())
 	call.Close()
-	is.True(err != nil)
+	is.True(call.Err != nil)
 	is.True(!call.Sent)
 }
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -26,26 +26,26 @@
 	}
 }
 
+// write replaces what is held by a request.
 func (m *message) write(request *Request) {
-	to := append(m.bytes[:0], request.Method...)
-	to = append(to, ' ')
-	to = append(to, request.Target...)
-	to = append(to, " HTTP/1.1\r\nHost: "...)
-	to = append(to, request.Host...)
-	to = append(to, "\r\n"...)
+	m.bytes = m.bytes[:0]
+	m.add(request.Method, " ", request.Target, " HTTP/1.1\r\nHost: ", request.Host, "\r\n")
 	for i := range request.Fields {
-		to = append(to, request.Fields[i].Name...)
-		to = append(to, ": "...)
-		to = append(to, request.Fields[i].Value...)
-		to = append(to, "\r\n"...)
+		m.add(request.Fields[i].Name, ": ", request.Fields[i].Value, "\r\n")
 	}
 	if len(request.Body) > 0 || announcesEmpty(request.Method) {
-		to = append(to, "Content-Length: "...)
-		to = strconv.AppendInt(to, int64(len(request.Body)), 10)
-		to = append(to, "\r\n"...)
+		m.add("Content-Length: ")
+		m.bytes = strconv.AppendInt(m.bytes, int64(len(request.Body)), 10)
+		m.add("\r\n")
+	}
+	m.add("\r\n")
+	m.bytes = append(m.bytes, request.Body...)
+}
+
+func (m *message) add(texts ...string) {
+	for _, text := range texts {
+		m.bytes = append(m.bytes, text...)
 	}
-	to = append(to, "\r\n"...)
-	m.bytes = append(to, request.Body...)
 }
 
 // announcesEmpty says whether a request of a method announces the length of an empty
--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -145,17 +145,48 @@
 }
 
 func (d *decoder) requestField(r *relaypb.CarryRequest, f field) {
-	switch f.number {
+	if f.number == requestHeaders {
+		d.header(f)
+		return
+	}
+	if text := requestText(r, f.number); text != nil {
+		*text = d.string(f)
+		return
+	}
+	requestNumber(r, f)
+}
+
+// requestText returns where the text of a number belongs, nil if there is none.
+func requestText(r *relaypb.CarryRequest, number protowire.Number) *string {
+	switch number {
 	case 1:
-		r.AttemptId = d.string(f)
+		return &r.AttemptId
 	case 2:
-		r.RequestId = d.string(f)
+		return &r.RequestId
 	case 3:
-		r.Incarnation = d.string(f)
+		return &r.Incarnation
 	case 4:
-		r.Service = d.string(f)
+		return &r.Service
 	case 5:
-		r.Kind = d.string(f)
+		return &r.Kind
+	case 10:
+		return &r.Key
+	case 11:
+		return &r.Method
+	case 12:
+		return &r.Path
+	case 15:
+		return &r.OriginDataCentre
+	case 17:
+		return &r.Host
+	case 18:
+		return &r.CallerService
+	}
+	return nil
+}
+
+func requestNumber(r *relaypb.CarryRequest, f field) {
+	switch f.number {
 	case 6:
 		r.Importance = uint32(f.value)
 	case 7:
@@ -164,22 +195,8 @@
 		r.Tokens = uint32(f.value)
 	case 9:
 		r.TimeLeftMs = uint32(f.value)
-	case 10:
-		r.Key = d.string(f)
-	case 11:
-		r.Method = d.string(f)
-	case 12:
-		r.Path = d.string(f)
-	case requestHeaders:
-		d.header(f)
-	case 15:
-		r.OriginDataCentre = d.string(f)
 	case 16:
 		r.Revision = int64(f.value)
-	case 17:
-		r.Host = d.string(f)
-	case 18:
-		r.CallerService = d.string(f)
 	case 19:
 		r.Repeatable = f.value != 0
 	case 20:
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -152,12 +152,12 @@
 // Call sends one attempt and holds the answer until it is whole.
 func (t *Target) Call(ctx context.Context, handle string, attempt *relaypb.CarryRequest, limits schema.Limits) *Reply {
 	reply := &Reply{}
-	call, err := t.client.Load().Do(ctx, t.request(ctx, handle, attempt))
+	call := t.client.Load().Do(ctx, t.request(ctx, handle, attempt))
 	defer call.Close()
 	// Once a byte may have reached the target, the call may run.
 	reply.Facts.Sent = call.Sent
-	if err != nil {
-		reply.Detail = err.Error()
+	if call.Err != nil {
+		reply.Detail = call.Err.Error()
 		t.interrupted(ctx, reply)
 		return reply
 	}
