--- /dev/null
+++ b/internal/http1/fuzz_test.go
@@ -0,0 +1,43 @@
+package http1
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// A head that is taken is one for net/http too, with the same status and length: the
+// client is the stricter one.
+func FuzzHead(f *testing.F) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX: y\r\n\r\n",
+		"HTTP/1.0 404\r\nX:\t y \r\n\r\n",
+		"HTTP/1.1 200 OK\nA: b\n\n",
+		"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		f.Add(head)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		end := strings.Index(text, "\n\r\n")
+		if end < 0 {
+			return
+		}
+		head := text[:end+3]
+		answer, err := parseHead(head)
+		if err != nil || answer.Fields.Has("Transfer-Encoding") || answer.Status < 200 {
+			return
+		}
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil)
+		if err != nil {
+			t.Fatalf("%q was taken: %v", head, err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != answer.Status {
+			t.Fatalf("%q: status %d, not %d", head, answer.Status, response.StatusCode)
+		}
+		if len(answer.Fields) > 0 && answer.Length >= 0 && response.ContentLength != answer.Length && answer.Status != 204 && answer.Status != 304 {
+			t.Fatalf("%q: length %d, not %d", head, answer.Length, response.ContentLength)
+		}
+	})
+}
