--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -11,8 +11,9 @@
 type (
 	// Client is this side of one connection. It is safe for concurrent use.
 	Client struct {
-		conn *conn
-		stop context.CancelFunc
+		conn    *conn
+		address string
+		stop    context.CancelFunc
 
 		mu      sync.Mutex
 		last    uint32
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{conn: newConn(raw), pending: map[uint32]*pending{}, used: time.Now()}
+	c := &Client{conn: newConn(raw), address: address, pending: map[uint32]*pending{}, used: time.Now()}
 	if err := c.conn.greet(); err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -261,3 +262,27 @@
 	_, err := pool.Carry(withinSeconds(t), address, &relaypb.CarryRequest{})
 	is.NoErr(err)
 }
+
+// A node that takes a call and falls silent is given up soon, and named.
+func TestSilentNodeIsGivenUpAndNamed(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, hello)
+		time.Sleep(10 * time.Second)
+	}()
+	named := make(chan string, 10)
+	pool := newPool()
+	pool.Silent = func(address string) { named <- address }
+	began := time.Now()
+	_, err = pool.Carry(withinSeconds(t), listener.Addr().String(), &relaypb.CarryRequest{})
+	is.True(errors.Is(err, ErrSilent))
+	is.True(time.Since(began) < 2*time.Second)
+	is.Equal(<-named, listener.Addr().String())
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -17,6 +17,10 @@
 
 	// Pool keeps one connection to each node that is called.
 	Pool struct {
+		// Silent is told of a connection that is closed since the other side does not
+		// answer its ping. It is set before the first call and may be nil.
+		Silent func(address string)
+
 		open  Opener
 		watch Watch
 
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -1,6 +1,9 @@
 package link
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // Watch says how connections are kept.
 type Watch struct {
@@ -36,6 +39,9 @@
 			if client.look(now, p.watch, now.Sub(due)) {
 				wait = watchPeriod
 			}
+			if p.Silent != nil && errors.Is(client.conn.failure(), ErrSilent) {
+				p.Silent(client.address)
+			}
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 	"github.com/dandelionfield/dandelionfield/internal/relay"
 	"github.com/dandelionfield/dandelionfield/internal/setup"
+	"github.com/dandelionfield/dandelionfield/internal/trail"
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
@@ -121,6 +122,7 @@
 	}
 	n.drainTimeout.Store(int64(settings.DrainTimeout))
 	n.client.From = net.ParseIP(settings.RelayFrom)
+	n.client.OnSilent(n.linkSilent(trail.NewLimiter(failureLines, time.Second)))
 	n.platform.answered = n.started
 	store := plat.NewClient(settings.PlatformAddress, plat.Limits{})
 	if doors.Store != nil {
@@ -137,6 +139,15 @@
 	return n
 }
 
+// linkSilent logs, within a bound, which nodes do not answer while calls wait for them.
+func (n *Node) linkSilent(lines *trail.Limiter) func(address string) {
+	return func(address string) {
+		if leftOut, ok := lines.Allow(n.clock.Now(), ""); ok {
+			n.log.Warn("link_silent", "address", address, "left_out", leftOut)
+		}
+	}
+}
+
 // Drain makes the node leave, as the end of its context does.
 func (n *Node) Drain() {
 	n.once.Do(func() { close(n.drain) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,12 @@
 	return c
 }
 
+// OnSilent has a function told of the nodes whose connections are closed since they do not
+// answer. It is called before the first call.
+func (c *Client) OnSilent(told func(address string)) {
+	c.links.Silent = told
+}
+
 // Carry sends an attempt to the node at an address and waits for its answer. A node
 // that knows no links is called by connect-go.
 func (c *Client) Carry(ctx context.Context, address string, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
