Let calls to a target whose connections are not declared yet run side by side

The client of targets took a bound of 0 for one connection; net/http, which it replaced, for none. Found in reading; TestNoBoundOnConnections hangs without the change.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -48,9 +48,12 @@
 	}
 )
 
-// New returns a client that opens so many connections at most.
+// New returns a client that opens so many connections at most; 0 sets no bound.
 func New(address string, connections int, idleTimeout time.Duration, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	return &Client{Address: address, Dial: dial, IdleTimeout: idleTimeout, busy: make(chan struct{}, max(connections, 1))}
+	if connections <= 0 {
+		connections = unbounded
+	}
+	return &Client{Address: address, Dial: dial, IdleTimeout: idleTimeout, busy: make(chan struct{}, connections)}
 }
 
 // Close closes the idle connections, and those of calls when they end.
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -307,3 +308,28 @@
 	is.True(call.Err != nil)
 	is.True(!call.Sent)
 }
+
+// Until the connections of a target are declared, calls do not wait for each other.
+func TestNoBoundOnConnections(t *testing.T) {
+	is := is.New(t)
+	var begun sync.WaitGroup
+	begun.Add(3)
+	s := serve(t, func(_ *server, conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			begun.Done()
+			begun.Wait()
+			_, _ = io.WriteString(conn, ok)
+		}
+	})
+	client := s.client(t, 0)
+	errs := make(chan error)
+	for range 3 {
+		go func() {
+			_, err := take(client, get())
+			errs <- err
+		}()
+	}
+	for range 3 {
+		is.NoErr(<-errs)
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -58,6 +58,8 @@
 	// idleMargin is kept back of the time for which a server says that it keeps an
 	// idle connection.
 	idleMargin = time.Second
+	// unbounded is more connections than a process has descriptors for.
+	unbounded = 1 << 20
 	// maxRefused bounds the requests that are remembered as refused on a connection.
 	maxRefused = 16
 )
