Put the declared connections in force for a target that announced itself before

Cause: after a restart of all a target's first heartbeat may come before the node knows the desired state.

Change: a declaration sets the connections of announced targets too.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -230,9 +230,9 @@
 
 // Restart puts the declaration of a new process of the target in force.
 func (s *Server) Restart(settings admit.Settings, connections int) {
-	s.settings.Target.Restart(connections)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.settings.Target.Restart(connections)
 	s.settings.Gate.Restart(s.settings.Clock.Now(), settings)
 }
 
@@ -292,11 +292,18 @@
 	return s.settings.Gate.Floor(s.settings.Clock.Now())
 }
 
+// SetConnections puts another bound on the connections to the target in force.
+func (s *Server) SetConnections(connections int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings.Target.SetConnections(connections)
+}
+
 // Resize puts another declaration of the service in force.
 func (s *Server) Resize(settings admit.Settings, connections int) {
-	s.settings.Target.SetConnections(connections)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.settings.Target.SetConnections(connections)
 	s.settings.Gate.Resize(s.settings.Clock.Now(), settings)
 }
 
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -61,8 +61,8 @@
 	if document, version := n.config.Plan(n.settings.Service); version > 0 {
 		n.learnPlan(n.settings.Service, document, version)
 	}
-	if service := set.Service(n.settings.Service); service != nil && !n.announced() {
-		n.local.Resize(n.gateSettings(*service), service.Connections)
+	if service := set.Service(n.settings.Service); service != nil {
+		n.declare(*service)
 	}
 	n.members.SetSelf(func(self *member.Member) { self.Revision = revision.Number })
 	n.membersChanged()
@@ -191,6 +191,16 @@
 	return current.Set.Kind(name)
 }
 
+// declare puts the declaration of the own service in force at its target. Of one that
+// announces itself it knows the slots by its heartbeats, which may come before.
+func (n *Node) declare(service schema.Service) {
+	if n.announced() {
+		n.local.SetConnections(service.Connections)
+		return
+	}
+	n.local.Resize(n.gateSettings(service), service.Connections)
+}
+
 func (n *Node) declared(service string) schema.Service {
 	if current := n.config.Current(); current != nil {
 		if declared := current.Set.Service(service); declared != nil {
