--- a/internal/admit/throttle_test.go
+++ b/internal/admit/throttle_test.go
@@ -462,30 +462,44 @@
 	is.Equal(throttle.Share("order"), 1.0)
 }
 
+// pressed is a throttle with one kind, of which a request comes every 20 ms.
+type pressed struct {
+	throttle *admit.Throttle
+	now      time.Time
+}
+
+func newPressed() *pressed {
+	return &pressed{throttle: admit.NewThrottle(), now: time.Unix(1_800_000_000, 0)}
+}
+
+// spell lets time pass under a pressure, while all that is let in ends the same way.
+func (p *pressed) spell(d time.Duration, pressure admit.Pressure, end admit.End) {
+	for until := p.now.Add(d); p.now.Before(until); p.now = p.now.Add(20 * time.Millisecond) {
+		p.throttle.Press(p.now, "look-up", pressure)
+		if p.throttle.Offer(p.now, "look-up", schema.Low, 0) {
+			p.throttle.Ended(p.now, "look-up", end)
+		}
+	}
+}
+
+func (p *pressed) share() float64 {
+	return p.throttle.Share("look-up")
+}
+
 // A kind whose own service is full for a while, since calls that wait for a service below
 // keep its slots, is let in again once they have given way, though the one below is full
 // still.
 func TestVictimOfAFullServiceBelowIsLetInAgain(t *testing.T) {
 	is := is.New(t)
-	throttle := admit.NewThrottle()
-	now := time.Unix(1_800_000_000, 0)
-	const step = 20 * time.Millisecond
-	spell := func(d time.Duration, own float64, end admit.End) {
-		for until := now.Add(d); now.Before(until); now = now.Add(step) {
-			throttle.Press(now, "look-up", admit.Pressure{Own: own, Below: 1.5})
-			if throttle.Offer(now, "look-up", schema.Low, 0) {
-				throttle.Ended(now, "look-up", end)
-			}
-		}
-	}
-	spell(time.Second, 0.5, admit.Good)
-	spell(2*time.Second, 1.3, admit.NoRoom)
-	is.True(throttle.Share("look-up") < 0.5) // its own service was full
-	spell(3*time.Second, 0.8, admit.Good)
-	is.True(throttle.Share("look-up") > 0.9)
-
-	spell(2*time.Second, 0.8, admit.Overrun)
-	is.True(throttle.Share("look-up") < 0.5) // this one meets the bottleneck
+	one := newPressed()
+	one.spell(time.Second, admit.Pressure{Own: 0.5, Below: 1.5}, admit.Good)
+	one.spell(2*time.Second, admit.Pressure{Own: 1.3, Below: 1.5}, admit.NoRoom)
+	is.True(one.share() < 0.5) // its own service was full
+	one.spell(3*time.Second, admit.Pressure{Own: 0.8, Below: 1.5}, admit.Good)
+	is.True(one.share() > 0.9)
+
+	one.spell(2*time.Second, admit.Pressure{Own: 0.8, Below: 1.5}, admit.Overrun)
+	is.True(one.share() < 0.5) // this one meets the bottleneck
 }
 
 // A kind that was cut far in the first moments of a surge gets the room that is left soon
@@ -493,22 +507,12 @@
 // urgent kinds leave a fifth of the service free.
 func TestCutKindGetsTheRoomThatIsLeft(t *testing.T) {
 	is := is.New(t)
-	throttle := admit.NewThrottle()
-	now := time.Unix(1_800_000_000, 0)
-	const step = 20 * time.Millisecond
-	spell := func(d time.Duration, pressure float64, end admit.End) {
-		for until := now.Add(d); now.Before(until); now = now.Add(step) {
-			throttle.Press(now, "look-up", admit.Pressure{Below: pressure})
-			if throttle.Offer(now, "look-up", schema.Low, 0) {
-				throttle.Ended(now, "look-up", end)
-			}
-		}
-	}
-	spell(time.Second, 0.5, admit.Good)
-	spell(2*time.Second, 2.5, admit.Overrun)
-	cut := throttle.Share("look-up")
+	one := newPressed()
+	one.spell(time.Second, admit.Pressure{Below: 0.5}, admit.Good)
+	one.spell(2*time.Second, admit.Pressure{Below: 2.5}, admit.Overrun)
+	cut := one.share()
 	is.True(cut < 0.1)
-	spell(2*time.Second, 0.8, admit.Good)
-	t.Logf("%.2f after the cut, %.2f two seconds later", cut, throttle.Share("look-up"))
-	is.True(throttle.Share("look-up") >= 0.25)
+	one.spell(2*time.Second, admit.Pressure{Below: 0.8}, admit.Good)
+	t.Logf("%.2f after the cut, %.2f two seconds later", cut, one.share())
+	is.True(one.share() >= 0.25)
 }
