Ask the platform's store less as the cluster grows

What operators saw: on 194 nodes the calls to the platform were the largest price after the machines, 0.7 a second and node, however little changed. Cause: each node followed the configuration at its source itself, and answered each change with a new long poll; each listed the members seven times in its first quarter of a minute and renewed its lease every 10 s; each change of a starting node's row was written at once. Change: about twelve nodes, the same number in each data centre, follow the source and notify others at once, which notify others in turn; exchanges tell how long ago the source answered anybody, and a node that hears of no answer for 4 s turns to the source itself. Requests to a lost source, listings and renewals of all nodes together stay at a fixed rate from 100 nodes on, and the leases last longer there. Changes of a row are written every 2 s at most.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,9 @@
 	"github.com/dandelionfield/dandelionfield/pkg/schema"
 )
 
+// SourceFollowers is about how many nodes of a cluster follow a source for all of them.
+const SourceFollowers = 12
+
 const (
 	// pollInterval is the mean time between two reads of the head row. With 530 nodes
 	// that makes 265 reads/s of the roughly 2000 that the platform serves.
@@ -50,15 +53,19 @@
 	bootInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation on the platform while a node polls it or commits.
 	storeTimeout = 3 * time.Second
-	// minFollowWait is the time that one long poll of a source waits for a new revision
-	// in a small cluster. A source that has stopped answering is noticed after that time,
-	// or earlier if its connection fails. The wait grows by minFollowWait for each
-	// further nodesPerFollowWait nodes, up to maxFollowWait, since one node that learns
-	// of a revision tells the others within a second.
-	minFollowWait      = 2 * time.Second
-	nodesPerFollowWait = 12
-	maxFollowWait      = 16 * time.Second
-	// followRetry is the mean wait before the next request to a source that failed.
+	// followWait is the least time that one long poll of a source waits for a new
+	// revision. A source that has stopped answering is noticed after that time, or earlier
+	// if its connection fails.
+	followWait = 2 * time.Second
+	// sourceSilence is how long a node that does not follow the source relies on those
+	// that do without a sign that the source answers any of them. It exceeds one long
+	// poll and the time in which an exchange reaches all nodes.
+	sourceSilence = 4 * time.Second
+	// followCheck is the mean interval at which such a node checks for sourceSilence.
+	followCheck = 500 * time.Millisecond
+	// followRetry is the mean wait before the next request to a source that failed, in a
+	// cluster of up to SourceFollowers nodes. It grows with the number of nodes, so that all
+	// nodes together make 30 requests/s at most to a source that is down.
 	followRetry = 400 * time.Millisecond
 	// fetchTimeout bounds one fetch of a peer's configuration.
 	fetchTimeout = 2 * time.Second
@@ -114,9 +121,13 @@
 		// there themselves. It returns the newest revision, or nil if none arrived within
 		// wait. A nil Source means that nodes accept the revisions.
 		Source func(ctx context.Context, wait time.Duration) (*Revision, error)
-		// Nodes returns the number of nodes that follow the same source and tell each
-		// other of new revisions; nil means a small cluster.
+		// Nodes returns the number of nodes that tell each other of new revisions; nil
+		// means a small cluster.
 		Nodes func() int
+		// Follows reports whether this node follows the source for the others as well; nil
+		// means that each node follows it. A node that does not turns to the source itself
+		// when those that do seem to have lost it.
+		Follows func() bool
 		// OnRevision is called after a revision has come into force; may be nil.
 		OnRevision func(revision *Revision)
 		// OnPlan is called after a newer owner plan has been stored; may be nil.
@@ -134,7 +145,6 @@
 		// highest is the highest revision number that this node has learned of from the
 		// platform, a source or a peer.
 		highest atomic.Int64
-
 		// applyMu makes revisions come into force one at a time, each together with its
 		// OnRevision call, so that the last call is never for a lower revision.
 		applyMu sync.Mutex
@@ -142,6 +152,9 @@
 		mu       sync.Mutex // guards the fields below
 		plans    map[string]plan
 		fetching bool
+		// sourceHeard is when the source last answered this node or another one that this
+		// node heard from, directly or through others.
+		sourceHeard time.Time
 	}
 
 	plan struct {
@@ -261,15 +274,15 @@
 			return nil
 		}
 		if !polling {
-			c.pauseBoot(ctx)
+			c.pauseAbout(ctx, bootInterval)
 		}
 	}
 }
 
-// pauseBoot waits before the next request to a platform that failed.
-func (c *Controller) pauseBoot(ctx context.Context) {
+// pauseAbout waits for d on average, or until the context ends.
+func (c *Controller) pauseAbout(ctx context.Context, d time.Duration) {
 	select {
-	case <-c.clock.After(c.jitter(bootInterval)):
+	case <-c.clock.After(c.jitter(d)):
 	case <-ctx.Done():
 	}
 }
@@ -324,36 +337,69 @@
 	}
 }
 
-// follow long-polls the source for one revision after another. It logs once when the
-// source is lost and once when it answers again.
+// follow long-polls the source for one revision after another while this node has to. It
+// logs once when the source is lost and once when it answers again.
 func (c *Controller) follow(ctx context.Context) {
 	lost := false
 	for ctx.Err() == nil {
-		err := c.pullSource(ctx, c.followWait())
+		if !c.mustFollow() {
+			if lost {
+				c.log.Info("source_regained", "revision", c.Number(), "through", "peers")
+			}
+			lost = false
+			c.pauseAbout(ctx, followCheck)
+			continue
+		}
+		err := c.pullSource(ctx, max(c.jitter(followWait), followWait))
 		if err != nil && !lost {
 			c.log.Warn("source_lost", "revision", c.Number(), "error", err)
 		}
 		if err == nil && lost {
-			c.log.Info("source_regained", "revision", c.Number())
+			c.log.Info("source_regained", "revision", c.Number(), "through", "source")
 		}
 		lost = err != nil
-		if !lost {
-			continue
-		}
-		select {
-		case <-c.clock.After(c.jitter(followRetry)):
-		case <-ctx.Done():
+		if lost {
+			c.pauseAbout(ctx, c.followRetryDelay())
 		}
 	}
 }
 
-// followWait returns how long the next long poll of the source waits.
-func (c *Controller) followWait() time.Duration {
+// mustFollow reports whether this node has to ask the source itself.
+func (c *Controller) mustFollow() bool {
+	if c.Follows == nil || c.Follows() {
+		return true
+	}
+	age, heard := c.SourceAge()
+	return !heard || age > sourceSilence
+}
+
+// followRetryDelay returns the mean wait before the next request to a source that failed.
+func (c *Controller) followRetryDelay() time.Duration {
 	if c.Nodes == nil {
-		return minFollowWait
+		return followRetry
+	}
+	return max(followRetry, followRetry*time.Duration(c.Nodes())/SourceFollowers)
+}
+
+// SourceAge returns how long ago the source answered this node or one that it heard from.
+// The second result is false if it never did.
+func (c *Controller) SourceAge() (age time.Duration, heard bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sourceHeard.IsZero() {
+		return 0, false
+	}
+	return max(c.clock.Now().Sub(c.sourceHeard), 0), true
+}
+
+// ObserveSource records that the source answered another node some time ago.
+func (c *Controller) ObserveSource(age time.Duration) {
+	at := c.clock.Now().Add(-age)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.sourceHeard) {
+		c.sourceHeard = at
 	}
-	shared := min(minFollowWait*time.Duration(c.Nodes())/nodesPerFollowWait, maxFollowWait)
-	return max(c.jitter(shared), minFollowWait)
 }
 
 // pullSource applies the newest revision that the source returns within wait.
@@ -362,6 +408,7 @@
 	if err != nil {
 		return err
 	}
+	c.ObserveSource(0)
 	if revision == nil || revision.Number <= c.Number() {
 		return nil
 	}
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,9 @@
 
 	// leaveFanout is the largest number of members that a leaving node notifies directly.
 	leaveFanout = 64
+	// revisionFanout is how many members a node notifies at once of a new revision, all but
+	// one of them in its own data centre. What these leave out the next rounds bring.
+	revisionFanout = 3
 )
 
 // payload is the part of its view that a node sends.
@@ -105,6 +109,11 @@
 	Revision       func() int64
 	Plans          func() []*relaypb.PlanVersion
 	OnPeerVersions func(from string, revision int64, plans []*relaypb.PlanVersion)
+	// SourceAge returns how long ago the source of the configuration answered this node or
+	// one that it heard from, and OnSourceAge is called with the age that a peer reports.
+	// Both may be nil.
+	SourceAge   func() (age time.Duration, heard bool)
+	OnSourceAge func(age time.Duration)
 	// CatchUp is called before the node becomes ready, with the relay addresses of members,
 	// to fetch the configuration in force. While CatchUp fails, the node stays unready.
 	// CatchUp may be nil.
@@ -264,6 +273,39 @@
 	c.deleteLease(ctx)
 }
 
+// SpreadRevision tells a few other members at once that this node has a new revision. In a
+// cluster where nearly every node follows the source itself, it does nothing.
+func (c *Controller) SpreadRevision(ctx context.Context, followers int) {
+	for _, address := range c.pickRevisionPeers(followers) {
+		c.spawn(func() { c.exchange(ctx, address, changedRows) })
+	}
+}
+
+func (c *Controller) pickRevisionPeers(followers int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshPeers()
+	if len(c.peers.all) <= followers {
+		return nil
+	}
+	addresses := []string{c.pickRandom(c.peers.all)}
+	if near := c.peers.near; len(near) > 0 {
+		for range revisionFanout - 1 {
+			addresses = append(addresses, c.pickRandom(near))
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// IsDelegate reports whether this node is one of about count nodes that use the platform on
+// behalf of all others. Nodes with equal views agree on who is.
+func (c *Controller) IsDelegate(count int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.IsDelegate(count)
+}
+
 func (c *Controller) announce(ctx context.Context, state State) {
 	c.SetSelf(func(self *Member) { self.State = state })
 	c.mu.Lock()
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -47,6 +48,8 @@
 		Revision: revision,
 		WantFull: !c.ready,
 		Plans:    c.plansFor(req, plans),
+
+		SourceAgeMs: c.sourceAgeMS(),
 	}
 	switch {
 	case req.GetWantFull():
@@ -57,6 +60,7 @@
 		resp.Deltas = toWire(c.view.Deltas(now))
 	}
 	c.mu.Unlock()
+	c.observeSourceAge(req.SourceAgeMs)
 	c.runHooks(changed, req.GetFrom(), req.GetRevision(), req.GetPlans())
 	return resp
 }
@@ -82,6 +86,7 @@
 	}
 	sendFullView := (resp.GetWantFull() || differs) && sent != allRows && c.allowFullView(now)
 	c.mu.Unlock()
+	c.observeSourceAge(resp.SourceAgeMs)
 	c.runHooks(changed, address, resp.GetRevision(), resp.GetPlans())
 	if sendFullView {
 		c.exchange(ctx, address, allRows)
@@ -115,6 +120,29 @@
 		Revision: revision,
 		WantFull: !c.ready,
 		Plans:    c.planGossip.pick(plans, RetransmitLimit(len(c.view.entries))),
+
+		SourceAgeMs: c.sourceAgeMS(),
+	}
+}
+
+// sourceAgeMS returns the age of the last answer of the configuration's source for a
+// message, nil if there was none.
+func (c *Controller) sourceAgeMS() *uint32 {
+	if c.SourceAge == nil {
+		return nil
+	}
+	age, heard := c.SourceAge()
+	if !heard {
+		return nil
+	}
+	ms := uint32(min(age.Milliseconds(), math.MaxUint32))
+	return &ms
+}
+
+// observeSourceAge passes on the age that a message reports, if it reports one.
+func (c *Controller) observeSourceAge(ms *uint32) {
+	if ms != nil && c.OnSourceAge != nil {
+		c.OnSourceAge(time.Duration(*ms) * time.Millisecond)
 	}
 }
 
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -10,16 +10,24 @@
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 )
 
-// With 530 nodes the load on the table is 530/10 s = 53 writes/s for the leases and
-// 530/15 s = 35 reads/s for the listings. The platform allows several hundred writes/s and
-// about two thousand reads/s.
 const (
-	renewInterval = 10 * time.Second
-	listInterval  = 15 * time.Second
-	// firstListInterval is the time between the first two listings of a node. The interval
-	// grows with the node's age up to listInterval. It is short at first because nodes that
-	// start together do not find each other's rows in their first listings.
+	// The intervals grow with the number of nodes. From 100 nodes on, all nodes together
+	// renew 10 leases and list the table 7 times a second, however many they are.
+	minRenewInterval = 10 * time.Second
+	renewPerNode     = 100 * time.Millisecond
+	minListInterval  = 15 * time.Second
+	listPerNode      = 150 * time.Millisecond
+	// firstListInterval is the time between the first two listings of a node. It is short
+	// because nodes that start together do not find each other's rows in their first
+	// listings. The later intervals grow with the node's age by listGrowth; from
+	// listSettled on, what a node still lacks comes with exchanges.
 	firstListInterval = 500 * time.Millisecond
+	listGrowth        = 3
+	listSettled       = 2 * time.Second
+	// minWriteInterval is the least time between two writes of the lease for changes of
+	// the node's row, which others learn from exchanges. A node that starts changes its
+	// row several times within a second.
+	minWriteInterval = 2 * time.Second
 	// retryInterval is the mean delay after a failed request to the platform. It is
 	// jittered, so that nodes do not all contact a recovering platform at the same time.
 	retryInterval = 4 * time.Second
@@ -87,16 +95,18 @@
 }
 
 func (c *Controller) runLease(ctx context.Context) {
-	var nextList, nextRenew time.Time
+	var nextList, nextRenew, lastRenew time.Time
 	started := c.Clock.Now()
 	for ctx.Err() == nil {
 		now := c.Clock.Now()
 		if !now.Before(nextList) {
-			interval := min(max(firstListInterval, now.Sub(started)), listInterval)
-			nextList = now.Add(c.nextDelay(c.Refresh(ctx), interval))
+			err := c.Refresh(ctx)
+			nextList = now.Add(c.nextDelay(err, c.listInterval(now.Sub(started))))
 		}
 		if !now.Before(nextRenew) {
-			nextRenew = now.Add(c.nextDelay(c.Renew(ctx), renewInterval))
+			lastRenew = now
+			err := c.Renew(ctx)
+			nextRenew = now.Add(c.nextDelay(err, c.renewInterval()))
 			c.deleteExpired(ctx)
 		}
 		next := nextRenew
@@ -106,7 +116,7 @@
 		select {
 		case <-c.Clock.After(next.Sub(now)):
 		case <-c.leaseRequests:
-			nextRenew = now
+			nextRenew = earlier(nextRenew, lastRenew.Add(minWriteInterval))
 			if !c.Ready() {
 				nextList = now
 			}
@@ -115,6 +125,33 @@
 	}
 }
 
+// listInterval returns the mean time to the next listing of a node of the given age. A
+// node that knows no other member goes on as at its start.
+func (c *Controller) listInterval(age time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members := len(c.view.presentNames())
+	settled := max(minListInterval, time.Duration(members)*listPerNode)
+	if age < listSettled || members < 2 {
+		return min(max(firstListInterval, listGrowth*age), settled)
+	}
+	return settled
+}
+
+// renewInterval returns the mean time between two renewals of the lease.
+func (c *Controller) renewInterval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(minRenewInterval, time.Duration(len(c.view.presentNames()))*renewPerNode)
+}
+
+func earlier(one, other time.Time) time.Time {
+	if other.Before(one) {
+		return other
+	}
+	return one
+}
+
 // nextDelay returns the time until the next request to the platform: the jittered
 // retryInterval after an error, else the interval with a jitter of 10 % either way, which
 // spreads the requests of nodes that started together.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// LeaseDuration is how long a member counts as present after the last contact with the
-	// member or renewal of its lease, while the platform is up.
+	// LeaseDuration is how long a member counts as present at least after the last contact
+	// with the member or renewal of its lease, while the platform is up. With more than
+	// LeaseDuration/leasePerNode members the time grows with their number.
 	LeaseDuration = 30 * time.Second
+	leasePerNode  = 500 * time.Millisecond
 
 	// tombstoneRetention is how long a view keeps a Gone row, so that stale rows do not
 	// bring the member back. It is longer than a partition between regions lasts.
@@ -68,8 +70,9 @@
 		hash         uint64
 		startupEnded bool // a later row of the own name belongs to another process
 		superseded   *Member
-		// expiryFrom is when lease expiry starts to apply; zero while the platform is down.
-		expiryFrom time.Time
+		// platformUpSince is when the platform's table was read again after an outage; zero
+		// while the platform is down.
+		platformUpSince time.Time
 	}
 
 	entry struct {
--- a/internal/member/presence.go
+++ b/internal/member/presence.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Contacted records a message from the member at a relay address, with the revision in
@@ -55,11 +57,42 @@
 	return row, true
 }
 
+// IsDelegate reports whether the node is one of about count nodes that use the platform on
+// behalf of all others. In each data centre those are the members whose names have the
+// lowest hashes, so that nodes with equal views agree, and no data centre depends on
+// another one.
+func (v *View) IsDelegate(count int) bool {
+	self := v.Self()
+	rank := 0
+	centres := map[string]bool{}
+	for _, name := range v.presentNames() {
+		row := &v.entries[name].row
+		centres[row.DataCentre] = true
+		if row.DataCentre == self.DataCentre && name != v.name && row.State != Leaving && lowerHash(name, v.name) {
+			rank++
+		}
+	}
+	return rank*max(len(centres), 1) < count
+}
+
+// lowerHash reports whether the hash of one name is below that of another.
+func lowerHash(one, other string) bool {
+	oneHash, otherHash := xxhash.Sum64String(one), xxhash.Sum64String(other)
+	return oneHash < otherHash || oneHash == otherHash && one < other
+}
+
+// leaseDuration returns how long a member counts as present after the last contact with it
+// or renewal of its lease, while the platform is up. In a large cluster leases are renewed
+// and members contacted less often.
+func (v *View) leaseDuration() time.Duration {
+	return max(LeaseDuration, time.Duration(len(v.entries))*leasePerNode)
+}
+
 // PlatformUp records that the platform's table was read. Leases expire only after the
-// platform has been up for LeaseDuration, so that every member had time to renew.
+// platform has been up for the duration of a lease, so that every member had time to renew.
 func (v *View) PlatformUp(now time.Time) {
-	if v.expiryFrom.IsZero() {
-		v.expiryFrom = now.Add(LeaseDuration)
+	if v.platformUpSince.IsZero() {
+		v.platformUpSince = now
 	}
 }
 
@@ -67,14 +100,15 @@
 // expires, because no member can renew and a complete but possibly outdated view is more
 // useful than an empty one. Failing calls still show which targets are dead.
 func (v *View) PlatformDown() {
-	v.expiryFrom = time.Time{}
+	v.platformUpSince = time.Time{}
 }
 
 // Lapse marks the members whose leases have expired since the last call as lapsed and
 // returns them. It also drops Gone rows that are older than tombstoneRetention.
 func (v *View) Lapse(now time.Time) []Member {
 	var lapsed []Member
-	leasesExpire := !v.expiryFrom.IsZero() && !now.Before(v.expiryFrom)
+	duration := v.leaseDuration()
+	leasesExpire := !v.platformUpSince.IsZero() && now.Sub(v.platformUpSince) >= duration
 	for name, e := range v.entries {
 		switch {
 		case name == v.name:
@@ -82,7 +116,7 @@
 			if now.Sub(e.gone) >= tombstoneRetention {
 				delete(v.entries, name)
 			}
-		case leasesExpire && e.lapsed.IsZero() && now.Sub(e.lastSeen) >= LeaseDuration:
+		case leasesExpire && e.lapsed.IsZero() && now.Sub(e.lastSeen) >= duration:
 			e.lapsed = now
 			v.markChanged()
 			lapsed = append(lapsed, e.row)
--- a/internal/member/run_test.go
+++ b/internal/member/run_test.go
@@ -86,6 +86,39 @@
 	loops.Wait()
 }
 
+// The platform allows all nodes together some reads and writes a second, and each costs: a
+// node of a large cluster lists the members and renews its lease less often.
+func TestStoreLoadOfALargeClusterIsBounded(t *testing.T) {
+	for _, test := range []struct{ size, mostReads, mostWrites int64 }{
+		{12, 12, 14},
+		{194, 7, 8},
+		{530, 5, 4},
+	} {
+		t.Run(fmt.Sprint(test.size), func(t *testing.T) {
+			is := is.New(t)
+			const simulated = 90 * time.Second // within one lease, since no member answers
+			ctx, cancel := context.WithTimeout(context.Background(), simulated/clockSpeed)
+			defer cancel()
+			memory := plat.NewMemory()
+			c := member.New(sampleRow(0), memory.Store(), fastClock{start: time.Now()}, hclog.NewNullLogger())
+			c.Send = func(context.Context, string, *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+				return nil, errors.New("no answer")
+			}
+			for i := 1; i < int(test.size); i++ {
+				row := sampleRow(i)
+				message := &relaypb.Member{Name: row.Name, Incarnation: row.Incarnation, StartedMs: row.StartedMS, Version: row.Version, RelayAddress: row.RelayAddress, State: uint32(member.Active)}
+				c.HandleExchange(&relaypb.ExchangeRequest{From: row.RelayAddress, Deltas: []*relaypb.Member{message}})
+			}
+			c.Run(ctx)
+			stats := memory.Stats()
+			is.True(stats.Reads >= 3) // the start, and its repetitions
+			is.True(stats.Reads <= test.mostReads)
+			is.True(stats.Writes >= 1)
+			is.True(stats.Writes <= test.mostWrites)
+		})
+	}
+}
+
 // While the platform is down, a node that left and restarts knows no other members and
 // accepts no work until a member contacts it. The test guards against a slow return: in a
 // small cluster every node must probe a recently gone member in nearly every round.
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -62,6 +62,7 @@
 	c.Service = n.settings.Service
 	c.Source = n.adapters.Source
 	c.Nodes = func() int { return len(n.members.All()) }
+	c.Follows = func() bool { return n.members.IsDelegate(config.SourceFollowers) }
 	c.Fetch = n.fetch
 	c.OnRevision = n.applyRevision
 	c.OnPlan = n.learnPlan
@@ -85,6 +86,10 @@
 	c.OnChange = n.membersChanged
 	c.Revision = n.config.Number
 	c.Plans = n.config.Plans
+	if n.adapters.Source != nil {
+		c.SourceAge = n.config.SourceAge
+		c.OnSourceAge = n.config.ObserveSource
+	}
 	c.OnPeerVersions = func(from string, revision int64, plans []*relaypb.PlanVersion) {
 		ctx := context.Background()
 		n.config.ObserveRevision(ctx, from, revision)
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -66,6 +66,9 @@
 		n.applyDeclaration(*service)
 	}
 	n.members.SetSelf(func(self *member.Member) { self.Revision = revision.Number })
+	if n.adapters.Source != nil {
+		n.members.SpreadRevision(context.Background(), config.SourceFollowers)
+	}
 	n.membersChanged()
 	n.revisions.advance(n.clock.Now())
 	n.metrics.Revision.Set(float64(revision.Number))
