Free the slots of calls that a target dropped, and give up safe ones

What callers saw: a target that answers none of the calls that it cannot queue keeps each of them until its deadline. Cause: the gate took a dropped call for one that takes long. Change: a call counts as dropped once it is older than the mean of its kind and ten mean deviations, while five calls that started later have been answered. It then holds no slot, and the limit learns from it as from a shed. A safe call is given up as lost, so that its sender can try another target; an unsafe one is waited for and reported as unknown; a leaving node waits for both. A target that is slow or stops as a whole answers no later calls either, so none of its calls counts. Repeats of lost calls at a target that makes no calls of its own may use the whole retry budget, since they repeat nothing else. Counted as unanswered_total.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -49,8 +49,14 @@
 		// them. Both fields are reset whenever a call starts on an idle target.
 		startSum time.Duration
 		epoch    time.Time
-		floor    uint32
-		floorAt  time.Time
+		// unanswered counts the calls in flight that FindUnanswered has returned. They
+		// hold no slot and are left out of startSum.
+		unanswered int
+		// started counts the calls that have started so far.
+		started       int64
+		latestAnswers latestAnswers
+		floor         uint32
+		floorAt       time.Time
 		// rateFactor multiplies the rate asked of the entry nodes. It is above 1
 		// while the target has free slots in spite of a floor, and below 1 while
 		// most calls cannot meet their deadlines.
@@ -66,6 +72,10 @@
 		kind             string
 		started          time.Time
 		awaitsDownstream func() bool
+		// number is greater than that of each call that started before.
+		number int64
+		// unanswered is set once FindUnanswered has returned the call.
+		unanswered bool
 	}
 )
 
@@ -99,7 +109,7 @@
 		g.infeasibleCalls++
 		return Decision{Code: result.DeadlinePassed}
 	}
-	if g.queue.len() == 0 && len(g.running) < g.limit(now) {
+	if g.queue.len() == 0 && g.occupied() < g.limit(now) {
 		g.start(now, c)
 		return Decision{Verdict: Admitted}
 	}
@@ -132,13 +142,21 @@
 		return nil
 	}
 	delete(g.running, id)
-	g.startSum -= run.started.Sub(g.epoch)
+	if run.unanswered {
+		g.unanswered--
+		return g.fill(now)
+	}
 	if o == Completed || o == Shed || o == Failed {
+		g.latestAnswers.add(run.number)
 		g.RecordActivity(now)
 	}
+	g.startSum -= run.started.Sub(g.epoch)
 	g.limiter.advance(now)
 	if o != Shed || !g.shedLate(run, now) {
-		g.limiter.recordOutcome(o, len(g.running))
+		g.limiter.recordOutcome(o, g.occupied())
+	}
+	if o == Completed {
+		g.serviceTimes.observeAnswer(run.kind, now.Sub(run.started))
 	}
 	if o != Shed {
 		cut := o == Abandoned || o == TimedOut
@@ -190,7 +208,7 @@
 // off the queue within queueDrainTime.
 func (g *Gate) Load(now time.Time) Load {
 	return Load{
-		InFlight: len(g.running),
+		InFlight: g.occupied(),
 		Limit:    g.limit(now),
 		Queued:   g.queue.len(),
 		Offered:  g.offeredLoad.load(now) + float64(g.queue.len())*g.serviceTimes.overallMean()/queueDrainTime.Seconds(),
@@ -207,7 +225,7 @@
 	case g.liveness.stopped:
 		return 1
 	case g.liveness.suspected:
-		return max(1, min(limit, len(g.running)))
+		return max(1, min(limit, g.occupied()))
 	}
 	return limit
 }
@@ -246,11 +264,12 @@
 }
 
 func (g *Gate) start(now time.Time, c Call) {
-	if len(g.running) == 0 {
+	if g.occupied() == 0 {
 		g.epoch = now
 		g.startSum = 0
 	}
-	g.running[c.ID] = runningCall{kind: c.Kind, started: now, awaitsDownstream: c.AwaitsDownstream}
+	g.started++
+	g.running[c.ID] = runningCall{kind: c.Kind, started: now, awaitsDownstream: c.AwaitsDownstream, number: g.started}
 	g.startSum += now.Sub(g.epoch)
 }
 
@@ -259,7 +278,7 @@
 func (g *Gate) fill(now time.Time) []Release {
 	var released []Release
 	limit := g.limit(now)
-	for g.queue.len() > 0 && len(g.running) < limit {
+	for g.queue.len() > 0 && g.occupied() < limit {
 		next := g.queue.takeHighest()
 		if code := g.expired(now, next); code != 0 {
 			released = append(released, Release{ID: next.call.ID, Code: code})
@@ -316,7 +335,7 @@
 	if left <= 0 {
 		return false
 	}
-	if float64(len(g.running)) < max(1, probeShare*float64(g.limiter.current(now))) {
+	if float64(g.occupied()) < max(1, probeShare*float64(g.limiter.current(now))) {
 		return true
 	}
 	return g.serviceTimes.lowEstimate(c.Kind) <= left
@@ -329,8 +348,8 @@
 // time is known.
 func (g *Gate) capacity(now time.Time) (float64, bool) {
 	mean := g.serviceTimes.overallMean()
-	if len(g.running) > 0 {
-		age := now.Sub(g.epoch) - g.startSum/time.Duration(len(g.running))
+	if g.occupied() > 0 {
+		age := now.Sub(g.epoch) - g.startSum/time.Duration(g.occupied())
 		mean = max(mean, age.Seconds())
 	}
 	if mean <= 0 {
@@ -388,7 +407,7 @@
 // calls cannot meet theirs. The factor then falls to probeShare, which is what the gate
 // admits in order to notice that the target has become fast again.
 func (g *Gate) updateRateFactor(now time.Time, elapsed time.Duration) {
-	busy := float64(len(g.running)) >= busyShare*float64(g.limiter.current(now))
+	busy := float64(g.occupied()) >= busyShare*float64(g.limiter.current(now))
 	infeasible := 2*g.infeasibleCalls > g.offeredCalls
 	unknown := g.rateFactor < 1 && g.offeredCalls == 0
 	g.offeredCalls = 0
--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -19,6 +19,8 @@
 		// overall is the mean over calls of every kind, in seconds; 0 while unknown.
 		overall float64
 		byKind  map[string]timeEstimate
+		// answered is like byKind, for the calls that the target completed only.
+		answered map[string]timeEstimate
 	}
 
 	// timeEstimate holds a smoothed mean and mean deviation, in seconds.
@@ -29,7 +31,7 @@
 )
 
 func newServiceTimes() serviceTimes {
-	return serviceTimes{byKind: map[string]timeEstimate{}}
+	return serviceTimes{byKind: map[string]timeEstimate{}, answered: map[string]timeEstimate{}}
 }
 
 // observe adds the service time of one call. The weight of a call in the overall mean
@@ -50,15 +52,31 @@
 	if !ok {
 		e = timeEstimate{mean: seconds}
 	}
+	t.byKind[kind] = e.with(seconds)
+}
+
+// observeAnswer adds the service time of a call that the target completed.
+func (t *serviceTimes) observeAnswer(kind string, took time.Duration) {
+	e, ok := t.answered[kind]
+	if !ok {
+		e = timeEstimate{mean: took.Seconds()}
+	}
+	t.answered[kind] = e.with(took.Seconds())
+}
+
+// with returns the estimate after one more service time.
+func (e timeEstimate) with(seconds float64) timeEstimate {
 	difference := seconds - e.mean
 	e.mean += meanWeight * difference
 	e.deviation += meanWeight * (max(difference, -difference) - e.deviation)
-	t.byKind[kind] = e
+	return e
 }
 
 // retain discards the kinds that are no longer declared.
 func (t *serviceTimes) retain(declared func(kind string) bool) {
-	maps.DeleteFunc(t.byKind, func(kind string, _ timeEstimate) bool { return !declared(kind) })
+	undeclared := func(kind string, _ timeEstimate) bool { return !declared(kind) }
+	maps.DeleteFunc(t.byKind, undeclared)
+	maps.DeleteFunc(t.answered, undeclared)
 }
 
 // overallMean returns the mean service time over all kinds in seconds, or 0 while unknown.
@@ -80,6 +98,14 @@
 	return t.overall
 }
 
+// overdue returns the time after which a call of a kind is overdue. The second result is
+// false while no call of the kind has been completed. Calls that were cut short do not
+// count: a few dropped calls that last until their deadlines would hide all later ones.
+func (t *serviceTimes) overdue(kind string) (time.Duration, bool) {
+	e, known := t.answered[kind]
+	return time.Duration((e.mean + unansweredDeviations*e.deviation) * float64(time.Second)), known
+}
+
 // lowEstimate returns a low estimate of the service time of a kind, the mean less the
 // mean deviation, which most calls exceed. Calls are rejected for their deadline only
 // by this estimate, because a call of a kind with widely varying times may end soon.
--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -24,7 +24,8 @@
 
 	// Retry describes a retry of a call to a target of the service.
 	Retry struct {
-		// MayHaveRun is set if an earlier attempt may have run.
+		// MayHaveRun is set if an earlier attempt may have run, and the target would make
+		// calls of its own again.
 		MayHaveRun bool
 		// Inner is set if the call is made by a target rather than by a caller.
 		Inner bool
--- a/internal/entry/pressure.go
+++ b/internal/entry/pressure.go
@@ -83,6 +83,19 @@
 	return pressed
 }
 
+// TargetCalls reports whether the target beside this node has lately made calls of its own.
+func (s *Sender) TargetCalls() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	for _, nested := range s.nestedKinds {
+		if now.Sub(nested.at) < nestedKindTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // downstream returns the services that the target beside this node calls, and those that
 // these calls lead to. s.mu must be held.
 func (s *Sender) downstream(now time.Time) []string {
--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -40,6 +40,9 @@
 	waiters      int
 	abandonTimer *time.Timer
 	cancel       context.CancelFunc
+	// unanswered is set once the attempt has been given up because the target seems to
+	// have dropped it.
+	unanswered bool
 }
 
 // addWaiter registers a goroutine that waits for the answer.
@@ -71,6 +74,27 @@
 	})
 }
 
+// giveUp ends the wait for the answer to a call that the target seems to have dropped, so
+// that its sender can try another target while there is time. Whether the call ran remains
+// unknown. A call that is not safe to retry is waited for until its deadline, because
+// nothing could take the place of its answer.
+func (a *attempt) giveUp() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.kind == nil || a.kind.Repeat == schema.Never || a.cancel == nil {
+		return
+	}
+	a.unanswered = true
+	a.cancel()
+}
+
+// givenUp reports whether giveUp has ended the attempt.
+func (a *attempt) givenUp() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unanswered
+}
+
 // ended reports whether the attempt has its answer.
 func (a *attempt) ended() bool {
 	select {
@@ -283,6 +307,10 @@
 	delete(s.serving, a.handle)
 	s.mu.Unlock()
 	facts := reply.Facts
+	if facts.Cancelled && a.givenUp() {
+		facts.Cancelled = false
+		reply.Detail = "the target answered later calls, but not this one"
+	}
 	facts.ShedStatus = s.settings.ShedStatus()
 	facts.ChildCallsRan = a.serving.ChildrenRan()
 	code = dedup.Classify(facts)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -65,6 +65,9 @@
 	// RetryRule returns the rule for the part of the shared retry budget that this node
 	// keeps for its target. It is nil if the nodes share no retry budget.
 	RetryRule func() budget.Rule
+	// TargetCalls reports whether the target makes calls of its own, which it would make
+	// again if a call to it ran again. It may be nil, which means that it may.
+	TargetCalls func() bool
 	// Requests returns how many requests the node has received so far, for logging. It
 	// may be nil.
 	Requests func() int64
@@ -374,11 +377,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.settings.Clock.Now()
+	s.giveUpUnanswered(now)
 	s.release(s.settings.Gate.Tick(now))
 	s.logStopped()
 	return s.settings.Gate.Load(now), s.settings.Gate.Floor(now)
 }
 
+// giveUpUnanswered gives up the calls that the target seems to have dropped. A leaving node
+// waits for them, since it could not be told from one that cuts calls off. s.mu must be held.
+func (s *Server) giveUpUnanswered(now time.Time) {
+	for _, id := range s.settings.Gate.FindUnanswered(now) {
+		s.settings.Metrics.Unanswered.Inc()
+		if a := s.attempts[id]; a != nil && !s.leaving {
+			a.giveUp()
+		}
+	}
+}
+
 // logStopped logs when the target stops or resumes work, and counts the stops. s.mu must
 // be held.
 func (s *Server) logStopped() {
--- a/internal/local/retry.go
+++ b/internal/local/retry.go
@@ -47,10 +47,11 @@
 	if s.retryWindow == nil || a.request.Earlier < relaypb.Earlier_EARLIER_SHED {
 		return true
 	}
+	makesCalls := s.settings.TargetCalls == nil || s.settings.TargetCalls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return check(s.retryWindow, s.settings.Clock.Now(), budget.Retry{
-		MayHaveRun: a.request.Earlier == relaypb.Earlier_EARLIER_RAN,
+		MayHaveRun: a.request.Earlier == relaypb.Earlier_EARLIER_RAN && makesCalls,
 		Inner:      s.origins.isInternal(a.request.Kind),
 	})
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,7 +19,9 @@
 	FateQueries   *prometheus.CounterVec
 	Replayed      prometheus.Counter
 	TargetStops   prometheus.Counter
-	RelaySeconds  *prometheus.HistogramVec
+	// Unanswered counts the calls that the target seems to have dropped.
+	Unanswered   prometheus.Counter
+	RelaySeconds *prometheus.HistogramVec
 	// RequestSeconds covers a request as a whole, QueueSeconds the wait of an attempt
 	// beside the target, and TargetSeconds the time that the target takes.
 	RequestSeconds *prometheus.HistogramVec
@@ -71,6 +73,7 @@
 	s.FateQueries = counters("fate_asked_total", "Attempts whose connection was lost, by what the other node said.", "answer")
 	s.Replayed = prometheus.NewCounter(options("replayed_total", "Answers taken from the record of an idempotency key."))
 	s.TargetStops = prometheus.NewCounter(options("target_stops_total", "Times the target stopped answering while it held calls."))
+	s.Unanswered = prometheus.NewCounter(options("unanswered_total", "Calls that the target did not answer while it answered later ones."))
 	s.RelaySeconds = histograms("attempt_seconds", "Time from sending an attempt to its answer, by service.", "service")
 	s.RequestSeconds = histograms("request_seconds", "Time from a request's arrival to its answer, by kind.", "kind")
 	s.QueueSeconds = histograms("queue_seconds", "Time that an attempt waited beside the target, by kind.", "kind")
@@ -108,7 +111,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		s.Requests, s.Refusals, s.Retries, s.RetriesDenied, s.Redirects, s.Attempts, s.FateQueries,
-		s.Replayed, s.TargetStops, s.RelaySeconds, s.RequestSeconds, s.QueueSeconds, s.TargetSeconds, s.InFlight, s.Limit, s.Queued, s.Offered, s.Floor,
+		s.Replayed, s.TargetStops, s.Unanswered, s.RelaySeconds, s.RequestSeconds, s.QueueSeconds, s.TargetSeconds, s.InFlight, s.Limit, s.Queued, s.Offered, s.Floor,
 		s.Revision, s.Members, s.HeldBytes, s.TargetHealth, s.RecordBytes, s.AttemptRecordsUsed, s.TimerLate,
 		s.TargetStopped, s.UnownedKeyShare, s.PendingHandovers, s.PlatformSilent,
 		s.Pressure, s.Admitted,
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -157,6 +157,7 @@
 	target.Wire = n.adapters.TargetWire
 	var checkTarget func(targetID string) result.Code
 	var pressureReports func(kind string) []*relaypb.Pressed
+	var targetCalls func() bool
 	var retryRule func() budget.Rule
 	if n.settings.RetryWindow > 0 {
 		retryRule = n.retryBudgetRule
@@ -164,6 +165,7 @@
 	if n.targetsAnnounce() {
 		checkTarget = n.admits
 		pressureReports = n.sender.PressureReports
+		targetCalls = n.sender.TargetCalls
 	}
 	return local.New(local.Settings{
 		Incarnation:    n.incarnation,
@@ -172,6 +174,7 @@
 		CheckTarget:    checkTarget,
 		RetryRule:      retryRule,
 		Pressed:        pressureReports,
+		TargetCalls:    targetCalls,
 		FailureLimiter: loglim.NewLimiter(failureLinesPerSecond, time.Second),
 		Clock:          n.clock,
 		Metrics:        n.metrics,
