Bound the memory of large answers on their way to callers

What could happen: answers that are ready wait for their callers without any bound. A caller that reads nothing kept its answer, and a copy of it, for 10 s a connection, and up to 31 more that it had sent ahead; with answers of the largest size (4 MiB) a few such callers take the 184 MB of a small host, and the requests of all others end with the process. Answers that are read from a target were bounded by 64 MiB, more than the node's memory setting, and beyond that a ready answer was refused as too large. Change: answers are sent in parts, without a copy; a connection with over 1 MiB unsent is not read further; beyond a quarter of memory_bytes the connection that has stalled for longest, at least a second, is closed. Answers that are read from the target share another quarter; a large one waits for memory in place of being refused, a small one never waits.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandelionfield/dandelionfield/internal/gopool"
@@ -28,11 +29,19 @@
 		// pipeline holds the requests whose answers have not been written yet, in the
 		// order of their arrival.
 		pipeline []*pendingRequest
+		// unsent is the size of the bodies in the pipeline that are ready.
+		unsent int64
+		// sendingSince is when the write in progress began, in Unix nanoseconds, and 0 if
+		// there is none.
+		sendingSince atomic.Int64
 		// advanced is signalled when the pipeline becomes shorter.
 		advanced *sync.Cond
 		// writing is set while one goroutine writes answers.
 		writing bool
 		broken  bool
+		// ended is set once the caller has disconnected or the last request was read and
+		// answered.
+		ended bool
 		// writeClosed is set once the last answer has been written.
 		writeClosed bool
 		// idleTimeout limits the wait for the next request. It is 0 while a request is
@@ -52,12 +61,16 @@
 )
 
 const (
-	// maxPipelined limits the unanswered requests of one connection.
-	maxPipelined = 32
+	// maxPipelined limits the unanswered requests of one connection, and maxPipelinedBytes
+	// the answers that wait to be sent before another request is read.
+	maxPipelined      = 32
+	maxPipelinedBytes = 1 << 20
 	// bodyTimeout is the least time that a caller is given to send a body.
 	bodyTimeout = 10 * time.Second
-	// writeTimeout limits how long a caller may take to read one answer.
-	writeTimeout = 10 * time.Second
+	// writeTimeout limits how long a caller may read nothing of an answer, which is sent in
+	// parts of writePartBytes.
+	writeTimeout   = 10 * time.Second
+	writePartBytes = 64 << 10
 	// lingerTimeout is how long the connection is read after its last answer. Closing a
 	// connection with unread bytes would reset it, and the caller could lose that answer.
 	lingerTimeout = time.Second
@@ -101,7 +114,7 @@
 // that is not safe waits until all requests before it are answered.
 func (c *conn) start(request *http.Request) bool {
 	c.mu.Lock()
-	for !c.broken && (len(c.pipeline) >= maxPipelined || len(c.pipeline) > 0 && !isSafeMethod(request.Method)) {
+	for !c.broken && c.mustWait(request) {
 		c.advanced.Wait()
 	}
 	last := request.Close || c.server.noKeepAlive.Load() || !request.ProtoAtLeast(1, 1)
@@ -118,6 +131,16 @@
 	return last
 }
 
+// mustWait reports whether a request must wait for the answers to earlier ones. c.mu must
+// be held.
+func (c *conn) mustWait(request *http.Request) bool {
+	switch {
+	case len(c.pipeline) >= maxPipelined, c.unsent > maxPipelinedBytes:
+		return true
+	}
+	return len(c.pipeline) > 0 && !isSafeMethod(request.Method)
+}
+
 func isSafeMethod(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
@@ -137,6 +160,7 @@
 	defer c.mu.Unlock()
 	p.answer = answer
 	p.done = true
+	c.countUnsent(p.bodyBytes())
 	if c.writing {
 		return
 	}
@@ -146,6 +170,7 @@
 		c.mu.Unlock()
 		written := !c.isBroken() && c.writeAnswer(first)
 		c.mu.Lock()
+		c.countUnsent(-first.bodyBytes())
 		c.pipeline = c.pipeline[1:]
 		if !written {
 			c.breakLocked()
@@ -161,6 +186,24 @@
 	}
 }
 
+// countUnsent adds to the size of the bodies that are ready, here and in the server. c.mu
+// must be held.
+func (c *conn) countUnsent(bytes int64) {
+	if c.ended {
+		return
+	}
+	c.unsent += bytes
+	c.server.addUnsent(bytes)
+}
+
+// bodyBytes returns the size of the answer's body.
+func (p *pendingRequest) bodyBytes() int64 {
+	if p.answer == nil {
+		return 0
+	}
+	return int64(len(p.answer.Body))
+}
+
 func (c *conn) isBroken() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -180,6 +223,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = true
+	c.countUnsent(-c.unsent)
+	c.ended = true
 	c.cancel()
 	c.advanced.Broadcast()
 }
@@ -190,7 +235,7 @@
 		return false
 	}
 	var message bytes.Buffer
-	message.Grow(headCapacity + len(p.answer.Body))
+	message.Grow(headCapacity + min(len(p.answer.Body), writePartBytes))
 	message.WriteString("HTTP/1.1 " + strconv.Itoa(p.answer.Status) + " " + http.StatusText(p.answer.Status) + "\r\n")
 	if err := p.answer.Header.WriteSubset(&message, connectionHeaders); err != nil {
 		return false
@@ -205,11 +250,12 @@
 		message.WriteString("Connection: close\r\n")
 	}
 	message.WriteString("\r\n")
-	if !p.headOnly {
-		message.Write(body)
+	if p.headOnly {
+		body = nil
 	}
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.raw.Write(message.Bytes()); err != nil {
+	first := min(len(body), writePartBytes)
+	message.Write(body[:first])
+	if !c.writeParts(message.Bytes(), body[first:]) {
 		return false
 	}
 	if p.closeAfter {
@@ -218,6 +264,25 @@
 	return true
 }
 
+// writeParts writes the first part and then the rest in parts, and reports whether all of it
+// was written. A caller that reads slowly has writeTimeout for each part.
+func (c *conn) writeParts(part, rest []byte) bool {
+	defer c.sendingSince.Store(0)
+	for {
+		now := time.Now()
+		c.sendingSince.Store(now.UnixNano())
+		_ = c.raw.SetWriteDeadline(now.Add(writeTimeout))
+		if _, err := c.raw.Write(part); err != nil {
+			return false
+		}
+		if len(rest) == 0 {
+			return true
+		}
+		next := min(len(rest), writePartBytes)
+		part, rest = rest[:next], rest[next:]
+	}
+}
+
 // connectionHeaders are the headers that the connection sets itself.
 var connectionHeaders = map[string]bool{"Content-Length": true, "Connection": true, "Transfer-Encoding": true}
 
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -47,23 +47,34 @@
 		Refuse func(status int, reason string) *Answer
 		// Limits returns the limits in force.
 		Limits func() Limits
-		Log    hclog.Logger
+		// UnsentBytes limits the bodies of answers that wait for their callers to read
+		// them. Beyond it, the connection that has stalled for the longest is closed. 0
+		// sets no limit.
+		UnsentBytes int64
+		Log         hclog.Logger
 
 		noKeepAlive atomic.Bool
 		inFlight    atomic.Int64
 		// requestsRead counts the requests that have been read so far.
 		requestsRead atomic.Int64
-		mu           sync.Mutex
-		closed       bool
-		listener     net.Listener
-		conns        map[*conn]struct{}
+		// unsent is the size of the bodies that have not been sent completely.
+		unsent   atomic.Int64
+		mu       sync.Mutex
+		closed   bool
+		listener net.Listener
+		conns    map[*conn]struct{}
 		// lastArrival is when the last request arrived, in Unix nanoseconds.
 		lastArrival atomic.Int64
 	}
 )
 
-// shutdownPoll is the interval at which Shutdown checks for requests in flight.
-const shutdownPoll = 5 * time.Millisecond
+const (
+	// shutdownPoll is the interval at which Shutdown checks for requests in flight.
+	shutdownPoll = 5 * time.Millisecond
+	// minStall is how long a caller must have read nothing before its connection may be
+	// closed for the memory that its answers take.
+	minStall = time.Second
+)
 
 // ErrClosed is what Serve returns after Close.
 var ErrClosed = errors.New("httpd: server closed")
@@ -119,6 +130,39 @@
 	return s.requestsRead.Load()
 }
 
+// Unsent returns the size in bytes of the bodies of answers that have not been sent
+// completely.
+func (s *Server) Unsent() int64 {
+	return s.unsent.Load()
+}
+
+// addUnsent counts the body of an answer that is to be sent. If the bodies exceed their
+// limit, it closes the connection whose caller has read nothing for the longest time.
+func (s *Server) addUnsent(bytes int64) {
+	if total := s.unsent.Add(bytes); s.UnsentBytes <= 0 || total <= s.UnsentBytes {
+		return
+	}
+	if c := s.longestStalled(time.Now()); c != nil {
+		s.Log.Warn("caller_stalled", "caller", c.raw.RemoteAddr().String(), "unsent_bytes", s.unsent.Load(), "limit_bytes", s.UnsentBytes)
+		_ = c.raw.Close()
+	}
+}
+
+// longestStalled returns the connection on which nothing could be sent for the longest
+// time, or nil if none has stalled for minStall.
+func (s *Server) longestStalled(now time.Time) *conn {
+	var stalled *conn
+	since := now.Add(-minStall).UnixNano()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if at := c.sendingSince.Load(); at != 0 && at <= since {
+			stalled, since = c, at
+		}
+	}
+	return stalled
+}
+
 // LastRequest returns when the last request arrived, or the zero time before the first.
 func (s *Server) LastRequest() time.Time {
 	nanos := s.lastArrival.Load()
--- a/internal/local/target.go
+++ b/internal/local/target.go
@@ -71,12 +71,6 @@
 	WrongRequest
 )
 
-// HeldMemory bounds the memory for answers that are buffered until they are complete.
-type HeldMemory struct {
-	bytes atomic.Int64
-	limit func() int64
-}
-
 // Reply is the result of a call to the target.
 type Reply struct {
 	Facts   dedup.Facts
@@ -99,12 +93,11 @@
 	// targetIdleTimeout is shorter than the idle timeout of common targets, so that a
 	// target seldom closes a connection while a call is being written to it.
 	targetIdleTimeout = 5 * time.Second
-	// readChunkBytes is the step by which the buffer of an answer grows.
+	// readChunkBytes is the step by which the buffer of an answer grows, and the size from
+	// which on an answer is large.
 	readChunkBytes = 32 << 10
 )
 
-var errHeldLimit = errors.New("the bound on held answers is reached")
-
 // NewTarget returns a client for the target at an address. It opens at most the given
 // number of connections.
 func NewTarget(address string, connections int, held *HeldMemory) *Target {
@@ -142,16 +135,6 @@
 	return t.held.Bytes()
 }
 
-// NewHeldMemory returns a bound that calls limit at each use, because the limit may change.
-func NewHeldMemory(limit func() int64) *HeldMemory {
-	return &HeldMemory{limit: limit}
-}
-
-// Bytes returns the memory in use in bytes.
-func (h *HeldMemory) Bytes() int64 {
-	return h.bytes.Load()
-}
-
 // Call sends one attempt to the target and buffers the answer until it is complete.
 func (t *Target) Call(ctx context.Context, handle string, attempt *relaypb.CarryRequest, limits schema.Limits) *Reply {
 	reply := &Reply{}
@@ -182,24 +165,29 @@
 // readBody reads the complete body, or records in the facts why this failed. A length of -1
 // means that the length is not known.
 func (t *Target) readBody(ctx context.Context, reply *Reply, body io.Reader, length, maxBytes int64) {
-	if length >= 0 && length <= min(maxBytes, readChunkBytes) {
+	switch {
+	case length > maxBytes:
+		reply.Facts.TooLarge = true
+	case length >= 0:
 		t.readSized(ctx, reply, body, length)
-		return
+	default:
+		t.readInChunks(ctx, reply, body, maxBytes)
 	}
-	t.readInChunks(ctx, reply, body, maxBytes)
 }
 
 // readSized reads a body of a known length into one allocation. A growing buffer needs
 // nearly three times the memory and a final copy; it took a tenth of all memory that
-// calls allocated.
+// calls allocated. While other answers take up the memory, the target has to wait with a
+// large one. Small ones never wait for those, as the number of calls in flight bounds them.
 func (t *Target) readSized(ctx context.Context, reply *Reply, reader io.Reader, length int64) {
-	if t.held.bytes.Load() > t.held.limit() {
-		reply.Facts.TooLarge = true
+	if length <= readChunkBytes {
+		t.held.add(length)
+	} else if !t.held.reserve(ctx, length) {
 		reply.Detail = errHeldLimit.Error()
+		t.recordInterruption(ctx, reply)
 		return
 	}
-	t.held.bytes.Add(length)
-	defer t.held.bytes.Add(-length)
+	defer t.held.release(length)
 	body := make([]byte, length)
 	if _, err := io.ReadFull(reader, body); err != nil {
 		reply.Detail = err.Error()
@@ -234,16 +222,16 @@
 // readInChunks reads a body that is long or of unknown length into a growing buffer.
 func (t *Target) readInChunks(ctx context.Context, reply *Reply, body io.Reader, maxBytes int64) {
 	var buffer bytes.Buffer
-	defer func() { t.held.bytes.Add(-int64(buffer.Cap())) }()
+	defer func() { t.held.release(int64(buffer.Cap())) }()
 	for {
 		before := int64(buffer.Cap())
-		if t.held.bytes.Load() > t.held.limit() {
+		if t.held.full() {
 			reply.Facts.TooLarge = true
 			reply.Detail = errHeldLimit.Error()
 			return
 		}
 		n, err := io.CopyN(&buffer, body, readChunkBytes)
-		t.held.bytes.Add(int64(buffer.Cap()) - before)
+		t.held.add(int64(buffer.Cap()) - before)
 		if int64(buffer.Len()) > maxBytes {
 			reply.Facts.TooLarge = true
 			return
--- a/internal/local/target_test.go
+++ b/internal/local/target_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"runtime"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -68,3 +71,75 @@
 	is.Equal(request.Target, "/a?b=c")
 	is.Equal(request.Host, "127.0.0.1:1")
 }
+
+// stalledBody is a body that ends once it is released.
+type stalledBody struct {
+	release chan struct{}
+	bytes.Reader
+}
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	<-b.release
+	return b.Reader.Read(p)
+}
+
+// While a large answer takes up the memory, another large one waits, but small ones do not.
+func TestLargeAnswersWaitForMemory(t *testing.T) {
+	is := is.New(t)
+	const large = 4 << 20
+	target := NewTarget("127.0.0.1:1", 1, NewHeldMemory(func() int64 { return large + 1 }))
+	content := make([]byte, large)
+	first := &stalledBody{release: make(chan struct{})}
+	first.Reset(content)
+	replies := make(chan *Reply, 2)
+	read := func(body io.Reader) {
+		reply := &Reply{}
+		target.readBody(context.Background(), reply, body, large, large)
+		replies <- reply
+	}
+	go read(first)
+	for target.HeldBytes() < large {
+		time.Sleep(time.Millisecond)
+	}
+	go read(bytes.NewReader(content))
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(len(replies), 0)
+	is.Equal(target.HeldBytes(), int64(large))
+
+	small := &Reply{}
+	target.readBody(context.Background(), small, strings.NewReader("rope"), 4, large)
+	is.True(small.Facts.BodyComplete)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	late := &Reply{}
+	target.readBody(ctx, late, bytes.NewReader(content), large, large)
+	is.True(!late.Facts.BodyComplete)
+	is.True(late.Facts.TimedOut) // unknown, since the target has run it
+
+	close(first.release)
+	for range 2 {
+		reply := <-replies
+		is.True(reply.Facts.BodyComplete)
+		is.Equal(len(reply.Body), large)
+	}
+	is.Equal(target.HeldBytes(), int64(0))
+}
+
+// An answer that declares more than the limit is refused before any of it is held, and one
+// without end is cut at the limit.
+func TestTooLargeAnswerIsNotHeld(t *testing.T) {
+	is := is.New(t)
+	target := NewTarget("127.0.0.1:1", 1, NewHeldMemory(func() int64 { return 8 << 20 }))
+	for _, length := range []int64{1 << 40, -1} {
+		reply := &Reply{}
+		target.readBody(context.Background(), reply, endlessBody{}, length, 1<<20)
+		is.True(reply.Facts.TooLarge)
+		is.True(!reply.Facts.BodyComplete)
+		is.Equal(target.HeldBytes(), int64(0))
+	}
+}
+
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/node/adapters.go
+++ b/internal/node/adapters.go
@@ -67,6 +67,8 @@
 		Handle: n.adapters.CallerHandler(chain),
 		Refuse: n.adapters.RefuseUnreadable,
 		Log:    n.log.Named("ahead"),
+
+		UnsentBytes: n.settings.MemoryBytes / answerMemoryDivisor,
 		Limits: func() httpd.Limits {
 			limits := n.limits()
 			return httpd.Limits{
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -54,6 +54,9 @@
 	// The records of attempts and those of keys may each take one part in
 	// recordMemoryDivisor of a node's memory.
 	recordMemoryDivisor = 4
+	// Answers that are being read from the target, and those that wait for callers to read
+	// them, may each take one part in answerMemoryDivisor of a node's memory.
+	answerMemoryDivisor = 4
 )
 
 func (n *Node) newConfig() *config.Controller {
@@ -150,7 +153,10 @@
 }
 
 func (n *Node) newLocal() *local.Server {
-	n.heldAnswers = local.NewHeldMemory(func() int64 { return n.limits().HeldBytes })
+	n.heldAnswers = local.NewHeldMemory(func() int64 {
+		limits := n.limits()
+		return max(min(limits.HeldBytes, n.settings.MemoryBytes/answerMemoryDivisor), limits.MaxAnswerBytes)
+	})
 	service := schema.DefaultService()
 	recordBytes := n.settings.MemoryBytes / recordMemoryDivisor
 	target := local.NewTarget(n.settings.TargetAddress, service.Connections, n.heldAnswers)
