Give the target stand-in silence in place of shedding

The users' servers may answer neither a call that they cannot queue nor anything further on its connection.

--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -148,9 +148,15 @@
 	if faults.Down {
 		panic(http.ErrAbortHandler)
 	}
+	if t.drawBool(faults.DropShare) {
+		t.drop(r)
+	}
 	ctx, cancel := faults.workContext(r)
 	defer cancel()
 	if faults.Drain || !t.acquire(ctx) {
+		if faults.SilentWhenFull {
+			t.drop(r)
+		}
 		t.updateStats(func(s *Stats) { s.Shed++ })
 		http.Error(w, "shed", t.config.ShedStatus)
 		return
@@ -165,6 +171,14 @@
 	t.writeAnswer(w, r, kind)
 }
 
+// drop leaves a call without an answer. The connection stays open, and carries nothing
+// further, until the caller closes it.
+func (t *Target) drop(r *http.Request) {
+	t.updateStats(func(s *Stats) { s.Dropped++ })
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // run makes the calls and does the work of one request, and returns the HTTP status of
 // the answer. It sheds only while nothing is committed, that is before its own work has
 // started and before any call that changes state has succeeded or may have run.
--- a/internal/bench/target_control.go
+++ b/internal/bench/target_control.go
@@ -22,6 +22,11 @@
 		// NoShed queues calls without a limit and processes every one of them, also
 		// those whose caller has disconnected.
 		NoShed bool `json:"no_shed"`
+		// SilentWhenFull drops the calls that would be shed: neither they nor any further
+		// call on their connections get an answer. DropShare drops a share of all calls in
+		// this way.
+		SilentWhenFull bool    `json:"silent_when_full"`
+		DropShare      float64 `json:"drop_share"`
 	}
 
 	// Stats holds the counters of a target since its start.
@@ -30,9 +35,11 @@
 		Arrived    int            `json:"arrived"`
 		Completed  int            `json:"completed"`
 		Shed       int            `json:"shed"`
-		Cancelled  int            `json:"cancelled"`
-		Failed     int            `json:"failed"`
-		InFlight   int            `json:"in_flight"`
+		// Dropped counts the calls that got no answer.
+		Dropped   int `json:"dropped"`
+		Cancelled int `json:"cancelled"`
+		Failed    int `json:"failed"`
+		InFlight  int `json:"in_flight"`
 		// MaxWaiting is the maximum number of calls that waited for a slot at once.
 		MaxWaiting int   `json:"most_waiting"`
 		WastedMS   int64 `json:"wasted_ms"`
--- a/internal/bench/target_test.go
+++ b/internal/bench/target_test.go
@@ -28,6 +28,7 @@
 	node    *httptest.Server
 	open    map[string]*openCall
 	queued  int
+	dropped int
 
 	mu sync.Mutex
 	// status holds the status that the fake node answers, by method and path.
@@ -47,8 +48,9 @@
 // TestTarget runs the scripts in testdata/target. The commands are
 //
 //	config                     creates the target; the input is its settings
-//	send REQUEST METHOD PATH   sends a call, and prints whether it is answered, works or
-//	                           waits; NAME:VALUE arguments after PATH are headers
+//	send REQUEST METHOD PATH   sends a call, and prints whether it is answered, works,
+//	                           waits or is dropped; NAME:VALUE arguments after PATH are
+//	                           headers
 //	work REQUEST               ends the service time of a call and prints its answer
 //	await REQUEST              prints the next state of a call, as send does
 //	cancel REQUEST             disconnects the caller and prints the answer
@@ -168,6 +170,10 @@
 			s.queued = s.waiting()
 			return "waits"
 		}
+		if dropped := s.target.Stats().Dropped; dropped > s.dropped {
+			s.dropped = dropped
+			return "is dropped"
+		}
 		runtime.Gosched()
 	}
 }
