Send a call across only where the own data centre is full

They are calls: once the next data centre was open, targets were drawn from all open ones alike, so that in a surge, with all of them full, most calls crossed for nothing. Change: a near target with room is taken; a farther one only if it is a tenth less loaded than a full near one.

--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -13,7 +13,10 @@
 	openTierPressure = 0.9
 	// closeTierPressure is the pressure that the nearer tiers must stay below with the
 	// load of the farthest open tier added, so that this tier closes again.
-	closeTierPressure = 0.7
+	closeTierPressure = 0.6
+	// farAdvantage is the fraction of a full near target's score that a farther one must
+	// stay below to be chosen.
+	farAdvantage = 0.9
 	// minUsableShare is the least share of targets that stays in use. If fewer look
 	// healthy, the fault is likely elsewhere, and all targets are used.
 	minUsableShare = 1.0 / 3
@@ -100,11 +103,16 @@
 }
 
 // pick chooses a target from the open tiers: one that is due for its trial call, or else
-// the less loaded of two random ones. If all targets are leaving, as when their nodes are
-// restarted one after the other, it chooses one of them.
+// one of the nearest tier if it has room, and a farther one if that is less loaded. If all
+// targets are leaving, as when their nodes are restarted one after the other, it chooses
+// one of them.
 func (t *Table) pick(now time.Time, open int, exclude map[string]bool) *entry {
 	var usable, ejected, leaving []*entry
+	near := 0 // how many of the usable ones are in the nearest tier that has any
 	for _, tier := range t.tiers[:open] {
+		if near == 0 {
+			near = len(usable)
+		}
 		for _, e := range tier {
 			switch {
 			case exclude[e.target.Name]:
@@ -126,7 +134,26 @@
 		// A leaving target may still accept calls, and refuses them explicitly if not.
 		usable = leaving
 	}
-	return t.lessLoaded(now, usable)
+	if near == 0 || near == len(usable) {
+		return t.lessLoaded(now, usable)
+	}
+	return t.preferNear(now, usable[:near], usable[near:])
+}
+
+// preferNear returns a near target unless it is full and a farther one clearly less loaded:
+// each call to another data centre takes longer and costs bytes between them, and while all
+// data centres are equally full, sending calls across gains nothing.
+func (t *Table) preferNear(now time.Time, near, far []*entry) *entry {
+	nearest := t.lessLoaded(now, near)
+	score := nearest.score(now)
+	if score < openTierPressure {
+		return nearest
+	}
+	farther := t.lessLoaded(now, far)
+	if farther.score(now) < farAdvantage*score {
+		return farther
+	}
+	return nearest
 }
 
 // fewUsable reports whether so many targets are ejected that ejected ones must be used as
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -235,6 +235,36 @@
 	is.Equal(sim.table.openTiers, 1) // back to the local data centre
 }
 
+// While a farther tier is open, only the calls that the near one has no room for cross to
+// it, and few do when both are equally full.
+func TestOnlyExcessCallsLeaveTheDataCentre(t *testing.T) {
+	for _, test := range []struct {
+		load                float64 // in slots, of 90 near and 90 far ones
+		leastNear, mostNear float64
+	}{
+		{120, 0.6, 0.8},
+		{170, 0.45, 0.6},
+		{250, 0.5, 0.9},
+	} {
+		t.Run(fmt.Sprint(test.load), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(Settings{DataCentre: "a"}, targetsIn("a", "b"))
+			sim.run(10*test.load, 10*time.Second)
+			near, total := 0, 0
+			for target, calls := range sim.sent {
+				total += calls
+				if target[0] == 'a' {
+					near += calls
+				}
+			}
+			share := float64(near) / float64(total)
+			t.Logf("%.2f of the calls stay near", share)
+			is.True(share >= test.leastNear)
+			is.True(share <= test.mostNear)
+		})
+	}
+}
+
 func TestUnreachableNearTargetIsReplaced(t *testing.T) {
 	is := is.New(t)
 	targets := targetsIn("a", "b", "c")
