--- a/internal/local/attempt.go
+++ b/internal/local/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -143,146 +142,6 @@
 	return a.forward(ctx, answer)
 }
 
-// claimKey asks the ledger whether the key may run here. It returns nil if this attempt
-// is the one to run it, and the answer to the attempt otherwise.
-func (a *attempt) claimKey(ctx context.Context) *relaypb.CarryResponse {
-	key, err := once.ParseKey(a.request.Key)
-	if err != nil {
-		return a.refusal(result.KeyInvalid)
-	}
-	s := a.server
-	s.mu.Lock()
-	verdict, recorded, code := s.settings.Ledger.Accept(s.settings.Clock.Now(), key, a.kind.Name, a.requestHash())
-	if verdict == once.Run {
-		a.key = key
-		a.keyed = true
-		s.byKey[key.Text] = a
-	}
-	running := s.byKey[key.Text]
-	s.mu.Unlock()
-	switch verdict {
-	case once.Run:
-		return nil
-	case once.Done:
-		return a.replay(recorded)
-	case once.Running:
-		return a.awaitRunning(ctx, running)
-	}
-	return a.refusal(code)
-}
-
-// awaitRunning waits for the attempt that already runs the same key and returns its
-// answer as a replay.
-func (a *attempt) awaitRunning(ctx context.Context, running *attempt) *relaypb.CarryResponse {
-	if running == nil {
-		return a.refusal(result.RunningStill)
-	}
-	select {
-	case <-running.done:
-		return a.replay(running.answer)
-	case <-ctx.Done():
-		return a.refusal(result.RunningStill)
-	}
-}
-
-func (a *attempt) replay(recorded *relaypb.CarryResponse) *relaypb.CarryResponse {
-	if recorded == nil {
-		return a.refusal(result.Lost)
-	}
-	a.server.settings.Metrics.Replayed.Inc()
-	code := recorded.Code
-	if result.Code(code) == result.OK {
-		code = uint32(result.Replayed)
-	}
-	return &relaypb.CarryResponse{
-		Code:       code,
-		Status:     recorded.Status,
-		Headers:    recorded.Headers,
-		Body:       recorded.Body,
-		Digest:     recorded.Digest,
-		Detail:     recorded.Detail,
-		TokensLeft: a.request.Tokens,
-		Replayed:   true,
-	}
-}
-
-// acquireSlot asks the gate for a slot, and waits in its queue if necessary. It returns
-// OK once the call holds a slot.
-func (a *attempt) acquireSlot(ctx context.Context) result.Code {
-	s := a.server
-	id := a.request.AttemptId
-	s.mu.Lock()
-	if s.refusing || !s.endBy.IsZero() && a.serving.Deadline.After(s.endBy) {
-		s.mu.Unlock()
-		return result.Leaving
-	}
-	decision := s.settings.Gate.Offer(s.settings.Clock.Now(), admit.Call{
-		ID:               id,
-		Kind:             a.kind.Name,
-		Importance:       a.serving.Importance,
-		Position:         a.position(),
-		Deadline:         a.serving.Deadline,
-		FirstAttempt:     a.request.Earlier == relaypb.Earlier_EARLIER_UNSPECIFIED,
-		AwaitsDownstream: a.serving.WaitsForChild,
-	})
-	if decision.Verdict == admit.Queued {
-		s.waiting[id] = a
-		s.wake()
-	}
-	s.release(decision.Released)
-	s.mu.Unlock()
-	switch decision.Verdict {
-	case admit.Admitted:
-		return result.OK
-	case admit.Refused:
-		return decision.Code
-	}
-	return a.awaitSlot(ctx)
-}
-
-// position returns the call's position in the shedding order within its importance. The
-// calls made by targets that announce themselves do not name the request that they belong
-// to. Each would draw a position of its own, and a request that needs several such calls
-// would fail by the worst position drawn. These calls therefore all get position 0: they
-// are queued in order of arrival, behind the requests of callers. The server's mutex must
-// be held.
-func (a *attempt) position() uint16 {
-	if a.server.settings.CheckTarget != nil && a.server.origins.isInternal(a.request.Kind) {
-		return 0
-	}
-	return a.serving.Position
-}
-
-func (a *attempt) awaitSlot(ctx context.Context) result.Code {
-	select {
-	case release := <-a.gateDecision:
-		return releaseCode(release)
-	case <-ctx.Done():
-	}
-	s := a.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, queued := s.waiting[a.request.AttemptId]
-	if !queued {
-		// The gate decided concurrently. Its decision stands, because it may have
-		// given the call a slot that must be released.
-		return releaseCode(<-a.gateDecision)
-	}
-	delete(s.waiting, a.request.AttemptId)
-	s.release(s.settings.Gate.Cancel(s.settings.Clock.Now(), a.request.AttemptId))
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return result.DeadlinePassed
-	}
-	return result.Cancelled
-}
-
-func releaseCode(release admit.Release) result.Code {
-	if release.Verdict == admit.Admitted {
-		return result.OK
-	}
-	return release.Code
-}
-
 // callTarget calls the target in the slot that the attempt holds, and releases the slot.
 // It rejects the attempt if the addressed process stopped accepting work while the
 // attempt was queued, or if the retry budget is spent.
@@ -398,24 +257,6 @@
 	)
 }
 
-// recordKey records in the ledger how the run of the key ended. The server's mutex must
-// be held.
-func (a *attempt) recordKey(now time.Time, code result.Code, answer *relaypb.CarryResponse, size int) {
-	ledger := a.server.settings.Ledger
-	switch {
-	case code.Family() == result.NotRun:
-		ledger.Abandon(now, a.key)
-	case code == result.PartlyRun && a.serving.OnlySafeRan():
-		// The target shed the call itself, and the calls that ran on its behalf
-		// are all safe to retry. The key may therefore be tried again.
-		ledger.Abandon(now, a.key)
-	case code == result.OK:
-		ledger.Finish(now, a.key, answer, size)
-	default:
-		ledger.MarkLost(now, a.key)
-	}
-}
-
 func (a *attempt) refusal(code result.Code) *relaypb.CarryResponse {
 	return &relaypb.CarryResponse{
 		Code:       uint32(code),
@@ -423,18 +264,6 @@
 	}
 }
 
-// requestHash returns a hash by which the ledger detects different requests with the
-// same key.
-func (a *attempt) requestHash() uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{a.request.Kind, a.request.Method, a.request.Path} {
-		_, _ = digest.WriteString(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	_, _ = digest.Write(a.request.Body)
-	return digest.Sum64()
-}
-
 // outcome maps a result to what it tells the gate about the target's load. A failure
 // caused by a call that the target made says nothing about that load.
 func outcome(code result.Code, downstream bool) admit.Outcome {
