Read the configuration once at a start, and poll less often where many follow

A node read it twice at its start, for the configuration and to catch up; now catching up waits for the first read. In a large cluster fifteen nodes follow the source, and two of their polls a second suffice to tell that it answers.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,10 +53,13 @@
 	bootInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation on the platform while a node polls it or commits.
 	storeTimeout = 3 * time.Second
-	// followWait is the least time that one long poll of a source waits for a new
+	// minFollowWait is the least time that one long poll of a source waits for a new
 	// revision. A source that has stopped answering is noticed after that time, or earlier
-	// if its connection fails.
-	followWait = 2 * time.Second
+	// if its connection fails. The mean wait grows by followWaitPerNode, up to
+	// maxFollowWait: the polls of SourceFollowers nodes then still end twice a second.
+	minFollowWait     = 2 * time.Second
+	followWaitPerNode = 40 * time.Millisecond
+	maxFollowWait     = 6 * time.Second
 	// sourceSilence is how long a node that does not follow the source relies on those
 	// that do without a sign that the source answers any of them. It exceeds one long
 	// poll and the time in which an exchange reaches all nodes.
@@ -350,7 +353,7 @@
 			c.pauseAbout(ctx, followCheck)
 			continue
 		}
-		err := c.pullSource(ctx, max(c.jitter(followWait), followWait))
+		err := c.pullSource(ctx, c.followWait())
 		if err != nil && !lost {
 			c.log.Warn("source_lost", "revision", c.Number(), "error", err)
 		}
@@ -364,6 +367,16 @@
 	}
 }
 
+// followWait returns how long the next long poll of the source waits. A node that asks
+// only because the followers are silent waits for the least time.
+func (c *Controller) followWait() time.Duration {
+	mean := minFollowWait
+	if c.Nodes != nil && c.Follows != nil && c.Follows() {
+		mean = min(max(mean, time.Duration(c.Nodes())*followWaitPerNode), maxFollowWait)
+	}
+	return max(c.jitter(mean), minFollowWait)
+}
+
 // mustFollow reports whether this node has to ask the source itself.
 func (c *Controller) mustFollow() bool {
 	if c.Follows == nil || c.Follows() {
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -99,10 +99,23 @@
 		n.config.ObserveRevision(ctx, from, revision)
 		n.config.ObservePlans(ctx, from, plans)
 	}
-	c.CatchUp = func(ctx context.Context, peers []string) error {
+	c.CatchUp = n.catchUp
+	return c
+}
+
+// catchUp brings the configuration up to date before the node accepts work: at its start by
+// waiting until start has read it, and after a freeze by reading it anew.
+func (n *Node) catchUp(ctx context.Context, peers []string) error {
+	if n.caughtUp.Load() {
 		return n.config.Boot(ctx, func() []string { return peers })
 	}
-	return c
+	select {
+	case <-n.booted:
+		n.caughtUp.Store(true)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (n *Node) newSender() *entry.Sender {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,10 @@
 
 	targetPresence targetPresence
 	callers        *httpd.Server
+	// booted is closed once the configuration has been read at the start, and caughtUp is
+	// set once that has been used to catch up.
+	booted   chan struct{}
+	caughtUp atomic.Bool
 	// active is set once the node has announced that it is active, and stays set.
 	active  atomic.Bool
 	leaving atomic.Bool
@@ -119,6 +123,7 @@
 		started:     clk.Now(),
 		client:      relay.NewClient(),
 		drain:       make(chan struct{}),
+		booted:      make(chan struct{}),
 	}
 	n.drainTimeout.Store(int64(settings.DrainTimeout))
 	n.client.LocalIP = net.ParseIP(settings.RelayFrom)
@@ -201,6 +206,7 @@
 	if err := n.config.Boot(ctx, n.peers); err != nil {
 		n.log.Error("boot_failed", "error", err)
 	}
+	close(n.booted)
 	go n.config.Run(ctx)
 	go n.becomeActive(ctx)
 	go n.watchHealth(ctx)
