Give up a call as dropped only far beyond the slowest of its kind

Cause: the mean deviation starts at 0 with the first call of a kind, and with a tail of one call in a hundred five times as long it stays small. Change: 200 completed calls are needed, and a call counts as dropped only beyond three times the slowest of the last ones as well.

--- a/internal/admit/times.go
+++ b/internal/admit/times.go
@@ -19,8 +19,17 @@
 		// overall is the mean over calls of every kind, in seconds; 0 while unknown.
 		overall float64
 		byKind  map[string]timeEstimate
-		// answered is like byKind, for the calls that the target completed only.
-		answered map[string]timeEstimate
+		// answered holds the times of the calls that the target completed, by kind.
+		answered map[string]answerTimes
+	}
+
+	// answerTimes describes how long completed calls of a kind took.
+	answerTimes struct {
+		timeEstimate
+		// slowest is the longest time, in seconds, that one of the last calls took. It
+		// decays by slowestDecay with each call.
+		slowest float64
+		count   int
 	}
 
 	// timeEstimate holds a smoothed mean and mean deviation, in seconds.
@@ -31,7 +40,7 @@
 )
 
 func newServiceTimes() serviceTimes {
-	return serviceTimes{byKind: map[string]timeEstimate{}, answered: map[string]timeEstimate{}}
+	return serviceTimes{byKind: map[string]timeEstimate{}, answered: map[string]answerTimes{}}
 }
 
 // observe adds the service time of one call. The weight of a call in the overall mean
@@ -57,11 +66,14 @@
 
 // observeAnswer adds the service time of a call that the target completed.
 func (t *serviceTimes) observeAnswer(kind string, took time.Duration) {
-	e, ok := t.answered[kind]
-	if !ok {
-		e = timeEstimate{mean: took.Seconds()}
+	a := t.answered[kind]
+	if a.count == 0 {
+		a.mean = took.Seconds()
 	}
-	t.answered[kind] = e.with(took.Seconds())
+	a.timeEstimate = a.with(took.Seconds())
+	a.slowest = max(took.Seconds(), slowestDecay*a.slowest)
+	a.count++
+	t.answered[kind] = a
 }
 
 // with returns the estimate after one more service time.
@@ -74,9 +86,8 @@
 
 // retain discards the kinds that are no longer declared.
 func (t *serviceTimes) retain(declared func(kind string) bool) {
-	undeclared := func(kind string, _ timeEstimate) bool { return !declared(kind) }
-	maps.DeleteFunc(t.byKind, undeclared)
-	maps.DeleteFunc(t.answered, undeclared)
+	maps.DeleteFunc(t.byKind, func(kind string, _ timeEstimate) bool { return !declared(kind) })
+	maps.DeleteFunc(t.answered, func(kind string, _ answerTimes) bool { return !declared(kind) })
 }
 
 // overallMean returns the mean service time over all kinds in seconds, or 0 while unknown.
@@ -98,12 +109,14 @@
 	return t.overall
 }
 
-// overdue returns the time after which a call of a kind is overdue. The second result is
-// false while no call of the kind has been completed. Calls that were cut short do not
-// count: a few dropped calls that last until their deadlines would hide all later ones.
+// overdue returns the time after which a call of a kind is overdue: longer than any of the
+// last calls took, and than the mean by many deviations. The second result is false while
+// too few calls of the kind have been completed. Calls that were cut short do not count: a
+// few dropped calls that last until their deadlines would hide all later ones.
 func (t *serviceTimes) overdue(kind string) (time.Duration, bool) {
-	e, known := t.answered[kind]
-	return time.Duration((e.mean + unansweredDeviations*e.deviation) * float64(time.Second)), known
+	a := t.answered[kind]
+	seconds := max(a.mean+unansweredDeviations*a.deviation, unansweredFactor*a.slowest)
+	return time.Duration(seconds * float64(time.Second)), a.count >= minAnswered
 }
 
 // lowEstimate returns a low estimate of the service time of a kind, the mean less the
--- a/internal/admit/unanswered.go
+++ b/internal/admit/unanswered.go
@@ -4,8 +4,14 @@
 
 const (
 	// unansweredDeviations is how many mean deviations a call must take longer than the
-	// mean of its kind to be overdue.
+	// mean of its kind to be overdue, and unansweredFactor how many times as long as the
+	// slowest of the last calls, of which there must be minAnswered.
 	unansweredDeviations = 10
+	unansweredFactor     = 3
+	minAnswered          = 200
+	// slowestDecay is the factor by which the time of the slowest call decays with each
+	// call, so that it halves in about 700 calls.
+	slowestDecay = 0.999
 	// minUnansweredAge is the least age of an overdue call. Shorter delays occur on any
 	// host.
 	minUnansweredAge = 50 * time.Millisecond
@@ -18,11 +24,10 @@
 // an answer, which it has not returned before. It is to be called with each tick.
 //
 // Some targets never answer a call that they cannot queue. Until its deadline passes, such
-// a call looks like one that takes long, and its slot is lost to others: of a target that
-// drops half of its calls and answers the others after 20 ms, calls with a deadline of
-// 700 ms soon hold every slot, and it serves a twentieth of what it could. A target that
-// has stopped or become slow is not mistaken for one that drops calls, because it does not
-// answer calls that started later either.
+// a call looks like one that takes long, and its slot is lost to others: if a target drops
+// half of its calls and answers the others after 20 ms, dropped calls with a deadline of
+// 700 ms soon hold every slot. A target that has stopped or become slow is not mistaken for
+// one that drops calls, because it does not answer calls that started later either.
 //
 // A call that was returned no longer holds a slot. Its answer still counts if it comes.
 func (g *Gate) FindUnanswered(now time.Time) []string {
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -134,11 +134,8 @@
 // mustWait reports whether a request must wait for the answers to earlier ones. c.mu must
 // be held.
 func (c *conn) mustWait(request *http.Request) bool {
-	switch {
-	case len(c.pipeline) >= maxPipelined, c.unsent > maxPipelinedBytes:
-		return true
-	}
-	return len(c.pipeline) > 0 && !isSafeMethod(request.Method)
+	full := len(c.pipeline) >= maxPipelined || c.unsent > maxPipelinedBytes
+	return full || len(c.pipeline) > 0 && !isSafeMethod(request.Method)
 }
 
 func isSafeMethod(method string) bool {
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -136,14 +136,15 @@
 	return s.unsent.Load()
 }
 
-// addUnsent counts the body of an answer that is to be sent. If the bodies exceed their
+// addUnsent adds to the size of the bodies that are to be sent. If they grow beyond their
 // limit, it closes the connection whose caller has read nothing for the longest time.
 func (s *Server) addUnsent(bytes int64) {
-	if total := s.unsent.Add(bytes); s.UnsentBytes <= 0 || total <= s.UnsentBytes {
+	total := s.unsent.Add(bytes)
+	if bytes <= 0 || s.UnsentBytes <= 0 || total <= s.UnsentBytes {
 		return
 	}
 	if c := s.longestStalled(time.Now()); c != nil {
-		s.Log.Warn("caller_stalled", "caller", c.raw.RemoteAddr().String(), "unsent_bytes", s.unsent.Load(), "limit_bytes", s.UnsentBytes)
+		s.Log.Warn("caller_stalled", "caller", c.raw.RemoteAddr().String(), "unsent_bytes", total, "limit_bytes", s.UnsentBytes)
 		_ = c.raw.Close()
 	}
 }
