--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -280,6 +280,7 @@
 	}
 	for name, heard := range scenarios {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			c := newSettledCluster(t, 1, 200)
 			c.followersOnly = true
