Close as many stalled callers as the memory needs, and leave small meshes as they were

TestStalledCallersAreDisconnectedForMemory: each answer that went beyond the limit closed one stalled connection only, so that the sum stayed above it; now as many are closed as it takes.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -29,8 +29,9 @@
 		// pipeline holds the requests whose answers have not been written yet, in the
 		// order of their arrival.
 		pipeline []*pendingRequest
-		// unsent is the size of the bodies in the pipeline that are ready.
-		unsent int64
+		// unsent is the size of the bodies in the pipeline that are ready. It changes only
+		// while mu is held.
+		unsent atomic.Int64
 		// sendingSince is when the write in progress began, in Unix nanoseconds, and 0 if
 		// there is none.
 		sendingSince atomic.Int64
@@ -134,7 +135,7 @@
 // mustWait reports whether a request must wait for the answers to earlier ones. c.mu must
 // be held.
 func (c *conn) mustWait(request *http.Request) bool {
-	full := len(c.pipeline) >= maxPipelined || c.unsent > maxPipelinedBytes
+	full := len(c.pipeline) >= maxPipelined || c.unsent.Load() > maxPipelinedBytes
 	return full || len(c.pipeline) > 0 && !isSafeMethod(request.Method)
 }
 
@@ -189,7 +190,7 @@
 	if c.ended {
 		return
 	}
-	c.unsent += bytes
+	c.unsent.Add(bytes)
 	c.server.addUnsent(bytes)
 }
 
@@ -220,7 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = true
-	c.countUnsent(-c.unsent)
+	c.countUnsent(-c.unsent.Load())
 	c.ended = true
 	c.cancel()
 	c.advanced.Broadcast()
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -8,10 +8,12 @@
 package httpd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,30 +139,36 @@
 }
 
 // addUnsent adds to the size of the bodies that are to be sent. If they grow beyond their
-// limit, it closes the connection whose caller has read nothing for the longest time.
+// limit, it closes connections whose callers have stalled, those that have read nothing for
+// the longest time first, until the others fit.
 func (s *Server) addUnsent(bytes int64) {
 	total := s.unsent.Add(bytes)
 	if bytes <= 0 || s.UnsentBytes <= 0 || total <= s.UnsentBytes {
 		return
 	}
-	if c := s.longestStalled(time.Now()); c != nil {
+	for _, c := range s.stalled(time.Now()) {
+		if total <= s.UnsentBytes {
+			return
+		}
 		s.Log.Warn("caller_stalled", "caller", c.raw.RemoteAddr().String(), "unsent_bytes", total, "limit_bytes", s.UnsentBytes)
 		_ = c.raw.Close()
+		total -= c.unsent.Load()
 	}
 }
 
-// longestStalled returns the connection on which nothing could be sent for the longest
-// time, or nil if none has stalled for minStall.
-func (s *Server) longestStalled(now time.Time) *conn {
-	var stalled *conn
+// stalled returns the connections on which nothing could be sent for minStall, the longest
+// stalled first.
+func (s *Server) stalled(now time.Time) []*conn {
 	since := now.Add(-minStall).UnixNano()
+	var stalled []*conn
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for c := range s.conns {
 		if at := c.sendingSince.Load(); at != 0 && at <= since {
-			stalled, since = c, at
+			stalled = append(stalled, c)
 		}
 	}
+	s.mu.Unlock()
+	slices.SortFunc(stalled, func(a, b *conn) int { return cmp.Compare(a.sendingSince.Load(), b.sendingSince.Load()) })
 	return stalled
 }
 
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -19,15 +19,17 @@
 	listPerNode      = 150 * time.Millisecond
 	// firstListInterval is the time between the first two listings of a node. It is short
 	// because nodes that start together do not find each other's rows in their first
-	// listings. The later intervals grow with the node's age by listGrowth; from
-	// listSettled on, what a node still lacks comes with exchanges.
+	// listings. The interval grows with the node's age up to minListInterval.
 	firstListInterval = 500 * time.Millisecond
-	listGrowth        = 3
-	listSettled       = 2 * time.Second
-	// minWriteInterval is the least time between two writes of the lease for changes of
-	// the node's row, which others learn from exchanges. A node that starts changes its
-	// row several times within a second.
-	minWriteInterval = 2 * time.Second
+	// largeCluster is the number of nodes from which on the intervals grow. There the
+	// first intervals grow with the node's age by largeListGrowth up to largeListSettled,
+	// and what a node still lacks then comes with exchanges. A change of the node's row is
+	// written largeWriteInterval after the last write at the earliest: a node that starts
+	// changes it several times within a second, and others learn it from exchanges.
+	largeCluster       = 100
+	largeListGrowth    = 3
+	largeListSettled   = 2 * time.Second
+	largeWriteInterval = 2 * time.Second
 	// retryInterval is the mean delay after a failed request to the platform. It is
 	// jittered, so that nodes do not all contact a recovering platform at the same time.
 	retryInterval = 4 * time.Second
@@ -116,7 +118,7 @@
 		select {
 		case <-c.Clock.After(next.Sub(now)):
 		case <-c.leaseRequests:
-			nextRenew = earlier(nextRenew, lastRenew.Add(minWriteInterval))
+			nextRenew = earlier(nextRenew, lastRenew.Add(c.writeInterval()))
 			if !c.Ready() {
 				nextList = now
 			}
@@ -125,17 +127,29 @@
 	}
 }
 
-// listInterval returns the mean time to the next listing of a node of the given age. A
-// node that knows no other member goes on as at its start.
+// listInterval returns the mean time to the next listing of a node of the given age.
 func (c *Controller) listInterval(age time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	members := len(c.view.presentNames())
-	settled := max(minListInterval, time.Duration(members)*listPerNode)
-	if age < listSettled || members < 2 {
-		return min(max(firstListInterval, listGrowth*age), settled)
+	switch {
+	case members < largeCluster:
+		return min(max(firstListInterval, age), minListInterval)
+	case age < largeListSettled:
+		return max(firstListInterval, largeListGrowth*age)
 	}
-	return settled
+	return time.Duration(members) * listPerNode
+}
+
+// writeInterval returns the least time between two writes of the lease for changes of the
+// node's row.
+func (c *Controller) writeInterval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.view.presentNames()) < largeCluster {
+		return 0
+	}
+	return largeWriteInterval
 }
 
 // renewInterval returns the mean time between two renewals of the lease.
