--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -164,7 +164,9 @@
 	var all []arrival
 	for _, node := range m.of(service) {
 		node.server.mu.Lock()
-		all = append(all, node.server.arrivals...)
+		for _, a := range node.server.arrivals {
+			all = append(all, *a)
+		}
 		node.server.mu.Unlock()
 	}
 	slices.SortFunc(all, func(a, b arrival) int { return a.at.Compare(b.at) })
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -32,6 +32,7 @@
 	"term-hup":   termThenHup,
 	"odd-drain":  oddPingThenDrain,
 	"odd-budget": oddPings,
+	"gone":       gonePipeline,
 	"late-ping":  latePingAfterRestart,
 }
 
--- a/review/trial/server.go
+++ b/review/trial/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,7 +34,7 @@
 		state    string
 		// silent is set once the server sends no more periodic pings.
 		silent   bool
-		arrivals []arrival
+		arrivals []*arrival
 	}
 
 	// arrival is a request that reached the server.
@@ -42,6 +43,8 @@
 		request string
 		// ran is false for a request that the server rejected.
 		ran bool
+		// ended is when the server stopped work on the request.
+		ended time.Time
 	}
 )
 
@@ -54,6 +57,9 @@
 
 	serverSlots = 60
 	heartbeat   = 1500 * time.Millisecond
+	// slowWork is how long a server works on a request below slowPath.
+	slowWork = 2 * time.Second
+	slowPath = "/stock/slow/"
 	// ackTimeout is how long a server waits for the answer to a ping.
 	ackTimeout = time.Second
 )
@@ -100,11 +106,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.arrived(id, true)
-	if !s.run(r) {
+	a := s.arrived(id, true)
+	completed := s.run(r)
+	s.mu.Lock()
+	a.ended = s.record.add("server %s ends %s (completed: %t)", s.id, id, completed)
+	s.mu.Unlock()
+	if !completed {
 		panic(http.ErrAbortHandler)
 	}
-	s.record.add("server %s has run %s", s.id, id)
 	body := []byte("served " + id + "\n")
 	w.Header().Set(requestHeader, id)
 	w.Header().Set(sealHeader, s.id+"."+id)
@@ -115,15 +124,19 @@
 // run works on a request. It reports false if the caller has left.
 func (s *server) run(r *http.Request) bool {
 	_, _ = io.Copy(io.Discard, r.Body)
+	work := s.work
+	if strings.HasPrefix(r.URL.Path, slowPath) {
+		work = slowWork
+	}
 	select {
-	case <-time.After(s.work):
+	case <-time.After(work):
 		return true
 	case <-r.Context().Done():
 		return false
 	}
 }
 
-func (s *server) arrived(id string, ran bool) {
+func (s *server) arrived(id string, ran bool) *arrival {
 	outcome := "runs"
 	if !ran {
 		outcome = "rejects"
@@ -131,7 +144,9 @@
 	at := s.record.add("server %s %s %s", s.id, outcome, id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, arrival{at: at, request: id, ran: ran})
+	a := &arrival{at: at, request: id, ran: ran}
+	s.arrivals = append(s.arrivals, a)
+	return a
 }
 
 // runsAfter counts the requests that began to run after a time.
@@ -147,7 +162,7 @@
 	return count
 }
 
-// hasArrived reports whether the request reached this server and was run.
+// hasRun reports whether the request reached this server and was run.
 func (s *server) hasRun(request string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
