--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -212,10 +212,11 @@
 		}
 		restarted = time.Now()
 	}
-	time.Sleep(time.Until(acked.Add(5 * time.Second)))
+	time.Sleep(time.Until(acked.Add(drainBound)))
 	m.record.say("the late ping arrives")
 	leaving.put(leaving.id, late)
-	time.Sleep(5 * time.Second)
+	// The server serves on for the drain bound and some seconds, and exits.
+	time.Sleep(6 * time.Second)
 	from := acked.Add(drainBound)
 	if inTouch := restarted.Add(contact); inTouch.After(from) {
 		from = inTouch
