--- a/review/trial/gone.go
+++ b/review/trial/gone.go
@@ -38,10 +38,12 @@
 	goneBound = 500 * time.Millisecond
 	// fewRequests may reach a server later, and atWorkShare of those that would have
 	// lasted longer may be at work later.
-	fewRequests  = 10
-	atWorkShare  = 0.25
-	pairRounds   = 5
-	pairClients  = 3
+	fewRequests = 10
+	atWorkShare = 0.25
+	// In each round, pairLeaving of the pairClients at a machine leave.
+	pairRounds   = 2
+	pairClients  = 10
+	pairLeaving  = 3
 	pairInterval = 2500 * time.Millisecond
 )
 
@@ -55,8 +57,8 @@
 	var clients sync.WaitGroup
 	for range pairRounds {
 		for _, node := range m.machines {
-			for range pairClients {
-				clients.Go(func() { sent.add(m.sendPair(node, trouble)) })
+			for i := range pairClients {
+				clients.Go(func() { sent.add(m.sendPair(node, trouble && i < pairLeaving)) })
 			}
 		}
 		time.Sleep(pairInterval)
