Keep SIGHUP handled until a draining node has ended

Cause: the goroutine that reads the settings again ended with the context of the command, which SIGTERM ends, and called signal.Stop for SIGHUP. From then on the signal had its default action and ended the process, although it drains for up to drain_timeout. At the start there was no handler either until the settings had been read.

Change: the handler is installed before the settings are read and stays until the process has ended.

Test: TestTrials/hangup failed before ("process already finished" at the second SIGHUP) and passes.

--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -190,12 +190,13 @@
 	return ""
 }
 
-// signalProcess SIGNAL NAME... sends a signal to processes. SIGNAL is KILL, STOP, CONT or
-// TERM.
+// signalProcess SIGNAL NAME... sends a signal to processes. SIGNAL is KILL, STOP, CONT, TERM
+// or HUP.
 func signalProcess(ts *testscript.TestScript, neg bool, args []string) {
 	m := ts.Value(meshKey{}).(*mesh)
 	signals := map[string]syscall.Signal{
 		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+		"HUP": syscall.SIGHUP,
 	}
 	for _, name := range args[1:] {
 		ts.Check(m.get(ts, name).command.Process.Signal(signals[args[0]]))
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -154,6 +154,7 @@
 		Example: "  dandelionfield " + name + " --config /etc/dandelionfield/node.yaml",
 		Args:    cobra.NoArgs,
 		RunE: markFailed(func(command *cobra.Command, _ []string) error {
+			hangups := receiveHangups()
 			node, err := setup.Load(config)
 			if err != nil {
 				return badFileError(err)
@@ -161,7 +162,7 @@
 			lines := loglim.NewWriter(a.stdout)
 			defer lines.Close(logFlushTimeout)
 			log := newLogger(node.LogLevel, lines, a.Clock)
-			node.Reloads = watchSettings(command.Context(), config, log)
+			node.Reloads = watchSettings(command.Context(), hangups, config, log)
 			return run(command.Context(), node, log)
 		}),
 	}
