Refuse heartbeats that no target sends

The heartbeat was taken for one of a process with start time 0, which replaced the process in use; the true process was recorded as ended with its true start time, so that each of its own heartbeats was stale, its drain included. A heartbeat of another service replaced the process in the same way.

In the tracker, a heartbeat without a start time never replaces a process that has one.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -29,6 +29,7 @@
 		// Sequence increases with every heartbeat of a process.
 		Sequence int64
 		// StartedMS is the start time of the process in Unix milliseconds, or 0 if unknown.
+		// A heartbeat without a start time does not replace a process that has one.
 		StartedMS int64
 	}
 
@@ -72,6 +73,9 @@
 	Changed
 	// Stale means that the heartbeat is older than what is already known, and is ignored.
 	Stale
+	// Foreign means that the heartbeat names another service than the node's, and is
+	// ignored.
+	Foreign
 )
 
 // maxEnded is the largest number of ended processes that are remembered.
@@ -154,7 +158,7 @@
 
 // superseded reports whether a heartbeat comes from a process that has ended.
 func (t *Tracker) superseded(heartbeat Heartbeat) bool {
-	if t.hasCurrent && heartbeat.StartedMS != 0 && t.current.StartedMS != 0 && heartbeat.StartedMS != t.current.StartedMS {
+	if t.hasCurrent && t.current.StartedMS != 0 && heartbeat.StartedMS != t.current.StartedMS {
 		return heartbeat.StartedMS < t.current.StartedMS
 	}
 	endedStartMS, ended := t.ended[heartbeat.ID]
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -28,8 +28,13 @@
 }
 
 // heartbeat processes a heartbeat. Once it returns, the admission gate acts on the
-// heartbeat.
+// heartbeat. A heartbeat of another service than the settings name changes nothing, because
+// it cannot come from the target beside the node.
 func (n *Node) heartbeat(b beat.Heartbeat) beat.Verdict {
+	if b.Service != n.settings.Service {
+		n.log.Error("target_of_other_service", "target", b.ID, "service", b.Service, "expected", n.settings.Service)
+		return beat.Foreign
+	}
 	n.targetPresence.applyMu.Lock()
 	defer n.targetPresence.applyMu.Unlock()
 	n.targetPresence.mu.Lock()
@@ -43,7 +48,7 @@
 			"present", target.ID, "present_sequence", target.Sequence)
 	case beat.Changed:
 		n.targetChanged(target, !known || before.ID != target.ID || before.StartedMS != target.StartedMS)
-	case beat.Unchanged:
+	case beat.Unchanged, beat.Foreign:
 	}
 	return verdict
 }
@@ -68,9 +73,6 @@
 func (n *Node) targetChanged(target beat.Target, fresh bool) {
 	n.log.Info("target_changed", "target", target.ID, "state", target.State.String(), "service", target.Service,
 		"slots", target.Slots, "sequence", target.Sequence, "born_ms", target.StartedMS, "fresh", fresh)
-	if target.Service != n.settings.Service {
-		n.log.Error("target_of_other_service", "target", target.ID, "service", target.Service, "expected", n.settings.Service)
-	}
 	connections := n.declared(n.settings.Service).Connections
 	switch {
 	case fresh:
@@ -80,7 +82,7 @@
 	}
 	n.members.SetSelf(func(self *member.Member) {
 		self.TargetID = ""
-		if target.State == beat.Ready && target.Service == n.settings.Service {
+		if target.State == beat.Ready {
 			self.TargetID = target.ID
 			self.TargetSlots = target.Slots
 		}
@@ -96,7 +98,7 @@
 	target, known := n.targetPresence.heartbeats.Target()
 	n.targetPresence.mu.Unlock()
 	switch {
-	case !known, targetID != target.ID, target.Service != n.settings.Service:
+	case !known, targetID != target.ID:
 		return result.OtherIncarnation
 	case !target.LeavingSince.IsZero() && clock.Since(n.clock.Now(), target.LeavingSince) >= departureGrace:
 		return result.Leaving
