Charge a call that another process rejected to the retry budget

Cause: the node beside the target answered with other_incarnation, the code of an attempt that the node itself turns away before it is sent, so that the sender could not tell the two apart.

Change: the result is misdirected (223, not run), and a retry of it is charged to the shared budget like that of a call that a target shed.

--- a/internal/dedup/classify.go
+++ b/internal/dedup/classify.go
@@ -81,7 +81,7 @@
 		return mayHaveRun(f.TimedOut, f.Cancelled, result.Lost)
 	}
 	if f.OtherIncarnation {
-		return result.OtherIncarnation
+		return result.Misdirected
 	}
 	if f.shed() {
 		return classifyShed(f.ChildCallsRan)
--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -146,6 +146,7 @@
 			if d.Cmd == "classify" {
 				f := Facts{Sent: has("sent"), BodyComplete: has("complete"), TooLarge: has("large")}
 				f.TimedOut, f.Cancelled, f.ChildCallsRan = has("timed_out"), has("cancelled"), has("children")
+				f.OtherIncarnation = has("other")
 				d.MaybeScanArgs(t, "status", &f.Status)
 				d.MaybeScanArgs(t, "shed", &f.ShedStatus)
 				return fmt.Sprintln(Classify(f))
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -127,26 +127,26 @@
 }
 
 // prepareRetryShared is prepareRetry for the case that all nodes share one retry budget. A
-// call that was not sent to a target tries the next one free of charge. A call that a
-// target shed has not run and may try several targets. A call that may have run also
-// costs a retry token.
+// call that was not sent to a target tries the next one free of charge. A call that reached
+// a target and was rejected has not run and may try several targets. A call that may have
+// run also costs a retry token.
 func (s *sendState) prepareRetryShared(ctx context.Context, answer *call.Answer) bool {
 	code := answer.Code
 	if unsent(code) {
 		return s.redirect()
 	}
-	shed := code == result.TargetShed
-	if shed && s.retries >= maxShedRetries {
+	rejected := code == result.TargetShed || code == result.Misdirected
+	if rejected && s.retries >= maxShedRetries {
 		return false
 	}
 	delay := s.sender.Backoff.Delay(s.retries)
-	if shed {
+	if rejected {
 		delay = s.delayAfterShed()
 	}
 	if !s.sender.mayRetryShared(s.call, delay) {
 		return false
 	}
-	if !shed && !s.call.Tokens.Spend() {
+	if !rejected && !s.call.Tokens.Spend() {
 		s.sender.Metrics.RetriesDenied.WithLabelValues(s.call.Kind.Service, "tokens").Inc()
 		return false
 	}
@@ -214,7 +214,7 @@
 		// The target is overloaded. Another one may take the call, provided that the
 		// service as a whole does not refuse requests of its order.
 		return s.hasOtherTarget()
-	case result.Leaving, result.OtherIncarnation, result.Unreachable, result.Tombstoned, result.NoConfiguration:
+	case result.Leaving, result.OtherIncarnation, result.Misdirected, result.Unreachable, result.Tombstoned, result.NoConfiguration:
 		s.sender.OnStaleView()
 		return true
 	case result.NoOwner, result.OwnerGone, result.OwnerUnclear:
@@ -308,7 +308,7 @@
 	if response.Below {
 		report.Outcome = route.Blameless
 	}
-	if load := response.Load; load != nil && code != result.OtherIncarnation {
+	if load := response.Load; load != nil && code != result.OtherIncarnation && code != result.Misdirected {
 		report.HasLoad = true
 		report.InFlight = int(load.InFlight)
 		report.Limit = int(load.Limit)
@@ -458,7 +458,7 @@
 // outcomeOf returns what the code of an answer says about the target.
 func outcomeOf(code result.Code) route.Outcome {
 	switch code {
-	case result.Unreachable, result.OtherIncarnation:
+	case result.Unreachable, result.OtherIncarnation, result.Misdirected:
 		// An answer from another process at the address only shows that the intended one
 		// is gone.
 		return route.Unreachable
--- a/internal/entry/shared_test.go
+++ b/internal/entry/shared_test.go
@@ -42,3 +42,23 @@
 		relaypb.Earlier_EARLIER_UNSPECIFIED, relaypb.Earlier_EARLIER_SHED, relaypb.Earlier_EARLIER_UNSPECIFIED,
 	})
 }
+
+// A call that another process rejected at the target's address has reached a server, so
+// sending it again is charged to the shared budget. Otherwise each request would go to all
+// targets of a service whose processes are not those that their nodes know.
+func TestMisdirectedCallIsChargedToSharedBudget(t *testing.T) {
+	is := is.New(t)
+	var earlier []relaypb.Earlier
+	s := newLocalSender(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
+		earlier = append(earlier, request.Earlier)
+		code := result.Misdirected
+		if request.Earlier != relaypb.Earlier_EARLIER_UNSPECIFIED {
+			code = result.BudgetSpent
+		}
+		return &relaypb.CarryResponse{AttemptId: request.AttemptId, Code: uint32(code), TokensLeft: request.Tokens}
+	})
+	s.SharedBudget = true
+	answer := s.Send(context.Background(), order())
+	is.Equal(answer.Code, result.Misdirected)
+	is.Equal(earlier, []relaypb.Earlier{relaypb.Earlier_EARLIER_UNSPECIFIED, relaypb.Earlier_EARLIER_SHED})
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -61,6 +61,7 @@
 	BadRequest       Code = 220
 	BudgetSpent      Code = 221
 	TargetStopped    Code = 222
+	Misdirected      Code = 223
 
 	Lost            Code = 300
 	TimedOut        Code = 301
@@ -104,6 +105,7 @@
 	{BadRequest, "bad_request", "The request could not be read.", "Correct the request.", 400},
 	{BudgetSpent, "budget_spent", "Every attempt was refused before it ran, and no retry was left: of the request, or of the budget of its service.", "Try again after the time in Retry-After.", 503},
 	{TargetStopped, "target_stopped", "The target has stopped answering, so the call was not sent to it.", "Try again; look at the target if it lasts.", 503},
+	{Misdirected, "misdirected", "A process other than the addressed one received the call at the target's address and rejected it.", "Try again.", 503},
 
 	{Lost, "lost", "The attempt's fate could not be learned.", "Ask for the state of the order, or repeat with the same key.", 502},
 	{TimedOut, "timed_out", "The deadline passed while the target was at work.", "Ask for the state, or repeat with the same key.", 504},
