Keep a departure of the target across restarts of its node

Cause: the node kept what it had confirmed in the memory of its process. Its row at other members and in the platform's table said that it has no target in use, but not why, and the row of the next process replaced it.

The node's log in the new test: target_changed with state=gone, and after the restart with state=ready and fresh=true.

Change: the row of a node names the start time of the last process of its target that announced its departure. Of all rows of a name the latest time is kept, whichever row wins, so the next process learns it from the table, from a tombstone or from any member. A heartbeat of a process that started no later is stale. The confirmation waits until the row is in the table, or known to a member while the platform does not answer, for 500 ms at most (departure_not_saved).

Related paths: a departure without a start time of a process that the node does not know keeps out what started by then; an ended process is not used because it started later than the one in use.

Not covered: a planned stop of all nodes at once deletes all rows, and a kill of all with the store down leaves none.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -4,8 +4,8 @@
 // Each process of a target has its own id. Heartbeats may arrive late and out of order, even
 // after their process has ended, so they are ordered by the start time of the process and by
 // sequence number. A process that has announced its departure gets no new work, even if an
-// older heartbeat arrives afterwards that says otherwise. The package reads no clock: the time
-// is passed in.
+// older heartbeat arrives afterwards that says otherwise, and neither does any process that
+// started before it. The package reads no clock: the time is passed in.
 package beat
 
 import "time"
@@ -54,6 +54,8 @@
 		// id, and endedOrder holds their ids from oldest to newest.
 		ended      map[string]int64
 		endedOrder []string
+		// departedMS is the latest start time of a process that announced its departure.
+		departedMS int64
 	}
 )
 
@@ -101,18 +103,49 @@
 	t.current = Target{Heartbeat: heartbeat, LastHeartbeat: now, ColdUntil: now.Add(heartbeat.Warmup)}
 	if heartbeat.State != Ready {
 		t.current.LeavingSince = now
+		t.recordDeparture(heartbeat.StartedMS)
 	}
 	return Changed
 }
 
 // Depart records that a process has announced that it is gone. startedMS is the start time of
-// the process, or 0 if the announcement does not contain it. Depart reports whether the state
-// of the current process has changed.
+// the process, or 0 if the announcement does not contain it: then the process has started by
+// now. Depart reports whether the state of the current process has changed.
 func (t *Tracker) Depart(now time.Time, id string, startedMS int64) bool {
 	if !t.hasCurrent || t.current.ID != id || startedMS != 0 && startedMS < t.current.StartedMS {
+		t.recordDeparture(startedMS)
+		if startedMS == 0 {
+			startedMS = now.UnixMilli()
+		}
 		t.markEnded(id, startedMS)
 		return false
 	}
+	t.recordDeparture(t.current.StartedMS)
+	return t.endCurrent(now)
+}
+
+// DepartedMS returns the latest start time of a process that announced its departure, in
+// Unix milliseconds, or 0 if none did.
+func (t *Tracker) DepartedMS() int64 {
+	return t.departedMS
+}
+
+// LearnDeparture records that a process with a start time had announced its departure before
+// this tracker existed. It reports whether the state of the current process has changed.
+func (t *Tracker) LearnDeparture(now time.Time, startedMS int64) bool {
+	t.recordDeparture(startedMS)
+	if !t.hasCurrent || t.current.StartedMS == 0 || t.current.StartedMS > startedMS {
+		return false
+	}
+	return t.endCurrent(now)
+}
+
+func (t *Tracker) recordDeparture(startedMS int64) {
+	t.departedMS = max(t.departedMS, startedMS)
+}
+
+// endCurrent marks the current process as gone, and reports whether it was not yet.
+func (t *Tracker) endCurrent(now time.Time) bool {
 	if t.current.State == Gone {
 		return false
 	}
@@ -144,8 +177,11 @@
 	heartbeat.State = max(heartbeat.State, before.State)
 	t.current.Heartbeat = heartbeat
 	t.current.LastHeartbeat = now
-	if heartbeat.State != Ready && before.LeavingSince.IsZero() {
-		t.current.LeavingSince = now
+	if heartbeat.State != Ready {
+		t.recordDeparture(heartbeat.StartedMS)
+		if before.LeavingSince.IsZero() {
+			t.current.LeavingSince = now
+		}
 	}
 	if heartbeat.Warmup > 0 {
 		t.current.ColdUntil = now.Add(heartbeat.Warmup)
@@ -156,10 +192,13 @@
 	return Unchanged
 }
 
-// superseded reports whether a heartbeat comes from a process that has ended.
+// superseded reports whether a heartbeat comes from a process that has ended or departed.
 func (t *Tracker) superseded(heartbeat Heartbeat) bool {
-	if t.hasCurrent && t.current.StartedMS != 0 && heartbeat.StartedMS != t.current.StartedMS {
-		return heartbeat.StartedMS < t.current.StartedMS
+	if t.hasCurrent && heartbeat.StartedMS < t.current.StartedMS {
+		return true
+	}
+	if heartbeat.StartedMS != 0 && heartbeat.StartedMS <= t.departedMS {
+		return true
 	}
 	endedStartMS, ended := t.ended[heartbeat.ID]
 	return ended && heartbeat.StartedMS <= endedStartMS
--- a/internal/beat/beat_test.go
+++ b/internal/beat/beat_test.go
@@ -23,7 +23,7 @@
 			now := start.Add(time.Duration(atMS) * time.Millisecond)
 			var id string
 			var startedMS int
-			d.ScanArgs(t, "id", &id)
+			d.MaybeScanArgs(t, "id", &id)
 			d.MaybeScanArgs(t, "started", &startedMS)
 			var verdict string
 			switch d.Cmd {
@@ -31,6 +31,8 @@
 				verdict = observe(t, d, &tracker, now, id, int64(startedMS))
 			case "depart":
 				verdict = fmt.Sprint(tracker.Depart(now, id, int64(startedMS)))
+			case "learn":
+				verdict = fmt.Sprint(tracker.LearnDeparture(now, int64(startedMS)))
 			}
 			target, known := tracker.Target()
 			if !known {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -215,6 +215,14 @@
 // SetSelf changes the node's own row, and requests a round and a renewal of the lease to
 // spread the change.
 func (c *Controller) SetSelf(change func(*Member)) {
+	if c.changeSelf(change) {
+		c.RequestRound()
+		signal(c.leaseRequests)
+	}
+}
+
+// changeSelf changes the node's own row, and reports whether it differs from before.
+func (c *Controller) changeSelf(change func(*Member)) bool {
 	c.mu.Lock()
 	before := c.view.Self().Version
 	c.view.SetSelf(c.Clock.Now(), change)
@@ -225,9 +233,8 @@
 	c.mu.Unlock()
 	if changed {
 		c.notify()
-		c.RequestRound()
-		signal(c.leaseRequests)
 	}
+	return changed
 }
 
 // All returns the members that are neither gone, nor lapsed, nor replaced by another
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -65,17 +65,17 @@
 	return resp
 }
 
-// exchange swaps changed rows, or full views, with the node at the address. If the views
-// still differ after changed rows were sent, or the peer asks for it, the full view
-// follows.
-func (c *Controller) exchange(ctx context.Context, address string, sent payload) {
+// exchange swaps changed rows, or full views, with the node at the address, and reports
+// whether that node has answered. If the views still differ after changed rows were sent,
+// or the peer asks for it, the full view follows.
+func (c *Controller) exchange(ctx context.Context, address string, sent payload) bool {
 	req := c.request(sent)
 	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	resp, err := c.Send(sendCtx, address, req)
 	if err != nil {
 		c.Log.Debug("exchange_failed", "address", address, "error", err)
-		return
+		return false
 	}
 	c.mu.Lock()
 	now := c.Clock.Now()
@@ -92,6 +92,7 @@
 		c.exchange(ctx, address, allRows)
 	}
 	c.becomeReady(ctx, false)
+	return true
 }
 
 func (c *Controller) request(sent payload) *relaypb.ExchangeRequest {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -54,7 +54,12 @@
 		// TargetSlots is the number of slots that the target announced.
 		TargetID    string
 		TargetSlots int
-		State       State
+		// TargetDepartedMS is the start time, in Unix milliseconds, of the last process of
+		// the target that announced its departure to any incarnation of the node, or 0. Of
+		// all rows of a name the latest time is kept, whichever row wins. A node that
+		// restarts thereby learns what its predecessor confirmed to the target.
+		TargetDepartedMS int64
+		State            State
 		// Revision is the configuration revision in force at the node.
 		Revision int64
 	}
@@ -118,7 +123,9 @@
 func (v *View) Merge(now time.Time, rows []Member) (changed []Member) {
 	for _, row := range rows {
 		if row.Name == v.name {
-			v.mergeSelf(now, row)
+			if v.mergeSelf(now, row) {
+				changed = append(changed, v.Self())
+			}
 			continue
 		}
 		known := v.entries[row.Name]
@@ -129,8 +136,15 @@
 			row.Revision = known.row.Revision
 		}
 		if known != nil && !newer(row, known.row) {
+			if row.TargetDepartedMS > known.row.TargetDepartedMS {
+				v.recordDeparture(known, row.TargetDepartedMS)
+				changed = append(changed, known.row)
+			}
 			continue
 		}
+		if known != nil {
+			row.TargetDepartedMS = max(row.TargetDepartedMS, known.row.TargetDepartedMS)
+		}
 		v.put(now, row)
 		changed = append(changed, row)
 	}
@@ -199,10 +213,18 @@
 	return *v.superseded, true
 }
 
-func (v *View) mergeSelf(now time.Time, row Member) {
+// mergeSelf merges a row of the node's own name, and reports whether the row named a later
+// departure of the target.
+func (v *View) mergeSelf(now time.Time, row Member) (departureLearned bool) {
 	self := v.Self()
+	if row.TargetDepartedMS > self.TargetDepartedMS {
+		departureLearned = true
+		self.TargetDepartedMS = row.TargetDepartedMS
+		self.Version++
+		v.put(now, self)
+	}
 	if !newer(row, self) {
-		return
+		return departureLearned
 	}
 	switch {
 	case row.Incarnation == self.Incarnation:
@@ -217,6 +239,15 @@
 	default:
 		v.superseded = &row
 	}
+	return departureLearned
+}
+
+// recordDeparture raises the time of the target's last departure in a row, which says
+// nothing about whether the member is present.
+func (v *View) recordDeparture(e *entry, departedMS int64) {
+	row := e.row
+	row.TargetDepartedMS = departedMS
+	v.setRow(e, row)
 }
 
 func (v *View) put(now time.Time, row Member) {
@@ -228,16 +259,21 @@
 	if e.row.Incarnation != row.Incarnation {
 		e.leaseVersion = 0
 	}
-	v.hash -= e.hash
-	e.row = row
-	e.hash = hashRow(row)
-	v.hash += e.hash
+	v.setRow(e, row)
 	e.lastSeen = now
 	e.lapsed = time.Time{}
 	e.gone = time.Time{}
 	if row.State == Gone {
 		e.gone = now
 	}
+}
+
+// setRow replaces the row of an entry and has it sent to other members.
+func (v *View) setRow(e *entry, row Member) {
+	v.hash -= e.hash
+	e.row = row
+	e.hash = hashRow(row)
+	v.hash += e.hash
 	e.sendsLeft = RetransmitLimit(len(v.entries))
 	v.markChanged()
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -126,6 +126,8 @@
 		Version:     rapid.Uint64Range(1, 3).Draw(t, "version"),
 		State:       member.State(rapid.IntRange(0, int(member.Gone)).Draw(t, "state")),
 		Revision:    rapid.Int64Range(0, 3).Draw(t, "revision"),
+
+		TargetDepartedMS: rapid.Int64Range(0, 2).Draw(t, "departed"),
 	}
 }
 
@@ -138,9 +140,11 @@
 }
 
 // referenceMerge is a simple model of Merge: it keeps the greatest row per name in the
-// order of the tuples (start, incarnation, version, state).
+// order of the tuples (start, incarnation, version, state), with the latest departure of any
+// row of that name.
 func referenceMerge(rows []member.Member) map[string]member.Member {
 	best := make(map[string]member.Member)
+	departed := make(map[string]int64)
 	rank := func(m member.Member) string {
 		return fmt.Sprintf("%04d %s %04d %d", m.StartedMS, m.Incarnation, m.Version, m.State)
 	}
@@ -148,6 +152,11 @@
 		if known, ok := best[row.Name]; !ok || rank(row) > rank(known) {
 			best[row.Name] = row
 		}
+		departed[row.Name] = max(departed[row.Name], row.TargetDepartedMS)
+	}
+	for name, row := range best {
+		row.TargetDepartedMS = departed[name]
+		best[name] = row
 	}
 	return best
 }
@@ -246,3 +255,18 @@
 	own.Merge(now, []member.Member{ahead})
 	is.Equal(own.All(now)[len(own.All(now))-1].Name, "side-6")
 }
+
+// A row that is not the newest one of its name may still name the latest departure of the
+// target. It must not make a lapsed or gone member look present.
+func TestDepartureInStaleRowDoesNotRestoreMember(t *testing.T) {
+	is := is.New(t)
+	row := member.Member{Name: "a", Incarnation: "i", StartedMS: 1, Version: 2, State: member.Active}
+	view := mergedView([]member.Member{row})
+	view.PlatformUp(start)
+	later := start.Add(time.Minute)
+	is.Equal(len(view.Lapse(later)), 1)
+	row.Version, row.TargetDepartedMS = 1, 50
+	is.Equal(view.Merge(later, []member.Member{row})[0].TargetDepartedMS, int64(50))
+	is.Equal(len(view.Lapsed()), 1)
+	is.Equal(view.Lapsed()[0].Version, uint64(2))
+}
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"encoding/binary"
 	"math/bits"
 	"slices"
 	"strings"
@@ -97,5 +98,9 @@
 	for shift := 0; shift < 64; shift += 8 {
 		text = append(text, byte(row.Version>>shift), byte(row.StartedMS>>shift))
 	}
+	// A row without a departure has the hash that versions without the field compute.
+	if row.TargetDepartedMS != 0 {
+		text = binary.LittleEndian.AppendUint64(text, uint64(row.TargetDepartedMS))
+	}
 	return xxhash.Sum64(text)
 }
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -40,6 +40,8 @@
 		Revision:      row.Revision,
 		TargetId:      row.TargetID,
 		TargetSlots:   uint32(row.TargetSlots),
+
+		TargetDepartedMs: row.TargetDepartedMS,
 	}
 }
 
@@ -59,6 +61,8 @@
 		Revision:      message.GetRevision(),
 		TargetID:      message.GetTargetId(),
 		TargetSlots:   int(message.GetTargetSlots()),
+
+		TargetDepartedMS: message.GetTargetDepartedMs(),
 	}
 }
 
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -18,9 +19,14 @@
 	heartbeats beat.Tracker
 }
 
-// departureGrace is how long a target that has announced its departure still gets calls:
-// until the update has reached the nodes that send them.
-const departureGrace = 700 * time.Millisecond
+const (
+	// departureGrace is how long a target that has announced its departure still gets
+	// calls: until the update has reached the nodes that send them.
+	departureGrace = 700 * time.Millisecond
+	// departureSaveTimeout limits how long the confirmation of a departure waits until the
+	// departure is known outside of this process. Targets wait a second for it.
+	departureSaveTimeout = 500 * time.Millisecond
+)
 
 // targetEvents returns the callbacks for the target's heartbeats.
 func (n *Node) targetEvents() TargetEvents {
@@ -58,14 +64,58 @@
 	n.targetPresence.applyMu.Lock()
 	defer n.targetPresence.applyMu.Unlock()
 	n.targetPresence.mu.Lock()
+	before := n.targetPresence.heartbeats.DepartedMS()
 	changed := n.targetPresence.heartbeats.Depart(n.clock.Now(), id, startedMS)
+	departedMS := n.targetPresence.heartbeats.DepartedMS()
 	target, _ := n.targetPresence.heartbeats.Target()
 	n.targetPresence.mu.Unlock()
-	if !changed {
-		n.log.Info("departure_late", "target", id, "present", target.ID)
+	if changed {
+		n.targetChanged(target, false)
 		return
 	}
-	n.targetChanged(target, false)
+	n.log.Info("departure_late", "target", id, "present", target.ID)
+	if departedMS > before {
+		n.saveDeparture(id, func(self *member.Member) { raiseDeparture(self, departedMS) })
+	}
+}
+
+// learnDeparture applies a departure that other members or the platform's table know of. It
+// does so on a goroutine of its own, because it is called for every change of the members,
+// also for those that this node makes while it applies a heartbeat.
+func (n *Node) learnDeparture() {
+	departedMS := n.members.Self().TargetDepartedMS
+	n.targetPresence.mu.Lock()
+	known := n.targetPresence.heartbeats.DepartedMS()
+	n.targetPresence.mu.Unlock()
+	if departedMS > known {
+		go n.applyLearnedDeparture(departedMS)
+	}
+}
+
+func (n *Node) applyLearnedDeparture(departedMS int64) {
+	n.targetPresence.applyMu.Lock()
+	defer n.targetPresence.applyMu.Unlock()
+	n.targetPresence.mu.Lock()
+	changed := n.targetPresence.heartbeats.LearnDeparture(n.clock.Now(), departedMS)
+	target, _ := n.targetPresence.heartbeats.Target()
+	n.targetPresence.mu.Unlock()
+	n.log.Info("departure_learned", "born_ms", departedMS, "present", target.ID, "present_ended", changed)
+	if changed {
+		n.targetChanged(target, false)
+	}
+}
+
+// saveDeparture announces a departure of the target and waits until the departure would
+// outlive this process. Otherwise the node that starts in its place could take a late
+// heartbeat for that of a target in use.
+func (n *Node) saveDeparture(targetID string, change func(*member.Member)) {
+	if !n.members.SaveSelf(context.Background(), departureSaveTimeout, change) {
+		n.log.Warn("departure_not_saved", "target", targetID)
+	}
+}
+
+func raiseDeparture(self *member.Member, departedMS int64) {
+	self.TargetDepartedMS = max(self.TargetDepartedMS, departedMS)
 }
 
 // targetChanged applies a change of the target here and announces the change to the other
@@ -80,12 +130,16 @@
 	case target.State == beat.Ready:
 		n.local.Resize(n.announcedSettings(target), connections)
 	}
-	n.members.SetSelf(func(self *member.Member) {
-		self.TargetID = ""
-		if target.State == beat.Ready {
+	if target.State == beat.Ready {
+		n.members.SetSelf(func(self *member.Member) {
 			self.TargetID = target.ID
 			self.TargetSlots = target.Slots
-		}
+		})
+		return
+	}
+	n.saveDeparture(target.ID, func(self *member.Member) {
+		self.TargetID = ""
+		raiseDeparture(self, target.StartedMS)
 	})
 }
 
