Notice a caller's disconnect while its next request waits

Change: the goroutine reads ahead while it waits, up to 64 KB, and hands the bytes to the parser later. A disconnect breaks the connection, which cancels its requests, and the one that waits never runs. Expect: 100-continue waited in the same way; the time for the body begins after the wait now.

Not covered: what a caller sends beyond 64 KB behind a waiting request isn't read before its turn, nor is a disconnect after it seen earlier.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -37,6 +39,8 @@
 		sendingSince atomic.Int64
 		// advanced is signalled when the pipeline becomes shorter.
 		advanced *sync.Cond
+		// readingAhead is set while the reader waits for the pipeline in a read.
+		readingAhead bool
 		// writing is set while one goroutine writes answers.
 		writing bool
 		broken  bool
@@ -66,6 +70,8 @@
 	// the answers that wait to be sent before another request is read.
 	maxPipelined      = 32
 	maxPipelinedBytes = 1 << 20
+	// maxReadAheadBytes limits what is read of a connection while its next request waits.
+	maxReadAheadBytes = 64 << 10
 	// bodyTimeout is the least time that a caller is given to send a body.
 	bodyTimeout = 10 * time.Second
 	// writeTimeout limits how long a caller may read nothing of an answer, which is sent in
@@ -112,11 +118,14 @@
 }
 
 // start runs a request and reports whether it is the last of its connection. A request
-// that is not safe waits until all requests before it are answered.
+// that is not safe waits until all requests before it are answered. It does not run if the
+// caller disconnects meanwhile.
 func (c *conn) start(request *http.Request) bool {
 	c.mu.Lock()
-	for !c.broken && c.mustWait(request) {
-		c.advanced.Wait()
+	c.awaitPipeline(func() bool { return c.mustWait(request) })
+	if c.broken {
+		c.mu.Unlock()
+		return true
 	}
 	last := request.Close || c.server.noKeepAlive.Load() || !request.ProtoAtLeast(1, 1)
 	p := &pendingRequest{closeAfter: last, headOnly: request.Method == http.MethodHead}
@@ -132,6 +141,36 @@
 	return last
 }
 
+// awaitPipeline waits until the pipeline no longer makes the reader wait, or the connection is
+// broken. Meanwhile it reads ahead, to notice a caller that disconnects: that breaks the
+// connection and cancels its requests. A caller that sends more than maxReadAheadBytes is
+// not read further until its turn comes. c.mu must be held.
+func (c *conn) awaitPipeline(mustWait func() bool) {
+	for !c.broken && mustWait() {
+		if len(c.input.ahead) >= maxReadAheadBytes {
+			c.advanced.Wait()
+			continue
+		}
+		c.readingAhead = true
+		_ = c.raw.SetReadDeadline(time.Time{})
+		c.mu.Unlock()
+		err := c.input.readAhead()
+		c.mu.Lock()
+		c.readingAhead = false
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.breakLocked()
+		}
+	}
+}
+
+// signalAdvanced wakes the reader if it waits for the pipeline. c.mu must be held.
+func (c *conn) signalAdvanced() {
+	c.advanced.Broadcast()
+	if c.readingAhead {
+		_ = c.raw.SetReadDeadline(time.Now())
+	}
+}
+
 // mustWait reports whether a request must wait for the answers to earlier ones. c.mu must
 // be held.
 func (c *conn) mustWait(request *http.Request) bool {
@@ -173,7 +212,7 @@
 		if !written {
 			c.breakLocked()
 		}
-		c.advanced.Broadcast()
+		c.signalAdvanced()
 		if first.closeAfter {
 			break
 		}
@@ -312,14 +351,17 @@
 }
 
 // sendContinue asks for the body of a request with Expect: 100-continue, once all earlier
-// requests are answered.
-func (c *conn) sendContinue() {
+// requests are answered. It returns false if the caller disconnects before.
+func (c *conn) sendContinue() bool {
 	c.mu.Lock()
-	for !c.broken && len(c.pipeline) > 0 {
-		c.advanced.Wait()
-	}
+	c.awaitPipeline(func() bool { return len(c.pipeline) > 0 })
+	broken := c.broken
 	c.mu.Unlock()
+	if broken {
+		return false
+	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	// A write error is ignored: reading the body then fails as well.
 	_, _ = io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
+	return true
 }
--- a/internal/httpd/read.go
+++ b/internal/httpd/read.go
@@ -14,7 +14,9 @@
 // limitedReader reads from a connection and returns io.EOF once the head of a request
 // exceeds its limit.
 type limitedReader struct {
-	raw       net.Conn
+	raw net.Conn
+	// ahead holds the bytes that were read while a request waited, and come next.
+	ahead     []byte
 	remaining int64
 	exceeded  bool
 	// readErr is the connection's own error, which a parser may replace by its own.
@@ -39,12 +41,27 @@
 	if int64(len(p)) > r.remaining {
 		p = p[:r.remaining]
 	}
+	if len(r.ahead) > 0 {
+		n := copy(p, r.ahead)
+		r.ahead = r.ahead[n:]
+		r.remaining -= int64(n)
+		return n, nil
+	}
 	n, err := r.raw.Read(p)
 	r.remaining -= int64(n)
 	r.readErr = err
 	return n, err
 }
 
+// readAhead reads bytes that the parser has not asked for yet, and returns the connection's
+// error.
+func (r *limitedReader) readAhead() error {
+	var buffer [readBufferBytes]byte
+	n, err := r.raw.Read(buffer[:])
+	r.ahead = append(r.ahead, buffer[:n]...)
+	return err
+}
+
 // readRequest reads the next request including its body. It returns neither a request nor
 // a refusal if the caller closed the connection or the idle timeout passed.
 func (c *conn) readRequest() (*http.Request, *refusal) {
@@ -90,10 +107,10 @@
 	if request.ContentLength > limits.BodyBytes {
 		return &refusal{http.StatusRequestEntityTooLarge, "the body is longer than max_request_bytes"}
 	}
-	c.limitRead(max(limits.HeaderTimeout, bodyTimeout))
-	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
-		c.sendContinue()
+	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") && !c.sendContinue() {
+		return &refusal{}
 	}
+	c.limitRead(max(limits.HeaderTimeout, bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, limits.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
