Let a departure under an unknown id concern that id alone

Only a departure of the process in use goes into the node's row now. Under any other id it is remembered for that id, as before. If the table doesn't take the row, the lease loop writes it again after a few seconds and not at the next renewal.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -54,7 +54,8 @@
 		// id, and endedOrder holds their ids from oldest to newest.
 		ended      map[string]int64
 		endedOrder []string
-		// departedMS is the latest start time of a process that announced its departure.
+		// departedMS is the latest start time of a process that announced its departure
+		// while it was the current one.
 		departedMS int64
 	}
 )
@@ -113,7 +114,6 @@
 // now. Depart reports whether the state of the current process has changed.
 func (t *Tracker) Depart(now time.Time, id string, startedMS int64) bool {
 	if !t.hasCurrent || t.current.ID != id || startedMS != 0 && startedMS < t.current.StartedMS {
-		t.recordDeparture(startedMS)
 		if startedMS == 0 {
 			startedMS = now.UnixMilli()
 		}
@@ -124,8 +124,10 @@
 	return t.endCurrent(now)
 }
 
-// DepartedMS returns the latest start time of a process that announced its departure, in
-// Unix milliseconds, or 0 if none did.
+// DepartedMS returns the latest start time of a process that announced its departure while
+// it was the current one, in Unix milliseconds, or 0 if none did. An announcement under an
+// unknown id doesn't count, because it may come from another writer and would keep the true
+// process out of use.
 func (t *Tracker) DepartedMS() int64 {
 	return t.departedMS
 }
--- a/internal/member/save.go
+++ b/internal/member/save.go
@@ -21,7 +21,7 @@
 	platformUp := c.isPlatformUp()
 	told := c.tellMembers(ctx)
 	written := make(chan bool, 1)
-	c.runAsync(func() { written <- c.Renew(ctx) == nil })
+	c.runAsync(func() { written <- c.writeChange(ctx) })
 	known := false // to another member
 	for written != nil || told != nil && !known {
 		select {
@@ -45,6 +45,16 @@
 	return known
 }
 
+// writeChange writes the node's lease row, and reports whether the table has it. If not, it
+// leaves the change to the lease loop.
+func (c *Controller) writeChange(ctx context.Context) bool {
+	err := c.Renew(ctx)
+	if err != nil {
+		signal(c.leaseRequests)
+	}
+	return err == nil
+}
+
 // isPlatformUp reports whether the platform answered the last request for the table.
 func (c *Controller) isPlatformUp() bool {
 	c.mu.Lock()
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -64,19 +64,14 @@
 	n.targetPresence.applyMu.Lock()
 	defer n.targetPresence.applyMu.Unlock()
 	n.targetPresence.mu.Lock()
-	before := n.targetPresence.heartbeats.DepartedMS()
 	changed := n.targetPresence.heartbeats.Depart(n.clock.Now(), id, startedMS)
-	departedMS := n.targetPresence.heartbeats.DepartedMS()
 	target, _ := n.targetPresence.heartbeats.Target()
 	n.targetPresence.mu.Unlock()
-	if changed {
-		n.targetChanged(target, false)
+	if !changed {
+		n.log.Info("departure_late", "target", id, "present", target.ID)
 		return
 	}
-	n.log.Info("departure_late", "target", id, "present", target.ID)
-	if departedMS > before {
-		n.saveDeparture(id, func(self *member.Member) { raiseDeparture(self, departedMS) })
-	}
+	n.targetChanged(target, false)
 }
 
 // learnDeparture applies a departure that other members or the platform's table know of. It
@@ -105,19 +100,19 @@
 	}
 }
 
-// saveDeparture announces a departure of the target and waits until the departure would
+// saveDeparture announces the departure of the target and waits until the departure would
 // outlive this process. Otherwise the node that starts in its place could take a late
 // heartbeat for that of a target in use.
-func (n *Node) saveDeparture(targetID string, change func(*member.Member)) {
-	if !n.members.SaveSelf(context.Background(), departureSaveTimeout, change) {
-		n.log.Warn("departure_not_saved", "target", targetID)
+func (n *Node) saveDeparture(target beat.Target) {
+	saved := n.members.SaveSelf(context.Background(), departureSaveTimeout, func(self *member.Member) {
+		self.TargetID = ""
+		self.TargetDepartedMS = max(self.TargetDepartedMS, target.StartedMS)
+	})
+	if !saved {
+		n.log.Warn("departure_not_saved", "target", target.ID)
 	}
 }
 
-func raiseDeparture(self *member.Member, departedMS int64) {
-	self.TargetDepartedMS = max(self.TargetDepartedMS, departedMS)
-}
-
 // targetChanged applies a change of the target here and announces the change to the other
 // nodes.
 func (n *Node) targetChanged(target beat.Target, fresh bool) {
@@ -130,16 +125,13 @@
 	case target.State == beat.Ready:
 		n.local.Resize(n.announcedSettings(target), connections)
 	}
-	if target.State == beat.Ready {
-		n.members.SetSelf(func(self *member.Member) {
-			self.TargetID = target.ID
-			self.TargetSlots = target.Slots
-		})
+	if target.State != beat.Ready {
+		n.saveDeparture(target)
 		return
 	}
-	n.saveDeparture(target.ID, func(self *member.Member) {
-		self.TargetID = ""
-		raiseDeparture(self, target.StartedMS)
+	n.members.SetSelf(func(self *member.Member) {
+		self.TargetID = target.ID
+		self.TargetSlots = target.Slots
 	})
 }
 
