--- a/internal/member/save_test.go
+++ b/internal/member/save_test.go
@@ -18,6 +18,17 @@
 	self.TargetDepartedMS = departedMS
 }
 
+// requireDepartureKnown waits until node 0 is ready and requires that it knows of the
+// departure a second later: members are asked after the platform has made the node ready.
+func (c *cluster) requireDepartureKnown() {
+	c.t.Helper()
+	is := is.New(c.t)
+	limit := 15 * time.Second
+	is.True(c.run(limit, c.nodes[0].serves) < limit)
+	c.advance(time.Second)
+	is.Equal(c.nodes[0].member.Self().TargetDepartedMS, int64(departedMS))
+}
+
 // A node that is killed right after it has confirmed a departure of its target knows of it
 // again once it is back and ready, from the platform or from other members.
 func TestDepartureIsKnownAfterKill(t *testing.T) {
@@ -48,11 +59,7 @@
 				for i := range scenario.killed {
 					c.start(i)
 				}
-				limit := 15 * time.Second
-				is.True(c.run(limit, c.nodes[0].serves) < limit)
-				// Members are asked once more after the platform has made the node ready.
-				c.advance(time.Second)
-				is.Equal(c.nodes[0].member.Self().TargetDepartedMS, int64(departedMS))
+				c.requireDepartureKnown()
 			}
 		})
 	}
@@ -68,10 +75,7 @@
 	c.nodes[0].alive = false
 	c.advance(time.Second)
 	c.start(0)
-	limit := 15 * time.Second
-	is.True(c.run(limit, c.nodes[0].serves) < limit)
-	c.advance(time.Second)
-	is.Equal(c.nodes[0].member.Self().TargetDepartedMS, int64(departedMS))
+	c.requireDepartureKnown()
 }
 
 // SaveSelf reports that a change would not outlive the process if neither the platform nor a
