Tell members of a change in one way

SaveSelf, added for the departure of a target, repeated the loop by which a node announces its own leaving. Both use tellMembers now, with their own number of members; nothing changes in what is sent.

--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -315,20 +315,9 @@
 
 func (c *Controller) announce(ctx context.Context, state State) {
 	c.SetSelf(func(self *Member) { self.State = state })
-	c.mu.Lock()
-	addresses := c.peerAddresses()
-	c.mu.Unlock()
-	c.shuffle(addresses)
-	addresses = addresses[:min(len(addresses), leaveFanout)]
-	var exchanges sync.WaitGroup
-	for _, address := range addresses {
-		exchanges.Add(1)
-		c.runAsync(func() {
-			defer exchanges.Done()
-			c.exchange(ctx, address, changedAndOwnRow)
-		})
+	for range c.tellMembers(ctx, leaveFanout) {
+		// The channel is closed after the last exchange.
 	}
-	exchanges.Wait()
 }
 
 // spawn runs an exchange, unless maxInFlight exchanges already await an answer, as happens
--- a/internal/member/save.go
+++ b/internal/member/save.go
@@ -19,7 +19,7 @@
 	c.RequestRound()
 	timeout := c.Clock.After(within)
 	platformUp := c.isPlatformUp()
-	told := c.tellMembers(ctx)
+	told := c.tellMembers(ctx, saveFanout)
 	written := make(chan bool, 1)
 	c.runAsync(func() { written <- c.writeChange(ctx) })
 	known := false // to another member
@@ -62,14 +62,14 @@
 	return !c.view.platformUpSince.IsZero()
 }
 
-// tellMembers sends the node's own row to a few other members. The returned channel gets
-// the outcome of each exchange and is closed after the last one.
-func (c *Controller) tellMembers(ctx context.Context) <-chan bool {
+// tellMembers sends the node's own row to at most count other members. The returned channel
+// gets the outcome of each exchange and is closed after the last one.
+func (c *Controller) tellMembers(ctx context.Context, count int) <-chan bool {
 	c.mu.Lock()
 	addresses := c.peerAddresses()
 	c.mu.Unlock()
 	c.shuffle(addresses)
-	addresses = addresses[:min(len(addresses), saveFanout)]
+	addresses = addresses[:min(len(addresses), count)]
 	outcomes := make(chan bool, len(addresses))
 	var exchanges sync.WaitGroup
 	for _, address := range addresses {
