Keep a node running when its log is no longer read

If the reader of a node's standard output closed it, the node ended at its next log line, and what it had in flight was cut off.

Change: a node ignores SIGPIPE, so that writes to its log fail, which the log writer allows for.

--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -155,6 +155,8 @@
 		Args:    cobra.NoArgs,
 		RunE: markFailed(func(command *cobra.Command, _ []string) error {
 			hangups := receiveHangups()
+			// A node whose log nobody reads any more goes on: writes to it fail.
+			signal.Ignore(syscall.SIGPIPE)
 			node, err := setup.Load(config)
 			if err != nil {
 				return badFileError(err)
