--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -76,8 +76,7 @@
 	Changed
 	// Stale means that the heartbeat is older than what is already known, and is ignored.
 	Stale
-	// Foreign means that the heartbeat names another service than the node's, and is
-	// ignored.
+	// Foreign means that the heartbeat cannot come from the node's target, and is ignored.
 	Foreign
 )
 
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -26,6 +26,9 @@
 	// departureSaveTimeout limits how long the confirmation of a departure waits until the
 	// departure is known outside of this process. Targets wait a second for it.
 	departureSaveTimeout = 500 * time.Millisecond
+	// maxStartAhead is how far the start of a target's process may lie ahead of the node's
+	// clock. The clocks of hosts differ by much less.
+	maxStartAhead = 24 * time.Hour
 )
 
 // targetEvents returns the callbacks for the target's heartbeats.
@@ -34,11 +37,9 @@
 }
 
 // heartbeat processes a heartbeat. Once it returns, the admission gate acts on the
-// heartbeat. A heartbeat of another service than the settings name changes nothing, because
-// it cannot come from the target beside the node.
+// heartbeat. A heartbeat that cannot come from the target beside the node changes nothing.
 func (n *Node) heartbeat(b beat.Heartbeat) beat.Verdict {
-	if b.Service != n.settings.Service {
-		n.log.Error("target_of_other_service", "target", b.ID, "service", b.Service, "expected", n.settings.Service)
+	if n.isForeign(b) {
 		return beat.Foreign
 	}
 	n.targetPresence.applyMu.Lock()
@@ -59,6 +60,21 @@
 	return verdict
 }
 
+// isForeign reports whether a heartbeat cannot come from the target beside the node: it names
+// another service than the settings do, or a start far in the future, which would keep every
+// true process out of use as an earlier one.
+func (n *Node) isForeign(b beat.Heartbeat) bool {
+	switch {
+	case b.Service != n.settings.Service:
+		n.log.Error("target_of_other_service", "target", b.ID, "service", b.Service, "expected", n.settings.Service)
+		return true
+	case b.StartedMS > n.clock.Now().Add(maxStartAhead).UnixMilli():
+		n.log.Error("target_from_future", "target", b.ID, "born_ms", b.StartedMS)
+		return true
+	}
+	return false
+}
+
 // departed records that a process of the target has exited or is about to.
 func (n *Node) departed(id string, startedMS int64) {
 	n.targetPresence.applyMu.Lock()
