--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,11 +25,11 @@
 
 // cases are the cases by name. Each gets the record, and whether to cause the disruption.
 var cases = map[string]func(log *record, trouble bool) (verdict, error){
-	"junk-heads":   junkHeads,
-	"raised-limit": raisedLimit,
-	"lost-leave":   lostLeave,
-	"latin-answer": latinAnswer,
-	"long-orders":  stopWithLongOrders,
+	"junk-heads":     junkHeads,
+	"raised-limit":   raisedLimit,
+	"lost-followers": lostFollowers,
+	"latin-answer":   latinAnswer,
+	"long-orders":    stopWithLongOrders,
 }
 
 func main() {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -28,8 +28,6 @@
 		// answer, if set, writes the answer to a request instead of the usual one, and
 		// reports whether it did.
 		answer atomic.Pointer[func(conn net.Conn, id string) bool]
-		// departed is set once the server has announced that it is gone.
-		departed atomic.Bool
 
 		mu       sync.Mutex
 		sequence int
@@ -68,7 +66,7 @@
 	go func() {
 		for {
 			// While the node restarts, the next heartbeat comes soon.
-			if s.departed.Load() || s.heartbeat(s.nextHeartbeat()) {
+			if s.heartbeat() {
 				time.Sleep(heartbeatPeriod)
 			} else {
 				time.Sleep(heartbeatPeriod / 10)
@@ -91,20 +89,8 @@
 }
 
 // heartbeat sends a heartbeat, and returns whether the node confirmed it.
-func (s *server) heartbeat(body []byte) bool {
-	return s.tell(http.MethodPut, body)
-}
-
-// depart announces that the server is gone, and returns whether the node confirmed it. The server
-// sends no further heartbeats.
-func (s *server) depart() bool {
-	s.departed.Store(true)
-	body, _ := json.Marshal(map[string]any{"born": s.born})
-	return s.tell(http.MethodDelete, body)
-}
-
-func (s *server) tell(method string, body []byte) bool {
-	request, err := http.NewRequest(method, "http://"+s.control+"/instances/"+s.id, bytes.NewReader(body))
+func (s *server) heartbeat() bool {
+	request, err := http.NewRequest(http.MethodPut, "http://"+s.control+"/instances/"+s.id, bytes.NewReader(s.nextHeartbeat()))
 	if err != nil {
 		return false
 	}
@@ -192,16 +178,3 @@
 	}
 	return run{}, false
 }
-
-// since returns the ids of the requests that the server began to work on after a time.
-func (s *server) since(after time.Time) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var ids []string
-	for id, r := range s.runs {
-		if r.began.After(after) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
--- a/review/stand/state.go
+++ b/review/stand/state.go
@@ -12,6 +12,8 @@
 	bodyBytes int
 	// lookUp and order are the timeouts of the two routes.
 	lookUp, order time.Duration
+	// lookUpService is the service to which look-ups go.
+	lookUpService string
 }
 
 const (
@@ -28,13 +30,13 @@
 const stateFormat = `{"version":%d,
 "limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout":"3000ms","idle_timeout":"15000ms"},
 "listeners":[{"host":"` + routeHost + `","rules":[
- {"name":"look-up","kind":"safe","target_latency":"1500ms","priority":2,"match":{"prefix":"/stock/"},"action":{"service":"stock","timeout":"%s","max_attempts":2}},
+ {"name":"look-up","kind":"safe","target_latency":"1500ms","priority":2,"match":{"prefix":"/stock/"},"action":{"service":"%s","timeout":"%s","max_attempts":2}},
  {"name":"order","kind":"unsafe","target_latency":"2000ms","priority":0,"match":{"prefix":"/orders/"},"action":{"service":"orders","timeout":"%s","max_attempts":2}}]}],
 "clusters":[{"name":"stock","health_path":"/health","max_connections":898},{"name":"orders","health_path":"/health","max_connections":898}]}`
 
 // document returns the desired state as the operator writes it.
 func (s state) document() []byte {
-	return fmt.Appendf(nil, stateFormat, s.version, s.bodyBytes, milliseconds(s.lookUp), milliseconds(s.order))
+	return fmt.Appendf(nil, stateFormat, s.version, s.bodyBytes, s.lookUpService, milliseconds(s.lookUp), milliseconds(s.order))
 }
 
 func milliseconds(d time.Duration) string {
@@ -43,7 +45,7 @@
 
 // defaultState is that of a small site.
 func defaultState() state {
-	return state{version: 3, bodyBytes: 1 << 20, lookUp: time.Second, order: 1200 * time.Millisecond}
+	return state{version: 3, bodyBytes: 1 << 20, lookUp: time.Second, order: 1200 * time.Millisecond, lookUpService: "stock"}
 }
 
 // smallSite are three servers for each of two services.
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -35,8 +35,6 @@
 		mu      sync.Mutex
 		changed *sync.Cond
 		version int64
-		// down is set while the store answers every call of the nodes with 503.
-		down bool
 		// rows holds all writes in order, including removals.
 		rows []row
 	}
@@ -57,31 +55,10 @@
 	mux.HandleFunc("POST /rows-tx", s.transact)
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.isDown() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		mux.ServeHTTP(w, r)
-	})
-	go func() { _ = http.Serve(listener, handler) }()
+	go func() { _ = http.Serve(listener, mux) }()
 	return s, nil
 }
 
-// setDown begins or ends an outage.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	s.changed.Broadcast()
-}
-
-func (s *store) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
-}
-
 // put writes a row as the operator does.
 func (s *store) put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -174,10 +151,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
-		if s.down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		var found []row
 		for _, r := range s.rows {
 			if r.Table == query.Get("table") && r.Version > after {
