--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -10,7 +10,7 @@
 
 const (
 	// burstOrders are placed at the same moment at each machine.
-	burstOrders = 40
+	burstOrders = 10
 	// longWork is how long a server works on an order. The longest work on the pages takes
 	// 9.9 s, and the longest timeout of a route is slowTimeout.
 	longWork = "/orders/6500ms"
