--- a/review/stand/heads.go
+++ b/review/stand/heads.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// spoiledShare of the answers of one server are spoiled, for spoilTime each time: as much and
-	// as long as servers at the small sites fail requests (srv_grey).
-	spoiledShare = 0.45
-	spoilTime    = 6500 * time.Millisecond
+	// spoiledShare of the answers of one server are spoiled, for spoilTime each time: the largest
+	// dose of garble on the pages.
+	spoiledShare = 0.4
+	spoilTime    = 6 * time.Second
 	spoilPause   = 5 * time.Second
 	spoilTimes   = 5
 	// junkLines is how many lines a spoiled head has. The head is shorter than 64 KiB.
