Take a body without a length for truncated if its connection broke during the upload

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was being written. The caller got that part as the complete answer.

Cause: the kernel reports the error of a connection once, to whichever of a read and a write comes first. Later reads return the end of the connection, as after an orderly close. A request of more than 16 KiB is written by a goroutine of its own, whose error was dropped. If its write took the ECONNRESET, the reader saw io.EOF, and a body that ends with its connection counted as complete. The same holds for a timeout of the connection.

Ruled out: bodies with a length or in chunks, where io.EOF before their end is an error already; requests that are written before the response is read, since no write can take the error then; links between nodes, whose messages have lengths, and pkg/caller, which takes no body without a length.

Change: at the end of such a body the client stops the write of the request and takes its error. A write that was stopped, or that failed with EPIPE, means that the server had ended the connection in order before; any other error means that the body is truncated.

--- a/internal/httpc/client.go
+++ b/internal/httpc/client.go
@@ -44,9 +44,8 @@
 		// stopWatch stops watching the context and reports whether the context had not
 		// ended yet.
 		stopWatch func() bool
-		// written is closed once a request that is written by another goroutine has been
-		// written completely; nil for requests written by the caller.
-		written chan struct{}
+		// upload is the write of a large request, nil for others.
+		upload  *upload
 		noReuse bool
 	}
 )
@@ -222,18 +221,11 @@
 		return c.readHead()
 	}
 	c.Sent = true
-	c.written = make(chan struct{})
-	raw, written := c.conn.raw, c.written
 	parts := net.Buffers{buffer.bytes}
 	if len(c.request.Body) > asyncWriteBytes {
 		parts = append(parts, c.request.Body)
 	}
-	go func() {
-		// An incomplete write is detected by requestWritten when the call is closed.
-		if _, err := parts.WriteTo(raw); err == nil {
-			close(written)
-		}
-	}()
+	c.upload = startUpload(c.conn.raw, parts)
 	return c.readHead()
 }
 
@@ -243,7 +235,7 @@
 		return err
 	}
 	c.Response = response
-	c.body, err = c.conn.newBody(c.request.Method, response)
+	c.body, err = c.conn.newBody(c.request.Method, response, c.upload)
 	return err
 }
 
@@ -288,7 +280,7 @@
 		return
 	}
 	intact := c.stopWatch()
-	reusable := intact && !c.noReuse && c.body.ended && c.conn.reusable(c.Response) && c.requestWritten()
+	reusable := intact && !c.noReuse && c.body.ended && c.conn.reusable(c.Response) && c.upload.complete()
 	if reusable {
 		c.client.putIdle(c.conn)
 	} else {
@@ -297,16 +289,3 @@
 	c.conn = nil
 	<-c.client.slots
 }
-
-// requestWritten reports whether the whole request has been written.
-func (c *Call) requestWritten() bool {
-	if c.written == nil {
-		return true
-	}
-	select {
-	case <-c.written:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -37,6 +37,8 @@
 	// body reads the body of a response.
 	body struct {
 		conn *conn
+		// upload is the write of a large request, nil for others.
+		upload *upload
 		// remaining is the number of bytes of the body, or of the current chunk, still to
 		// be read.
 		remaining int64
@@ -231,8 +233,8 @@
 
 // newBody returns the reader of the response's body, which determines where the body
 // ends.
-func (c *conn) newBody(method string, response Response) (body, error) {
-	b := body{conn: c}
+func (c *conn) newBody(method string, response Response, upload *upload) (body, error) {
+	b := body{conn: c, upload: upload}
 	switch {
 	case method == "HEAD", response.Status == 204, response.Status == 304:
 		b.ended = true
@@ -274,13 +276,7 @@
 		return 0, nil
 	}
 	if b.untilClose {
-		n, err := b.conn.reader.Read(p)
-		if errors.Is(err, io.EOF) {
-			// The connection has ended with the body and carries nothing further.
-			b.ended = true
-			b.conn.idleFor = 0
-		}
-		return n, err
+		return b.readUntilClose(p)
 	}
 	if b.chunked && b.remaining == 0 {
 		if err := b.nextChunk(); err != nil {
@@ -299,6 +295,22 @@
 	return n, unexpectedEOF(err)
 }
 
+// readUntilClose reads from a body that is complete once the server has ended the
+// connection in order.
+func (b *body) readUntilClose(p []byte) (int, error) {
+	n, err := b.conn.reader.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := b.upload.abort(); err != nil {
+		return n, err
+	}
+	// The connection has ended with the body and carries nothing further.
+	b.ended = true
+	b.conn.idleFor = 0
+	return n, io.EOF
+}
+
 // nextChunk reads the line before a chunk. After the last chunk it reads the trailer
 // section and returns io.EOF.
 func (b *body) nextChunk() error {
