Test that answers with a malformed field name or status 000 are not delivered

The request gets 502 and the answer's status, fields and body reach no caller.

For status 000 there were cases in testdata/answers; names of fields had none.

--- a/internal/httpc/client_test.go
+++ b/internal/httpc/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -100,8 +101,10 @@
 // whether the connection is reused for the next call.
 func TestResponses(t *testing.T) {
 	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
-		text := strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), `\n`, "\r\n")
-		text = strings.ReplaceAll(text, `\l`, "\n")
+		text, err := unescapeAnswer(d.Input)
+		if err != nil {
+			t.Fatal(err)
+		}
 		respond := respondWith(text)
 		s := serve(t, func(s *server, conn net.Conn, reader *bufio.Reader) {
 			if d.HasArg("close") {
@@ -135,6 +138,13 @@
 	})
 }
 
+// unescapeAnswer returns the bytes of an answer of testdata/answers, which explains the
+// escapes.
+func unescapeAnswer(input string) (string, error) {
+	quoted := strings.NewReplacer("\n", "", `\n`, `\r\n`, `\l`, `\n`, `"`, `\"`).Replace(input)
+	return strconv.Unquote(`"` + quoted + `"`)
+}
+
 // A request is written in one piece and its fields are unchanged.
 func TestRequestWireFormat(t *testing.T) {
 	is := is.New(t)
