Take an answer with a malformed head for lost in pkg/caller

What callers saw: pkg/caller reported status 000 or 600, or a field whose name holds a blank, as a complete answer, and believed a code such as overloaded beside it, "not run".

Cause: the package reads answers with net/http, which accepts any status of three digits and blanks in the name of a field. Only the client of targets was stricter.

Change: an answer with a status outside 200 to 599 or a field name that is no token counts as lost, without its status, fields, body and codes. golang.org/x/net/http/httpguts, an indirect dependency so far, checks the names.

--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -13,6 +13,9 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/dandelionfield/dandelionfield/internal/httpc"
 	"github.com/dandelionfield/dandelionfield/pkg/result"
 )
 
@@ -37,6 +40,11 @@
 		return answer, outcome{code: answer.Code, sent: sent}
 	}
 	defer response.Body.Close()
+	if !isWellFormed(response) {
+		answer.Code = result.Lost
+		answer.Detail = "the head of the answer is malformed"
+		return answer, outcome{code: answer.Code, sent: true}
+	}
 	body, code, detail := c.readAnswer(response)
 	if code == 0 {
 		code = failureCode(ctx, attemptCtx, true)
@@ -94,6 +102,20 @@
 	return &client
 }
 
+// isWellFormed reports whether the head of an answer has a final status and only valid field
+// names. net/http also accepts other statuses, and names with spaces.
+func isWellFormed(response *http.Response) bool {
+	if !httpc.IsFinalStatus(response.StatusCode) {
+		return false
+	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // readAnswer reads the whole body and returns it with the node's code. If the answer is not
 // complete, it returns no body and a detail that describes the reason, with a code that the
 // caller determined. The code is 0 if the connection broke. A NotRun code of the node is
