Count a target as healthy only with a status from 200 to 299

What operators saw: dandelionfield_target_health was 1 for a target whose health endpoint answered with status 000. Callers saw nothing of it, as no decision uses the metric.

Cause: the probe asked only for a status below 300, and net/http returns statuses below 100 too. It is the last reader of targets' answers that takes such a status for a good one.

Change: the lower bound.

--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// readHealth returns 1 if the endpoint answers with a status below 300, and 0 otherwise.
+// readHealth returns 1 if the endpoint answers with a status from 200 to 299, and 0 otherwise.
 func readHealth(ctx context.Context, client *http.Client, url string) float64 {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
@@ -43,7 +43,7 @@
 		return 0
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return 0
 	}
 	return 1
