--- a/internal/httpc/upload_test.go
+++ b/internal/httpc/upload_test.go
@@ -15,9 +15,13 @@
 	"github.com/dandelionfield/dandelionfield/internal/httpc"
 )
 
-// uploadBytes is more than the socket buffers of both ends hold, so that the upload blocks
-// until the server reads it.
-const uploadBytes = 32 << 20
+const (
+	// uploadBytes is more than the socket buffers of both ends hold, so that the upload
+	// blocks until the server reads it.
+	uploadBytes = 32 << 20
+	// shortBytes is the size of a body that is written before the response is read.
+	shortBytes = 4
+)
 
 // uploadConn is a connection that signals that a write has failed.
 type uploadConn struct {
@@ -44,15 +48,17 @@
 		_ = conn.Close()
 	}
 	for _, test := range []struct {
-		name string
-		end  func(conn *net.TCPConn)
+		name      string
+		bodyBytes int
+		end       func(conn *net.TCPConn)
 		// breaksUpload is set if the write of the request fails at this end.
 		breaksUpload bool
 		complete     bool
 	}{
-		{"reset", reset, true, false},
-		{"closed in order", func(conn *net.TCPConn) { _ = conn.CloseWrite() }, false, true},
-		{"closed in order and then reset", func(conn *net.TCPConn) { _ = conn.CloseWrite(); reset(conn) }, true, true},
+		{"reset", uploadBytes, reset, true, false},
+		{"reset after a short request", shortBytes, reset, false, false},
+		{"closed in order", uploadBytes, func(conn *net.TCPConn) { _ = conn.CloseWrite() }, false, true},
+		{"closed in order and then reset", uploadBytes, func(conn *net.TCPConn) { _ = conn.CloseWrite(); reset(conn) }, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -75,7 +81,7 @@
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			call := client.Do(ctx, &httpc.Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, uploadBytes)})
+			call := client.Do(ctx, &httpc.Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, test.bodyBytes)})
 			defer call.Close()
 			is.NoErr(call.Err)
 			part := make([]byte, len("ro"))
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -116,7 +116,7 @@
 	{Lost, "lost", "The attempt's fate could not be learned.", "Ask for the state of the order, or repeat with the same key.", 502},
 	{TimedOut, "timed_out", "The deadline passed while the target was at work.", "Ask for the state, or repeat with the same key.", 504},
 	{TargetFailed, "target_failed", "The target answered that it failed; the call ran in part or whole.", "Read the target's answer.", 502},
-	{AnswerTruncated, "answer_truncated", "The target's answer ended before its declared length.", "Repeat with the same key if the kind allows it.", 502},
+	{AnswerTruncated, "answer_truncated", "The target's answer ended before it was complete.", "Repeat with the same key if the kind allows it.", 502},
 	{AnswerTooLarge, "answer_too_large", "The target's answer is longer than the declared size.", "Ask for less, or have the declared size raised.", 502},
 	{OwnerGone, "owner_gone", "The owner of the key is gone, and with it the record of whether the key ran.", "Ask for the state: the key has no answer any more. If it was never sent before, mint a new one.", 503},
 	{KeyReused, "key_reused", "The key was used before for another request.", "Mint a key for each request.", 422},
