--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,8 @@
 format: $(TOOLS)/golangci-lint
 	$(TOOLS)/golangci-lint fmt
 
-# Needs protoc and the two generators on PATH; what it makes is committed.
+# Needs protoc 27 or later, which knows editions, and the two generators on PATH; what it makes
+# is committed.
 generate:
 	protoc --proto_path=internal/relaypb --go_out=internal/relaypb --go_opt=paths=source_relative \
 		--connect-go_out=internal/relaypb --connect-go_opt=paths=source_relative,simple=false relay.proto
