Send calls in the order of their numbers, and name the highest in goAway

Cause: a call was numbered under one lock and its frame queued under another, so frames of concurrent calls overtook each other. The receiver kept the number that came last, not the highest, and named it in the goAway frame of a planned stop. The senders took all calls above it for not accepted and sent them elsewhere.

Change: a call is numbered and its first frame queued under one lock, and the receiver keeps the highest number, for senders of earlier versions. The highest number alone would stop the double runs, but a call that was overtaken and has not arrived would count as accepted: its sender could not send it elsewhere although it never ran.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -16,6 +16,8 @@
 		address string
 		memory  *alloc.Pool
 		stop    context.CancelFunc
+		// beginMu is held from the numbering of a call until its first frame is queued.
+		beginMu sync.Mutex
 
 		mu         sync.Mutex
 		lastNumber uint32
@@ -71,38 +73,55 @@
 // told to cancel the call.
 func (c *Client) Carry(ctx context.Context, request *relaypb.CarryRequest) (*relaypb.CarryResponse, error) {
 	inPieces := c.conn.sendsInPieces(ctx, len(request.Body))
-	number, p := c.register(inPieces)
-	if p == nil {
-		return nil, ErrNotAccepted
+	number, p, err := c.begin(request, inPieces)
+	if err != nil {
+		return nil, err
 	}
 	defer c.memory.Release(&p.account)
 	if inPieces {
-		if response, err, ended := c.sendInPieces(ctx, number, p, request); ended {
+		if response, err, ended := c.sendBody(ctx, number, p, request.Body); ended {
 			return response, err
 		}
-	} else if err := c.conn.send(callFrame, number, request); err != nil {
-		c.removePending(number)
-		return nil, notAccepted(err)
 	}
 	return c.await(ctx, number, p)
 }
 
-// sendInPieces sends a call whose body is large. It reports ended if the call has a result
-// before it was sent completely. A call that was not sent completely is not accepted.
-func (c *Client) sendInPieces(ctx context.Context, number uint32, p *pending, request *relaypb.CarryRequest) (response *relaypb.CarryResponse, err error, ended bool) {
-	err = c.conn.sendOffer(callOfferFrame, number, request, len(request.Body))
-	if err == nil {
-		select {
-		case <-p.granted:
-			err = c.conn.sendPieces(ctx, number, request.Body)
-		case <-p.done:
-			if p.err != nil {
-				return nil, notAccepted(p.err), true
-			}
-			return p.response, nil, true
-		case <-ctx.Done():
-			err = ctx.Err()
+// begin assigns a number to a new call and queues its first frame. Calls arrive at the peer in
+// the order of their numbers, so that a goAwayFrame tells the accepted ones from the others.
+func (c *Client) begin(request *relaypb.CarryRequest, inPieces bool) (uint32, *pending, error) {
+	c.beginMu.Lock()
+	defer c.beginMu.Unlock()
+	number, p := c.register(inPieces)
+	if p == nil {
+		return 0, nil, ErrNotAccepted
+	}
+	var err error
+	if inPieces {
+		err = c.conn.sendOffer(callOfferFrame, number, request, len(request.Body))
+	} else {
+		err = c.conn.send(callFrame, number, request)
+	}
+	if err != nil {
+		c.removePending(number)
+		return 0, nil, notAccepted(err)
+	}
+	return number, p, nil
+}
+
+// sendBody sends the body of a call in pieces once the peer has memory for it. It reports ended
+// if the call has a result before that. A call whose body was not sent completely is not
+// accepted.
+func (c *Client) sendBody(ctx context.Context, number uint32, p *pending, body []byte) (response *relaypb.CarryResponse, err error, ended bool) {
+	select {
+	case <-p.granted:
+		err = c.conn.sendPieces(ctx, number, body)
+	case <-p.done:
+		if p.err != nil {
+			return nil, notAccepted(p.err), true
 		}
+		return p.response, nil, true
+	case <-ctx.Done():
+		err = ctx.Err()
 	}
 	if err == nil {
 		return nil, nil, false
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -30,7 +30,7 @@
 	frame struct {
 		kind frameKind
 		// call is the number of the call, assigned by the calling side. In a
-		// goAwayFrame it is the number of the last accepted call.
+		// goAwayFrame it is the highest number of an accepted call.
 		call uint32
 		body []byte
 	}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -39,8 +39,9 @@
 		ctx    context.Context
 		stop   context.CancelFunc
 
-		mu         sync.Mutex
-		lastNumber uint32
+		mu sync.Mutex
+		// highest is the highest number of an accepted call.
+		highest    uint32
 		calls      map[uint32]*accepted
 		goAwaySent bool
 	}
@@ -212,7 +213,8 @@
 	}
 	call := &accepted{account: alloc.Account{Class: alloc.FromNodes}}
 	call.ctx, call.cancel = context.WithCancel(p.ctx)
-	p.lastNumber = number
+	// Clients of earlier versions do not always send calls in the order of their numbers.
+	p.highest = max(p.highest, number)
 	p.calls[number] = call
 	return call
 }
@@ -349,7 +351,7 @@
 		return
 	}
 	p.goAwaySent = true
-	_ = p.conn.send(goAwayFrame, p.lastNumber, nil)
+	_ = p.conn.send(goAwayFrame, p.highest, nil)
 }
 
 func (p *peer) busy() bool {
