Judge a request by the limits in force when it arrives

Cause: the server read the limits before it waited for the first byte of the next request, so a kept connection judged that by the limits from before the change, however long ago it was. The same held for max_header_bytes and header_timeout, and a raised idle_timeout did not reach connections that were idle already.

Change: the limits are read when a request begins to arrive, and that of its body when the head is complete. When the idle timeout passes, the one in force by then counts.

--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -37,6 +37,12 @@
 
 // startServer serves with a handler that echoes method, path and body.
 func startServer(t *testing.T, limits httpd.Limits, held ...string) *testServer {
+	t.Helper()
+	return startServerWith(t, func() httpd.Limits { return limits }, held...)
+}
+
+// startServerWith is startServer with limits that may change.
+func startServerWith(t *testing.T, limits func() httpd.Limits, held ...string) *testServer {
 	t.Helper()
 	s := &testServer{holds: map[string]chan struct{}{}, started: make(chan string, 100), cancelled: make(chan string, 100)}
 	for _, path := range held {
@@ -47,7 +53,7 @@
 		Refuse: func(status int, reason string) *httpd.Answer {
 			return &httpd.Answer{Status: status, Header: http.Header{}, Body: []byte(reason)}
 		},
-		Limits: func() httpd.Limits { return limits },
+		Limits: limits,
 		Log:    hclog.NewNullLogger(),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/httpd/read.go
+++ b/internal/httpd/read.go
@@ -104,14 +104,12 @@
 // readRequest reads the next request including its body. It returns neither a request nor
 // a refusal if the caller closed the connection or the idle timeout passed.
 func (c *conn) readRequest() (*http.Request, *refusal) {
-	limits := c.server.Limits()
-	c.input.remaining = unlimited
-	c.limitIdle(limits.IdleTimeout)
-	if _, err := c.reader.Peek(1); err != nil {
+	if !c.awaitRequest() {
 		return nil, nil
 	}
 	c.input.inRequest = true
 	defer func() { c.input.inRequest = false }()
+	limits := c.server.Limits()
 	c.limitRead(limits.HeaderTimeout)
 	c.input.remaining = limits.HeaderBytes
 	request, err := c.readHead()
@@ -120,12 +118,29 @@
 	}
 	c.input.remaining = unlimited
 	request.RemoteAddr = c.raw.RemoteAddr().String()
-	if refused := c.readBody(request, limits); refused != nil {
+	// The limits may have changed while the head arrived.
+	if refused := c.readBody(request, c.server.Limits()); refused != nil {
 		return nil, refused
 	}
 	return request, nil
 }
 
+// awaitRequest waits for the first byte of the next request. It reports false if the caller
+// closed the connection or the idle timeout passed, which may be raised during the wait.
+func (c *conn) awaitRequest() bool {
+	c.input.remaining = unlimited
+	c.limitIdle(c.server.Limits().IdleTimeout)
+	for {
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return true
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdle(c.server.Limits().IdleTimeout) {
+			return false
+		}
+	}
+}
+
 // readHead reads the head of a request. It takes memory for each part of the head before
 // that is parsed.
 func (c *conn) readHead() (*http.Request, error) {
@@ -240,6 +255,24 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(idle))
 }
 
+// extendIdle replaces an idle timeout that has passed, and reports false if the new one has
+// passed as well or the connection was not idle.
+func (c *conn) extendIdle(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.idleSince.Load()
+	if c.broken || since == 0 {
+		return false
+	}
+	expires := time.Unix(0, since).Add(idle)
+	if !expires.After(time.Now()) {
+		return false
+	}
+	c.idleTimeout = idle
+	_ = c.raw.SetReadDeadline(expires)
+	return true
+}
+
 // limitRead limits the time to read a request that has begun to arrive.
 func (c *conn) limitRead(timeout time.Duration) {
 	c.mu.Lock()
