Share the flood and the drain of two quota tests

TestNodesShareQuotaAndReplaceCoordinator and TestCollectorsPassSharesOn had the same loop over nodes, the same bound and the same drain of one node.

--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -85,35 +85,51 @@
 	return q.limiter.Valid(now)
 }
 
-// Guards against nodes that each admit the whole limit, and against the loss of shares for
-// good when the coordinator stops.
-func TestNodesShareQuotaAndReplaceCoordinator(t *testing.T) {
-	is := is.New(t)
-	nodes := quotaMesh(t, 3, 0, schema.Team{Name: "a", Rate: 20, Burst: 20})
+// quotaTeam is a team whose requests reach all nodes of a test.
+var quotaTeam = schema.Team{Name: "a", Rate: 20, Burst: 20}
+
+// flood sends requests of quotaTeam to all nodes for 3 s, many times what its quota admits. It
+// checks that no more were admitted than the quota allows, and returns how many were.
+func flood(t *testing.T, nodes []*Node) int {
+	t.Helper()
 	admitted := 0
 	began := time.Now()
 	for time.Since(began) < 3*time.Second {
 		for _, n := range nodes {
-			if n.admitTeam("a").OK {
+			if n.admitTeam(quotaTeam.Name).OK {
 				admitted++
 			}
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
-	most := (20*time.Since(began).Seconds()+20)*1.1 + 20
+	most := (quotaTeam.Rate*time.Since(began).Seconds()+quotaTeam.Burst)*1.1 + 20
 	t.Logf("admitted %d of at most %.0f", admitted, most)
-	is.True(float64(admitted) <= most)
-	is.True(admitted >= 20) // the burst at least
+	is.New(t).True(float64(admitted) <= most)
+	return admitted
+}
 
-	coordinator := nodes[0].quotas.first()
+// drainNode drains the node with a name and returns the others.
+func drainNode(nodes []*Node, name string) []*Node {
 	var others []*Node
 	for _, n := range nodes {
-		if n.settings.Name == coordinator {
+		if n.settings.Name == name {
 			n.Drain()
 			continue
 		}
 		others = append(others, n)
 	}
+	return others
+}
+
+// Guards against nodes that each admit the whole limit, and against the loss of shares for
+// good when the coordinator stops.
+func TestNodesShareQuotaAndReplaceCoordinator(t *testing.T) {
+	is := is.New(t)
+	nodes := quotaMesh(t, 3, 0, quotaTeam)
+	is.True(flood(t, nodes) >= 20) // the burst at least
+
+	coordinator := nodes[0].quotas.first()
+	others := drainNode(nodes, coordinator)
 	for _, n := range others {
 		waitUntil(t, func() bool {
 			return n.quotas.first() != coordinator && n.quotas.members() == 2 && n.quotas.valid(n.clock.Now())
@@ -125,32 +141,12 @@
 // of a part of the nodes, and against the loss of shares for good when a collector stops.
 func TestCollectorsPassSharesOn(t *testing.T) {
 	is := is.New(t)
-	nodes := quotaMesh(t, 5, 1, schema.Team{Name: "a", Rate: 20, Burst: 20})
-	admitted := 0
-	began := time.Now()
-	for time.Since(began) < 3*time.Second {
-		for _, n := range nodes {
-			if n.admitTeam("a").OK {
-				admitted++
-			}
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-	most := (20*time.Since(began).Seconds()+20)*1.1 + 20
-	t.Logf("admitted %d of at most %.0f", admitted, most)
-	is.True(float64(admitted) <= most)
-	is.True(admitted >= 40) // two thirds of the rate, and the burst in part
+	nodes := quotaMesh(t, 5, 1, quotaTeam)
+	is.True(flood(t, nodes) >= 40) // two thirds of the rate, and the burst in part
 
 	collector := nodes[0].quotas.firstOfGroup()
 	is.True(collector != nodes[0].quotas.first()) // the coordinator collects for no group
-	var others []*Node
-	for _, n := range nodes {
-		if n.settings.Name == collector {
-			n.Drain()
-			continue
-		}
-		others = append(others, n)
-	}
+	others := drainNode(nodes, collector)
 	time.Sleep(quota.Validity(len(nodes)))
 	for _, n := range others {
 		waitUntil(t, func() bool { return n.quotas.members() == 4 && n.quotas.valid(n.clock.Now()) })
