--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		err := c.pullSource(ctx, wait)
-		if wait == askWait {
+		if wait == askWait { // a renewal, or as good as one
 			c.delayRenewal()
 		}
 		if err != nil && !lost {
--- a/internal/config/follow_test.go
+++ b/internal/config/follow_test.go
@@ -133,3 +133,27 @@
 		is.True(perSecond < 45)
 	}
 }
+
+// Guards against a node that takes itself for current because it has heard of an answer of the
+// source, while it has yet to fetch or apply the revision that the answer brought.
+func TestSourceCountsAsHeardOnceItsRevisionIsInForce(t *testing.T) {
+	is := is.New(t)
+	n := controller(plat.NewMemory().Store())
+	n.ObserveSource(0, 2)
+	_, heard := n.SourceAge()
+	is.True(!heard) // revision 2 has to be fetched
+	applied := false
+	n.OnRevision = func(*config.Revision) {
+		applied = true
+		_, heard := n.SourceAge()
+		is.True(!heard) // revision 2 is not in force yet
+	}
+	n.Source = func(context.Context, time.Duration) (*config.Revision, error) {
+		r := revision(2, "2")
+		return &r, nil
+	}
+	is.NoErr(n.Poll(t.Context()))
+	is.True(applied)
+	_, heard = n.SourceAge()
+	is.True(heard)
+}
