Let followers of large clusters ask the source every 3 s on average

Cause: since nodes that do not follow the source ask it when they have heard of no answer for 2 to 3 s in a large cluster. The followers waited up to 9 s, two answers a second in all, which reach some nodes of 194 or 530 too late. These asked themselves: 9 to 17 requests/s in a model of idle clusters at 194 nodes, 6 to 18 at 530, where 2 had been enough.

Change: followers wait 3 s on average at most, in place of 6 s.

--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -13,10 +13,11 @@
 	// minFollowWait is the least time that one long poll of a source waits for a new
 	// revision. A source that has stopped answering is noticed after that time, or earlier
 	// if its connection fails. The mean wait grows by followWaitPerNode, up to
-	// maxFollowWait: the polls of SourceFollowers nodes then still end twice a second.
+	// maxFollowWait: with longer waits, the other nodes would hear of an answer so seldom that
+	// they asked more often than the followers save.
 	minFollowWait     = 2 * time.Second
 	followWaitPerNode = 40 * time.Millisecond
-	maxFollowWait     = 6 * time.Second
+	maxFollowWait     = 3 * time.Second
 	// sourceSilence is how long a node that does not follow the source relies on those that
 	// do without a sign that the source answers any of them; then it asks the source itself.
 	// Signs take longer to spread in a larger cluster, so silencePerDoubling is added for each
