Check that the server closes a connection whose raised idle timeout expires

TestRaisedIdleTimeoutExpires took any read error as the close, also the deadline of its own read after 10 s, so a server that never closed the connection passed. It asks for the end of the stream now.

Measured: with a deadline that extendIdle sets an hour too late (trial in a scratch copy), the test passed before (after 10.0 s) and fails now.

--- a/internal/httpd/limits_test.go
+++ b/internal/httpd/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -73,6 +74,6 @@
 	_, _ = readAnswer(t, reader)
 	raised.Store(true)
 	_, err := reader.ReadByte()
-	is.True(err != nil) // the connection is closed
+	is.Equal(err, io.EOF) // the server closed the connection
 	is.True(time.Since(sent) >= after)
 }
