Share what tests of the server and of quotas repeat

Tests of httpd started a server on a free port in five places and a held request in two; the two tests of window sums differed in what they draw from.

--- a/internal/httpd/head_test.go
+++ b/internal/httpd/head_test.go
@@ -63,11 +63,7 @@
 				Memory: memory,
 				Log:    hclog.NewNullLogger(),
 			}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			go func() { _ = server.Serve(listener) }()
-			t.Cleanup(server.Close)
-			raw, err := net.Dial("tcp", listener.Addr().String())
+			raw, err := net.Dial("tcp", listen(t, server))
 			is.NoErr(err)
 			send(t, raw, tc.message)
 			is.NoErr(raw.(*net.TCPConn).CloseWrite())
@@ -101,11 +97,7 @@
 		},
 		Log: hclog.NewNullLogger(),
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(server.Close)
-	raw, err := net.Dial("tcp", listener.Addr().String())
+	raw, err := net.Dial("tcp", listen(t, server))
 	is.NoErr(err)
 	send(t, raw, get("/slow")+put("/order", "rope"))
 	<-started
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -56,14 +56,20 @@
 		Limits: limits,
 		Log:    hclog.NewNullLogger(),
 	}
+	s.address = listen(t, s.server)
+	return s
+}
+
+// listen lets a server serve on a free port until the test ends, and returns its address.
+func listen(t *testing.T, server *httpd.Server) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.address = listener.Addr().String()
-	go func() { _ = s.server.Serve(listener) }()
-	t.Cleanup(s.server.Close)
-	return s
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
 }
 
 func (s *testServer) handle(ctx context.Context, request *http.Request) *httpd.Answer {
--- a/internal/httpd/memory_test.go
+++ b/internal/httpd/memory_test.go
@@ -44,13 +44,7 @@
 		MaxConns: maxConns,
 		Log:      hclog.NewNullLogger(),
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(server.Close)
-	return server, listener.Addr().String()
+	return server, listen(t, server)
 }
 
 func post(t *testing.T, address, path string, size int) (int, string) {
--- a/internal/httpd/shutdown_test.go
+++ b/internal/httpd/shutdown_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -14,16 +13,22 @@
 	"github.com/dandelionfield/dandelionfield/internal/httpd"
 )
 
+// startHeldRequest starts a server and a request that the server reads but does not answer
+// yet. It returns the reader of the answer.
+func startHeldRequest(t *testing.T) (*testServer, *bufio.Reader) {
+	t.Helper()
+	limits := httpd.Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	s := startServer(t, limits, "/held")
+	conn, reader := s.dial(t)
+	send(t, conn, get("/held"))
+	<-s.started
+	return s, reader
+}
+
 // A request that has been read when the listener closes is still answered.
 func TestShutdownAnswersRequestsInFlight(t *testing.T) {
 	is := is.New(t)
-	s := startServer(t, httpd.Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}, "/held")
-	conn, err := net.Dial("tcp", s.address)
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
-	is.NoErr(err)
-	<-s.started
+	s, reader := startHeldRequest(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	ended := make(chan struct{})
@@ -40,23 +45,15 @@
 		time.Sleep(time.Millisecond)
 	}
 	s.holds["/held"] <- struct{}{}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	is.NoErr(err)
-	is.Equal(response.StatusCode, http.StatusOK)
-	_ = response.Body.Close()
+	head, _ := readAnswer(t, reader)
+	is.Equal(head.StatusCode, http.StatusOK)
 	<-ended
 }
 
 // A request that does not end does not delay Shutdown beyond its context.
 func TestShutdownStopsWaitingWhenContextEnds(t *testing.T) {
-	s := startServer(t, httpd.Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}, "/held")
 	is := is.New(t)
-	conn, err := net.Dial("tcp", s.address)
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
-	is.NoErr(err)
-	<-s.started
+	s, _ := startHeldRequest(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	s.server.Shutdown(ctx)
--- a/internal/httpd/stalled_test.go
+++ b/internal/httpd/stalled_test.go
@@ -39,13 +39,7 @@
 		UnsentBytes: unsentLimit,
 		Log:         hclog.NewNullLogger(),
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(server.Close)
-	return server, listener.Addr().String()
+	return server, listen(t, server)
 }
 
 // requestLarge requests a large answer on a connection with a small receive buffer and
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -11,52 +11,57 @@
 	"pgregory.net/rapid"
 )
 
+// windowSums is what a test of the sum over all nodes draws its clusters and limits from.
+type windowSums struct {
+	nodes *rapid.Generator[int]
+	rates []float64
+	// bursts are multiples of the rate.
+	bursts   []float64
+	maxSteps int
+}
+
 // Guards against a sum over all nodes above the users' rule, whatever combination of demand,
 // cuts, pauses, crashes and changes of the coordinator.
 func TestWindowSumStaysWithinRule(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		nodes := rapid.IntRange(2, 70).Draw(t, "nodes")
-		rate := rapid.SampledFrom([]float64{5, 9, 20, 50, 114, 424}).Draw(t, "rate")
-		limit := Limit{Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0, 0.5, 1, 2}).Draw(t, "burst")}
-		m := newMesh(rapid.Uint64().Draw(t, "seed"), nodes, limit)
-		if rapid.Bool().Draw(t, "uneven") {
-			for i := range m.weights {
-				m.weights[i] = 1 / float64(1+(i+nodes/2)%nodes)
-			}
-		}
-		for range rapid.IntRange(2, 6).Draw(t, "steps") {
-			disturb(t, m)
-			demand := rate * rapid.SampledFrom([]float64{0, 0.6, 1, 2, 4.7}).Draw(t, "demand")
-			m.run(time.Duration(rapid.IntRange(100, 2500).Draw(t, "time"))*time.Millisecond, demand)
-		}
-		if excess := m.excess(limit, 0); excess > 0 {
-			t.Fatalf("the sum exceeds the rule by %.1f%%", 100*excess)
-		}
-	})
+	rapid.Check(t, windowSums{
+		nodes:    rapid.IntRange(2, 70),
+		rates:    []float64{5, 9, 20, 50, 114, 424},
+		bursts:   []float64{0, 0.5, 1, 2},
+		maxSteps: 6,
+	}.check)
 }
 
 // Guards against the same above 120 nodes, where collectors stand between the nodes and the
 // coordinator, and any number of them may be lost at once.
 func TestWindowSumOfManyNodesStaysWithinRule(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		nodes := rapid.SampledFrom([]int{121, 240, 384, 385, 530}).Draw(t, "nodes")
-		rate := rapid.SampledFrom([]float64{5, 20, 50, 114, 424}).Draw(t, "rate")
-		limit := Limit{Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "burst")}
-		m := newMesh(rapid.Uint64().Draw(t, "seed"), nodes, limit)
-		if rapid.Bool().Draw(t, "uneven") {
-			for i := range m.weights {
-				m.weights[i] = 1 / float64(1+(i+nodes/2)%nodes)
-			}
-		}
-		for range rapid.IntRange(2, 4).Draw(t, "steps") {
-			disturb(t, m)
-			demand := rate * rapid.SampledFrom([]float64{0, 0.6, 1, 2, 4.7}).Draw(t, "demand")
-			m.run(time.Duration(rapid.IntRange(100, 2500).Draw(t, "time"))*time.Millisecond, demand)
-		}
-		if excess := m.excess(limit, 0); excess > 0 {
-			t.Fatalf("the sum exceeds the rule by %.1f%%", 100*excess)
+	rapid.Check(t, windowSums{
+		nodes:    rapid.SampledFrom([]int{121, 240, 384, 385, 530}),
+		rates:    []float64{5, 20, 50, 114, 424},
+		bursts:   []float64{0, 1, 2},
+		maxSteps: 4,
+	}.check)
+}
+
+// check runs a cluster through several faults and demands. It fails if the sum over all nodes
+// exceeds the rule.
+func (w windowSums) check(t *rapid.T) {
+	nodes := w.nodes.Draw(t, "nodes")
+	rate := rapid.SampledFrom(w.rates).Draw(t, "rate")
+	limit := Limit{Rate: rate, Burst: rate * rapid.SampledFrom(w.bursts).Draw(t, "burst")}
+	m := newMesh(rapid.Uint64().Draw(t, "seed"), nodes, limit)
+	if rapid.Bool().Draw(t, "uneven") {
+		for i := range m.weights {
+			m.weights[i] = 1 / float64(1+(i+nodes/2)%nodes)
 		}
-	})
+	}
+	for range rapid.IntRange(2, w.maxSteps).Draw(t, "steps") {
+		disturb(t, m)
+		demand := rate * rapid.SampledFrom([]float64{0, 0.6, 1, 2, 4.7}).Draw(t, "demand")
+		m.run(time.Duration(rapid.IntRange(100, 2500).Draw(t, "time"))*time.Millisecond, demand)
+	}
+	if excess := m.excess(limit, 0); excess > 0 {
+		t.Fatalf("the sum exceeds the rule by %.1f%%", 100*excess)
+	}
 }
 
 func disturb(t *rapid.T, m *mesh) {
