Let the receiver of a link test close its channel

TestCallsAreSentInOrderOfTheirNumbers closed the channel that the receiving goroutine writes to. Nothing was sent to it after that, since every call had been answered, but a call that timed out would have made the test panic in place of failing. Checks unchanged.

--- a/internal/link/goaway_test.go
+++ b/internal/link/goaway_test.go
@@ -69,6 +69,7 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	numbers := make(chan uint32, senders*callsPerSender)
 	go func() {
+		defer close(numbers)
 		raw, err := listener.Accept()
 		if err == nil {
 			answerCalls(newRawPeer(t, raw), numbers)
@@ -76,7 +77,6 @@
 	}()
 	client, err := Dial(t.Context(), (&net.Dialer{}).DialContext, listener.Addr().String(), nil)
 	is.NoErr(err)
-	defer client.Close()
 	<-client.conn.features
 	var running sync.WaitGroup
 	for range senders {
@@ -91,7 +91,7 @@
 		})
 	}
 	running.Wait()
-	close(numbers)
+	client.Close() // ends the peer's reading, all calls have arrived
 	last, count := uint32(0), 0
 	for number := range numbers {
 		is.True(number > last)
@@ -101,8 +101,8 @@
 	is.Equal(count, senders*callsPerSender)
 }
 
-// answerCalls reports the numbers of the calls that arrive. It answers calls in one frame and
-// ends those in pieces before their bodies.
+// answerCalls reports the numbers of the calls that arrive until the connection ends. It
+// answers calls in one frame and ends those in pieces before their bodies.
 func answerCalls(c *conn, numbers chan<- uint32) {
 	for {
 		got, _, err := c.read(nil)
