--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,7 +22,6 @@
 	server struct {
 		machine *machine
 		service string
-		work    time.Duration
 
 		mu sync.Mutex
 		// stray returns bytes to send on a kept connection, after the last complete answer,
@@ -34,6 +35,10 @@
 		listener net.Listener
 		conns    map[net.Conn]struct{}
 		runs     []run
+		// large is the size of an answer to a path that ends in "large", which takes up to
+		// largeWork to make.
+		large     int
+		largeWork time.Duration
 	}
 
 	// run is one request that the server ran.
@@ -54,12 +59,12 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	pingTimeout       = time.Second
 	serverSlots       = 100
-	defaultWork       = 20 * time.Millisecond
+	workTime          = 20 * time.Millisecond
 	firstPingInterval = 200 * time.Millisecond
 )
 
 func newServer(mc *machine, service, id string) (*server, error) {
-	s := &server{machine: mc, service: service, id: id, work: defaultWork}
+	s := &server{machine: mc, service: service, id: id}
 	return s, s.boot(true)
 }
 
@@ -164,6 +169,22 @@
 	_, _ = io.WriteString(conn, text)
 }
 
+// setLarge sets the size of large answers, and how long one takes at most.
+func (s *server) setLarge(bytes int, work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.large, s.largeWork = bytes, work
+}
+
+// makeLarge takes its time and returns a large body.
+func (s *server) makeLarge() string {
+	s.mu.Lock()
+	large, work := s.large, s.largeWork
+	s.mu.Unlock()
+	time.Sleep(rand.N(work))
+	return strings.Repeat(" ", large)
+}
+
 func (s *server) setStray(stray func(r *http.Request) string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -177,8 +198,11 @@
 		return fmt.Appendf(nil, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", idHeader, id)
 	}
 	s.recordRun(r, id, body)
-	time.Sleep(s.work)
 	content := s.id + " ran " + id
+	if strings.HasSuffix(r.RequestURI, "large") {
+		content += s.makeLarge()
+	}
+	time.Sleep(workTime)
 	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
 		idHeader, id, sealHeader, s.id, id, len(content), content)
 }
