--- a/review/stand3/stray.go
+++ b/review/stand3/stray.go
@@ -14,11 +14,15 @@
 )
 
 const (
-	strayRun = 30 * time.Second
-	// strayEvery is one answer in how many that a faulty server spoils: x = 0.02.
-	strayEvery     = 50
-	sendInterval   = 40 * time.Millisecond
-	settleInterval = 4 * time.Second
+	// strayLength is how long a server is faulty, and strayEvery one answer in how many it
+	// spoils then: for_s = 5, x = 0.03.
+	strayLength = 5 * time.Second
+	strayEvery  = 34
+	// strayRun is how long clients send. The trouble begins after calmTime.
+	strayRun          = 10 * time.Second
+	clientsPerMachine = 2
+	sendInterval      = 30 * time.Millisecond
+	settleInterval    = 4 * time.Second
 )
 
 func init() {
@@ -51,27 +55,36 @@
 	if err := m.startAll(); err != nil {
 		return got, err
 	}
-	if trouble {
-		m.of(subsService)[0].server.setStray(everyNth(strayEvery, text))
-	}
 	end := time.Now().Add(strayRun)
 	var clients sync.WaitGroup
 	for _, mc := range m.machines {
-		clients.Go(func() {
-			c := newClient(mc)
-			defer c.close()
-			for time.Now().Before(end) {
-				r := renewal()
-				got.add(r.id, c.send(r).status)
-				time.Sleep(sendInterval)
-			}
-		})
+		for range clientsPerMachine {
+			clients.Go(func() { got.renewUntil(mc, end) })
+		}
+	}
+	if trouble {
+		faulty := m.of(subsService)[0].server
+		time.Sleep(calmTime)
+		faulty.setStray(everyNth(strayEvery, text))
+		time.Sleep(strayLength)
+		faulty.setStray(nil)
 	}
 	clients.Wait()
 	time.Sleep(settleInterval)
 	return got, nil
 }
 
+// renewUntil sends renewals through the node of a machine, one after the other.
+func (a *answers) renewUntil(mc *machine, end time.Time) {
+	c := newClient(mc)
+	defer c.close()
+	for time.Now().Before(end) {
+		r := renewal()
+		a.add(r.id, c.send(r).status)
+		time.Sleep(sendInterval)
+	}
+}
+
 // everyNth returns a function that returns the text for one request in n.
 func everyNth(n int, text string) func(*http.Request) string {
 	var mu sync.Mutex
