--- a/review/stand3/sameid.go
+++ b/review/stand3/sameid.go
@@ -20,6 +20,9 @@
 	servesOn     = 9 * time.Second
 	calmTime     = 2 * time.Second
 	lookInterval = 10 * time.Millisecond
+	// moreServers is how many servers join the service, so that one of all is at most the share
+	// 0.14 of srv_crash.
+	moreServers = 5
 )
 
 func init() {
@@ -32,6 +35,14 @@
 	if err := m.startAll(); err != nil {
 		return nil, err
 	}
+	for range moreServers {
+		if _, err := m.addMachine(roundsService); err != nil {
+			return nil, err
+		}
+	}
+	if err := m.awaitServing(lookUp("1"), renewal()); err != nil {
+		return nil, err
+	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for _, mc := range m.machines {
