Log which start a departure of the target names

The log could not tell whether the node had missed the departure, had taken it for that of another process, or had forgotten it: target_changed names the start of the process in use, and departure_late named no start at all.

Change: departure_recorded names the start in the announcement beside that of the process in use, and departure_late names both as well.

--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -84,9 +84,11 @@
 	target, _ := n.targetPresence.heartbeats.Target()
 	n.targetPresence.mu.Unlock()
 	if !changed {
-		n.log.Info("departure_late", "target", id, "present", target.ID)
+		n.log.Info("departure_late", "target", id, "born_ms", startedMS,
+			"present", target.ID, "present_born_ms", target.StartedMS)
 		return
 	}
+	n.log.Info("departure_recorded", "target", id, "born_ms", startedMS, "present_born_ms", target.StartedMS)
 	n.targetChanged(target, false)
 }
 
