Count a departure for the process that announced it

Cause: Tracker.Depart took every announcement under the id of the process in use for that of this process, and recorded its start. A later start in the announcement was dropped, so the late heartbeat, with that start, was newer than all that had departed and came from a process in use. If the process before had left already, the announcement was not even recorded. The row of the node, from which a restarted node learns departures, named the former start as well.

Ruled out, by departure_recorded and target_changed in the log of the test: that the node missed the announcement, that it forgot it, and that other nodes used an old row (the row changes with fresh=true after the heartbeat).

Change: an announcement under the id of the process in use with a later start is that of a process which replaced it. Its start is recorded, here and in the node's row, and both processes are gone. An announcement without a start keeps out what started by then under the id of the process in use too; so far it did so under other ids only.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -55,7 +55,7 @@
 		ended      map[string]int64
 		endedOrder []string
 		// departedMS is the latest start time of a process that announced its departure
-		// while it was the current one.
+		// under the id of the current one.
 		departedMS int64
 	}
 )
@@ -110,23 +110,28 @@
 
 // Depart records that a process has announced that it is gone. startedMS is the start time of
 // the process, or 0 if the announcement does not contain it: then the process has started by
-// now. Depart reports whether the state of the current process has changed.
+// now. Depart reports whether the state of the current process or DepartedMS has changed.
+//
+// An announcement under the id of the current process with a later start time comes from a
+// process that replaced it and whose heartbeats have not arrived yet: both are gone.
 func (t *Tracker) Depart(now time.Time, id string, startedMS int64) bool {
+	inferredMS := startedMS
+	if startedMS == 0 {
+		inferredMS = now.UnixMilli()
+	}
+	t.markEnded(id, inferredMS)
 	if !t.hasCurrent || t.current.ID != id || startedMS != 0 && startedMS < t.current.StartedMS {
-		if startedMS == 0 {
-			startedMS = now.UnixMilli()
-		}
-		t.markEnded(id, startedMS)
 		return false
 	}
-	t.recordDeparture(t.current.StartedMS)
-	return t.endCurrent(now)
+	before := t.departedMS
+	t.recordDeparture(max(startedMS, t.current.StartedMS))
+	return t.endCurrent(now) || t.departedMS != before
 }
 
-// DepartedMS returns the latest start time of a process that announced its departure while
-// it was the current one, in Unix milliseconds, or 0 if none did. An announcement under an
-// unknown id doesn't count, because it may come from another writer and would keep the true
-// process out of use.
+// DepartedMS returns the latest start time of a process that announced its departure under
+// the id of the current process, in Unix milliseconds, or 0 if none did. An announcement
+// under an unknown id doesn't count, because it may come from another writer and would keep
+// the true process out of use.
 func (t *Tracker) DepartedMS() int64 {
 	return t.departedMS
 }
--- a/internal/node/adapters.go
+++ b/internal/node/adapters.go
@@ -43,10 +43,13 @@
 	}
 
 	// TargetEvents holds the callbacks for what a target reports to its node. Each returns
-	// once the node acts on the report.
+	// once the node acts on the report, or beat.Foreign if the report cannot come from the
+	// target.
 	TargetEvents struct {
 		Heartbeat func(b beat.Heartbeat) beat.Verdict
-		Depart    func(id string, startedMS int64)
+		// Depart reports a departure. startedMS is 0 if the target did not say when the
+		// process started.
+		Depart func(id string, startedMS int64) beat.Verdict
 	}
 )
 
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -64,19 +64,28 @@
 // another service than the settings do, or a start far in the future, which would keep every
 // true process out of use as an earlier one.
 func (n *Node) isForeign(b beat.Heartbeat) bool {
-	switch {
-	case b.Service != n.settings.Service:
+	if b.Service != n.settings.Service {
 		n.log.Error("target_of_other_service", "target", b.ID, "service", b.Service, "expected", n.settings.Service)
 		return true
-	case b.StartedMS > n.clock.Now().Add(maxStartAhead).UnixMilli():
-		n.log.Error("target_from_future", "target", b.ID, "born_ms", b.StartedMS)
-		return true
 	}
-	return false
+	return n.startsInFuture(b.ID, b.StartedMS)
+}
+
+// startsInFuture reports whether a message names a start far in the future.
+func (n *Node) startsInFuture(id string, startedMS int64) bool {
+	if startedMS <= n.clock.Now().Add(maxStartAhead).UnixMilli() {
+		return false
+	}
+	n.log.Error("target_from_future", "target", id, "born_ms", startedMS)
+	return true
 }
 
-// departed records that a process of the target has exited or is about to.
-func (n *Node) departed(id string, startedMS int64) {
+// departed records that a process of the target has exited or is about to. A departure that
+// cannot come from the target beside the node changes nothing.
+func (n *Node) departed(id string, startedMS int64) beat.Verdict {
+	if n.startsInFuture(id, startedMS) {
+		return beat.Foreign
+	}
 	n.targetPresence.applyMu.Lock()
 	defer n.targetPresence.applyMu.Unlock()
 	n.targetPresence.mu.Lock()
@@ -86,10 +95,11 @@
 	if !changed {
 		n.log.Info("departure_late", "target", id, "born_ms", startedMS,
 			"present", target.ID, "present_born_ms", target.StartedMS)
-		return
+		return beat.Stale
 	}
 	n.log.Info("departure_recorded", "target", id, "born_ms", startedMS, "present_born_ms", target.StartedMS)
 	n.targetChanged(target, false)
+	return beat.Changed
 }
 
 // learnDeparture applies a departure that other members or the platform's table know of. It
@@ -122,9 +132,12 @@
 // outlive this process. Otherwise the node that starts in its place could take a late
 // heartbeat for that of a target in use.
 func (n *Node) saveDeparture(target beat.Target) {
+	n.targetPresence.mu.Lock()
+	departedMS := n.targetPresence.heartbeats.DepartedMS()
+	n.targetPresence.mu.Unlock()
 	saved := n.members.SaveSelf(context.Background(), departureSaveTimeout, func(self *member.Member) {
 		self.TargetID = ""
-		self.TargetDepartedMS = max(self.TargetDepartedMS, target.StartedMS)
+		self.TargetDepartedMS = max(self.TargetDepartedMS, departedMS)
 	})
 	if !saved {
 		n.log.Warn("departure_not_saved", "target", target.ID)
