Keep departures of unclear processes across restarts of the node

A target whose departure its node had confirmed was used again once a late heartbeat arrived, if the node had restarted in between and the announcement did not tell by itself which process had left: it came under an id that the node had no heartbeat of, or it named no start time.

Cause: such announcements were kept in the memory of the node's process alone. The row of the node, from which the next process learns, named the departures of the process in use only, because an announcement under an unknown id may come from another writer and must not keep the true process out of use.

Evidence: TestDepartureOfUnclearProcessIsFinal on, 200 in place of 503 in the three of its cases in which the node restarts.

Change: the row also names the last departure that concerns one id alone, with the start by which it holds; for an announcement without one, that is the time of its arrival. Other ids are not affected. The merge of departures stands once, in beat.Departures.

The row has two new fields, which nodes of an earlier version drop.

--- a/internal/beat/beat_test.go
+++ b/internal/beat/beat_test.go
@@ -32,7 +32,11 @@
 			case "depart":
 				verdict = fmt.Sprint(tracker.Depart(now, id, int64(startedMS)))
 			case "learn":
-				verdict = fmt.Sprint(tracker.LearnDeparture(now, int64(startedMS)))
+				verdict = fmt.Sprint(tracker.LearnDepartures(now, learned(id, int64(startedMS))))
+			case "successor":
+				departures := tracker.Departures()
+				tracker = beat.Tracker{}
+				verdict = fmt.Sprint(tracker.LearnDepartures(now, departures))
 			}
 			target, known := tracker.Target()
 			if !known {
@@ -66,6 +70,14 @@
 	return [...]string{"unchanged", "changed", "stale"}[verdict]
 }
 
+// learned returns a departure under one id alone, or without an id that of the process in use.
+func learned(id string, startedMS int64) beat.Departures {
+	if id == "" {
+		return beat.Departures{StartedMS: startedMS}
+	}
+	return beat.Departures{ByID: beat.Process{ID: id, StartedMS: startedMS}}
+}
+
 func TestNoTargetBeforeFirstHeartbeat(t *testing.T) {
 	is := is.New(t)
 	var tracker beat.Tracker
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -8,6 +8,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/dandelionfield/dandelionfield/internal/beat"
 )
 
 const (
@@ -54,11 +56,10 @@
 		// TargetSlots is the number of slots that the target announced.
 		TargetID    string
 		TargetSlots int
-		// TargetDepartedMS is the start time, in Unix milliseconds, of the last process of
-		// the target that announced its departure to any incarnation of the node, or 0. Of
-		// all rows of a name the latest time is kept, whichever row wins. A node that
-		// restarts thereby learns what its predecessor confirmed to the target.
-		TargetDepartedMS int64
+		// TargetDepartures holds what the target has announced to any incarnation of the
+		// node. Of all rows of a name the latest departures are kept, whichever row wins. A
+		// node that restarts thereby learns what its predecessor confirmed to the target.
+		TargetDepartures beat.Departures
 		State            State
 		// Revision is the configuration revision in force at the node.
 		Revision int64
@@ -136,14 +137,14 @@
 			row.Revision = known.row.Revision
 		}
 		if known != nil && !newer(row, known.row) {
-			if row.TargetDepartedMS > known.row.TargetDepartedMS {
-				v.recordDeparture(known, row.TargetDepartedMS)
-				changed = append(changed, known.row)
+			if merged := known.row; merged.learnDepartures(row) {
+				v.setRow(known, merged) // says nothing about whether the member is present
+				changed = append(changed, merged)
 			}
 			continue
 		}
 		if known != nil {
-			row.TargetDepartedMS = max(row.TargetDepartedMS, known.row.TargetDepartedMS)
+			row.learnDepartures(known.row)
 		}
 		v.put(now, row)
 		changed = append(changed, row)
@@ -217,9 +218,8 @@
 // departure of the target.
 func (v *View) mergeSelf(now time.Time, row Member) (departureLearned bool) {
 	self := v.Self()
-	if row.TargetDepartedMS > self.TargetDepartedMS {
+	if self.learnDepartures(row) {
 		departureLearned = true
-		self.TargetDepartedMS = row.TargetDepartedMS
 		self.Version++
 		v.put(now, self)
 	}
@@ -242,12 +242,12 @@
 	return departureLearned
 }
 
-// recordDeparture raises the time of the target's last departure in a row, which says
-// nothing about whether the member is present.
-func (v *View) recordDeparture(e *entry, departedMS int64) {
-	row := e.row
-	row.TargetDepartedMS = departedMS
-	v.setRow(e, row)
+// learnDepartures merges the departures that another row of the same name holds, and reports
+// whether any of them is later.
+func (m *Member) learnDepartures(from Member) bool {
+	before := m.TargetDepartures
+	m.TargetDepartures = before.Merge(from.TargetDepartures)
+	return m.TargetDepartures != before
 }
 
 func (v *View) put(now time.Time, row Member) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/dandelionfield/dandelionfield/internal/beat"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 )
 
@@ -127,7 +128,13 @@
 		State:       member.State(rapid.IntRange(0, int(member.Gone)).Draw(t, "state")),
 		Revision:    rapid.Int64Range(0, 3).Draw(t, "revision"),
 
-		TargetDepartedMS: rapid.Int64Range(0, 2).Draw(t, "departed"),
+		TargetDepartures: beat.Departures{
+			StartedMS: rapid.Int64Range(0, 2).Draw(t, "departed"),
+			ByID: beat.Process{
+				ID:        rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "departed id"),
+				StartedMS: rapid.Int64Range(0, 2).Draw(t, "departed by id"),
+			},
+		},
 	}
 }
 
@@ -144,7 +151,7 @@
 // row of that name.
 func referenceMerge(rows []member.Member) map[string]member.Member {
 	best := make(map[string]member.Member)
-	departed := make(map[string]int64)
+	departed := make(map[string]beat.Departures)
 	rank := func(m member.Member) string {
 		return fmt.Sprintf("%04d %s %04d %d", m.StartedMS, m.Incarnation, m.Version, m.State)
 	}
@@ -152,15 +159,24 @@
 		if known, ok := best[row.Name]; !ok || rank(row) > rank(known) {
 			best[row.Name] = row
 		}
-		departed[row.Name] = max(departed[row.Name], row.TargetDepartedMS)
+		latest, ofRow := departed[row.Name], row.TargetDepartures
+		latest.StartedMS = max(latest.StartedMS, ofRow.StartedMS)
+		if processRank(ofRow.ByID) > processRank(latest.ByID) {
+			latest.ByID = ofRow.ByID
+		}
+		departed[row.Name] = latest
 	}
 	for name, row := range best {
-		row.TargetDepartedMS = departed[name]
+		row.TargetDepartures = departed[name]
 		best[name] = row
 	}
 	return best
 }
 
+func processRank(p beat.Process) string {
+	return fmt.Sprintf("%04d %s", p.StartedMS, p.ID)
+}
+
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
@@ -265,8 +281,8 @@
 	view.PlatformUp(start)
 	later := start.Add(time.Minute)
 	is.Equal(len(view.Lapse(later)), 1)
-	row.Version, row.TargetDepartedMS = 1, 50
-	is.Equal(view.Merge(later, []member.Member{row})[0].TargetDepartedMS, int64(50))
+	row.Version, row.TargetDepartures.StartedMS = 1, 50
+	is.Equal(view.Merge(later, []member.Member{row})[0].TargetDepartures.StartedMS, int64(50))
 	is.Equal(len(view.Lapsed()), 1)
 	is.Equal(view.Lapsed()[0].Version, uint64(2))
 }
--- a/internal/member/restore_test.go
+++ b/internal/member/restore_test.go
@@ -125,7 +125,7 @@
 	is.True(c.nodes[0].member.SaveSelf(context.Background(), time.Second, setDeparture))
 	c.restore(copied)
 	c.advance(20 * time.Second) // each node has renewed its lease
-	is.Equal(c.nodes[0].member.Self().TargetDepartedMS, int64(departedMS))
+	is.Equal(c.nodes[0].member.Self().TargetDepartures.StartedMS, int64(departedMS))
 	for i := range nodes {
 		c.nodes[i].alive = false
 	}
--- a/internal/member/save_test.go
+++ b/internal/member/save_test.go
@@ -15,7 +15,7 @@
 const departedMS = 1_700_000_000_123
 
 func setDeparture(self *member.Member) {
-	self.TargetDepartedMS = departedMS
+	self.TargetDepartures.StartedMS = departedMS
 }
 
 // requireDepartureKnown waits until node 0 is ready and requires that it knows of the
@@ -26,7 +26,7 @@
 	limit := 15 * time.Second
 	is.True(c.run(limit, c.nodes[0].serves) < limit)
 	c.advance(time.Second)
-	is.Equal(c.nodes[0].member.Self().TargetDepartedMS, int64(departedMS))
+	is.Equal(c.nodes[0].member.Self().TargetDepartures.StartedMS, int64(departedMS))
 }
 
 // A node that is killed right after it has confirmed a departure of its target knows of it
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelionfield/dandelionfield/internal/beat"
 )
 
 // Deltas returns the recently changed rows that the next message should carry. Each row
@@ -99,8 +101,13 @@
 		text = append(text, byte(row.Version>>shift), byte(row.StartedMS>>shift))
 	}
 	// A row without a departure has the hash that versions without the field compute.
-	if row.TargetDepartedMS != 0 {
-		text = binary.LittleEndian.AppendUint64(text, uint64(row.TargetDepartedMS))
+	departures := row.TargetDepartures
+	if departures != (beat.Departures{}) {
+		text = binary.LittleEndian.AppendUint64(text, uint64(departures.StartedMS))
+	}
+	if departures.ByID != (beat.Process{}) {
+		text = binary.LittleEndian.AppendUint64(text, uint64(departures.ByID.StartedMS))
+		text = append(text, departures.ByID.ID...)
 	}
 	return xxhash.Sum64(text)
 }
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -3,6 +3,7 @@
 import (
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dandelionfield/dandelionfield/internal/beat"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
 )
 
@@ -41,7 +42,9 @@
 		TargetId:      row.TargetID,
 		TargetSlots:   uint32(row.TargetSlots),
 
-		TargetDepartedMs: row.TargetDepartedMS,
+		TargetDepartedMs:     row.TargetDepartures.StartedMS,
+		TargetDepartedById:   row.TargetDepartures.ByID.ID,
+		TargetDepartedByIdMs: row.TargetDepartures.ByID.StartedMS,
 	}
 }
 
@@ -62,7 +65,13 @@
 		TargetID:      message.GetTargetId(),
 		TargetSlots:   int(message.GetTargetSlots()),
 
-		TargetDepartedMS: message.GetTargetDepartedMs(),
+		TargetDepartures: beat.Departures{
+			StartedMS: message.GetTargetDepartedMs(),
+			ByID: beat.Process{
+				ID:        message.GetTargetDepartedById(),
+				StartedMS: message.GetTargetDepartedByIdMs(),
+			},
+		},
 	}
 }
 
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -172,7 +172,7 @@
 // its view of the members under the lock, so that the latest view stays in force.
 func (n *Node) membersChanged() {
 	n.checkSuperseded()
-	n.learnDeparture()
+	n.learnDepartures()
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	current := n.config.Current()
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -89,58 +89,66 @@
 	n.targetPresence.applyMu.Lock()
 	defer n.targetPresence.applyMu.Unlock()
 	n.targetPresence.mu.Lock()
-	changed := n.targetPresence.heartbeats.Depart(n.clock.Now(), id, startedMS)
+	before := n.targetPresence.heartbeats.Departures()
+	ended := n.targetPresence.heartbeats.Depart(n.clock.Now(), id, startedMS)
+	departures := n.targetPresence.heartbeats.Departures()
 	target, _ := n.targetPresence.heartbeats.Target()
 	n.targetPresence.mu.Unlock()
-	if !changed {
+	if !ended && departures == before {
 		n.log.Info("departure_late", "target", id, "born_ms", startedMS,
 			"present", target.ID, "present_born_ms", target.StartedMS)
 		return beat.Stale
 	}
-	n.log.Info("departure_recorded", "target", id, "born_ms", startedMS, "present_born_ms", target.StartedMS)
-	n.targetChanged(target, false)
+	n.log.Info("departure_recorded", "target", id, "born_ms", startedMS,
+		"present", target.ID, "present_born_ms", target.StartedMS, "present_ended", ended)
+	if ended {
+		n.targetChanged(target, false)
+	} else {
+		n.saveDepartures(id, departures)
+	}
 	return beat.Changed
 }
 
-// learnDeparture applies a departure that other members or the platform's table know of. It
+// learnDepartures applies departures that other members or the platform's table know of. It
 // does so on a goroutine of its own, because it is called for every change of the members,
 // also for those that this node makes while it applies a heartbeat.
-func (n *Node) learnDeparture() {
-	departedMS := n.members.Self().TargetDepartedMS
+func (n *Node) learnDepartures() {
+	departures := n.members.Self().TargetDepartures
 	n.targetPresence.mu.Lock()
-	known := n.targetPresence.heartbeats.DepartedMS()
+	known := n.targetPresence.heartbeats.Departures()
 	n.targetPresence.mu.Unlock()
-	if departedMS > known {
-		go n.applyLearnedDeparture(departedMS)
+	if known.Merge(departures) != known {
+		go n.applyLearnedDepartures(departures)
 	}
 }
 
-func (n *Node) applyLearnedDeparture(departedMS int64) {
+func (n *Node) applyLearnedDepartures(departures beat.Departures) {
 	n.targetPresence.applyMu.Lock()
 	defer n.targetPresence.applyMu.Unlock()
 	n.targetPresence.mu.Lock()
-	changed := n.targetPresence.heartbeats.LearnDeparture(n.clock.Now(), departedMS)
+	ended := n.targetPresence.heartbeats.LearnDepartures(n.clock.Now(), departures)
 	target, _ := n.targetPresence.heartbeats.Target()
 	n.targetPresence.mu.Unlock()
-	n.log.Info("departure_learned", "born_ms", departedMS, "present", target.ID, "present_ended", changed)
-	if changed {
+	n.log.Info("departure_learned", "born_ms", departures.StartedMS,
+		"by_id", departures.ByID.ID, "by_id_born_ms", departures.ByID.StartedMS,
+		"present", target.ID, "present_ended", ended)
+	if ended {
 		n.targetChanged(target, false)
 	}
 }
 
-// saveDeparture announces the departure of the target and waits until the departure would
-// outlive this process. Otherwise the node that starts in its place could take a late
-// heartbeat for that of a target in use.
-func (n *Node) saveDeparture(target beat.Target) {
-	n.targetPresence.mu.Lock()
-	departedMS := n.targetPresence.heartbeats.DepartedMS()
-	n.targetPresence.mu.Unlock()
+// saveDepartures announces what the target's processes have announced, the last one under
+// an id, and waits until it would outlive this process. Otherwise the node that starts in its
+// place could take a late heartbeat for that of a target in use.
+func (n *Node) saveDepartures(id string, departures beat.Departures) {
 	saved := n.members.SaveSelf(context.Background(), departureSaveTimeout, func(self *member.Member) {
-		self.TargetID = ""
-		self.TargetDepartedMS = max(self.TargetDepartedMS, departedMS)
+		if self.TargetID == id {
+			self.TargetID = ""
+		}
+		self.TargetDepartures = self.TargetDepartures.Merge(departures)
 	})
 	if !saved {
-		n.log.Warn("departure_not_saved", "target", target.ID)
+		n.log.Warn("departure_not_saved", "target", id)
 	}
 }
 
@@ -157,7 +165,10 @@
 		n.local.Resize(n.announcedSettings(target), connections)
 	}
 	if target.State != beat.Ready {
-		n.saveDeparture(target)
+		n.targetPresence.mu.Lock()
+		departures := n.targetPresence.heartbeats.Departures()
+		n.targetPresence.mu.Unlock()
+		n.saveDepartures(target.ID, departures)
 		return
 	}
 	n.members.SetSelf(func(self *member.Member) {
