--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -31,6 +31,13 @@
 	maxStartAhead = 24 * time.Hour
 )
 
+// departures returns the departures that the target's processes have announced.
+func (p *targetPresence) departures() beat.Departures {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heartbeats.Departures()
+}
+
 // targetEvents returns the callbacks for the target's heartbeats.
 func (n *Node) targetEvents() TargetEvents {
 	return TargetEvents{Heartbeat: n.heartbeat, Depart: n.departed}
@@ -114,9 +121,7 @@
 // also for those that this node makes while it applies a heartbeat.
 func (n *Node) learnDepartures() {
 	departures := n.members.Self().TargetDepartures
-	n.targetPresence.mu.Lock()
-	known := n.targetPresence.heartbeats.Departures()
-	n.targetPresence.mu.Unlock()
+	known := n.targetPresence.departures()
 	if known.Merge(departures) != known {
 		go n.applyLearnedDepartures(departures)
 	}
@@ -137,9 +142,9 @@
 	}
 }
 
-// saveDepartures announces what the target's processes have announced, the last one under
-// an id, and waits until it would outlive this process. Otherwise the node that starts in its
-// place could take a late heartbeat for that of a target in use.
+// saveDepartures takes the process with the given id out of use at the other nodes, and waits
+// until the departures would outlive this process. Otherwise the node that starts in its place
+// could take a late heartbeat for that of a target in use.
 func (n *Node) saveDepartures(id string, departures beat.Departures) {
 	saved := n.members.SaveSelf(context.Background(), departureSaveTimeout, func(self *member.Member) {
 		if self.TargetID == id {
@@ -165,10 +170,7 @@
 		n.local.Resize(n.announcedSettings(target), connections)
 	}
 	if target.State != beat.Ready {
-		n.targetPresence.mu.Lock()
-		departures := n.targetPresence.heartbeats.Departures()
-		n.targetPresence.mu.Unlock()
-		n.saveDepartures(target.ID, departures)
+		n.saveDepartures(target.ID, n.targetPresence.departures())
 		return
 	}
 	n.members.SetSelf(func(self *member.Member) {
