Log whether a revision has requests need a key

The log of a node named the number and digest of the revision in force and nothing more, so that a revision that was not applied, a table that still has the key, and keys that are not looked at could only be told apart by further requests.

revision_in_force now has the number of teams and whether requests of kinds that are not public need a key.

--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -84,7 +84,8 @@
 	n.membersChanged()
 	n.revisions.advance(n.clock.Now())
 	n.metrics.Revision.Set(float64(revision.Number))
-	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest)
+	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest,
+		"teams", len(set.Teams), "keys_required", n.rules.Load().Teams != nil)
 }
 
 // limitHeap sets the memory limit of the garbage collector where one body that may be declared
