Require keys although the last tenant is removed

Cause: whether requests need a key was derived from the number of teams. authn.New returned no table for an empty list, and the filters let all requests pass unchanged where there is no table.

Change: schema.Authentication, resource authentication, declares whether requests need a key apart from the teams; the default is as before. A revision that ends the need for keys is logged with keys_not_required. check warns where keys are required and none is declared.

--- a/internal/authn/authn.go
+++ b/internal/authn/authn.go
@@ -70,12 +70,9 @@
 	return digest, err == nil
 }
 
-// New returns the table of the teams, or nil if there are none. A digest that is not valid
-// matches no key; the parsers of declarations reject such digests.
+// New returns the table of the teams, in which no key is found if there are none. A digest that
+// is not valid matches no key; the parsers of declarations reject such digests.
 func New(teams []schema.Team) *Table {
-	if len(teams) == 0 {
-		return nil
-	}
 	table := &Table{teams: teams, byPrefix: make(map[uint64][]entry, len(teams))}
 	for i, team := range teams {
 		for _, text := range team.KeyDigests {
--- a/internal/filter/authenticate.go
+++ b/internal/filter/authenticate.go
@@ -15,7 +15,7 @@
 // authenticate finds the team whose key a request carries, and refuses a request without a
 // valid key unless its kind is public. It runs before the body is read. It removes the key
 // and the name of a team from the headers, so that no target, node or log gets the key and
-// no caller can claim a team. Where no teams are declared, requests pass unchanged.
+// no caller can claim a team. Where requests need no key, they pass unchanged.
 //
 // While the rules may be outdated, a key that they contain may have been revoked, and one
 // that they lack may have been added. Requests with a key are refused then, except for an
--- a/internal/filter/head.go
+++ b/internal/filter/head.go
@@ -77,7 +77,7 @@
 }
 
 // requiredTeam returns the team of a request, nil if it has none, and false if the request is
-// refused for its key.
+// refused for its key. The table is nil if requests need no key.
 func requiredTeam(teams *authn.Table, kind *schema.Kind, header http.Header, confirmed bool) (*schema.Team, bool) {
 	if teams == nil {
 		return nil, true
--- a/internal/filter/inbound.go
+++ b/internal/filter/inbound.go
@@ -40,7 +40,7 @@
 	// Chain returns the services that a request of a kind is known to reach, its own
 	// first.
 	Chain func(kind string) []string
-	// Teams finds the team of a key. It is nil if no teams are declared.
+	// Teams finds the team of a key. It is nil if requests need no key.
 	Teams *authn.Table
 }
 
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -49,6 +49,7 @@
 		chains[kind.Name] = set.Chain(kind.Name)
 	}
 	splits := route.NewSplits(set.Kinds, rand.Float64)
+	previous := n.rules.Load()
 	n.rules.Store(&filter.Rules{
 		Revision:    revision.Number,
 		Limits:      set.Limits,
@@ -56,7 +57,7 @@
 		MatchPrefix: matcher.MatchPrefix,
 		SplitPart:   splits.Next,
 		Chain:       func(kind string) []string { return chains[kind] },
-		Teams:       authn.New(set.Teams),
+		Teams:       teamTable(set),
 	})
 	for _, centre := range set.DataCentres {
 		if centre.Name == n.settings.DataCentre {
@@ -84,8 +85,27 @@
 	n.membersChanged()
 	n.revisions.advance(n.clock.Now())
 	n.metrics.Revision.Set(float64(revision.Number))
+	n.logRevision(revision, previous)
+}
+
+// logRevision logs a revision that is in force. previous holds the rules before, or is nil.
+func (n *Node) logRevision(revision *config.Revision, previous *filter.Rules) {
+	set := revision.Set
+	keysRequired := set.RequiresKeys()
 	n.log.Info("revision_in_force", "revision", revision.Number, "digest", revision.Digest,
-		"teams", len(set.Teams), "keys_required", n.rules.Load().Teams != nil)
+		"teams", len(set.Teams), "keys_required", keysRequired)
+	if previous != nil && previous.Teams != nil && !keysRequired {
+		n.log.Warn("keys_not_required", "revision", revision.Number)
+	}
+}
+
+// teamTable returns the table of keys, or nil if requests need no key. Where they need one and
+// no team is declared, the table is empty and all keys are unknown.
+func teamTable(set *schema.Set) *authn.Table {
+	if !set.RequiresKeys() {
+		return nil
+	}
+	return authn.New(set.Teams)
 }
 
 // limitHeap sets the memory limit of the garbage collector where one body that may be declared
--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -67,9 +67,9 @@
 }
 
 // Resources returns all resources in canonical order: data centres, services, kinds and
-// teams, each sorted by name, then the routing if it is not the default one, and then the
-// limits. A default routing is left out so that documents written before it existed keep
-// their digest.
+// teams, each sorted by name, then the authentication, the routing and the admission, and then
+// the limits. The first three are left out if they are the default, so that documents written
+// before they existed keep their digest.
 func (s *Set) Resources() []Resource {
 	sorted := Set{
 		Services:    append([]Service(nil), s.Services...),
@@ -78,7 +78,7 @@
 		Teams:       append([]Team(nil), s.Teams...),
 	}
 	sorted.sort()
-	resources := make([]Resource, 0, len(s.Services)+len(s.Kinds)+len(s.DataCentres)+len(s.Teams)+3)
+	resources := make([]Resource, 0, len(s.Services)+len(s.Kinds)+len(s.DataCentres)+len(s.Teams)+4)
 	for _, centre := range sorted.DataCentres {
 		resources = append(resources, centre.resource())
 	}
@@ -91,6 +91,9 @@
 	for _, team := range sorted.Teams {
 		resources = append(resources, team.resource())
 	}
+	if s.Authentication != (Authentication{}) {
+		resources = append(resources, s.Authentication.resource())
+	}
 	if s.Routing != (Routing{}) {
 		resources = append(resources, s.Routing.resource())
 	}
@@ -101,13 +104,17 @@
 }
 
 // Without returns a copy of the set without one resource, and whether the set had that
-// resource. Removing the limits, the routing or the admission resets them to their defaults.
+// resource. Removing the limits, the authentication, the routing or the admission resets them to
+// their defaults.
 func (s *Set) Without(resourceType, name string) (*Set, bool) {
 	rest := *s
 	switch {
 	case resourceType == TypeLimits && name == LimitsName:
 		rest.Limits = DefaultLimits()
 		return &rest, true
+	case resourceType == TypeAuthentication && name == AuthenticationName:
+		rest.Authentication = Authentication{}
+		return &rest, s.Authentication != (Authentication{})
 	case resourceType == TypeRouting && name == RoutingName:
 		rest.Routing = Routing{}
 		return &rest, s.Routing != (Routing{})
@@ -309,6 +316,12 @@
 	}}
 }
 
+func (a Authentication) resource() Resource {
+	return Resource{Type: TypeAuthentication, Name: AuthenticationName, Fields: []FieldValue{
+		{"keys", chosen(a.KeysRequired, keysWithTeams, keysRequired)},
+	}}
+}
+
 func (r Routing) resource() Resource {
 	return Resource{Type: TypeRouting, Name: RoutingName, Fields: []FieldValue{
 		{"balance", chosen(r.MeasureSpeed, balanceDeclared, balanceMeasured)},
--- a/pkg/schema/lint.go
+++ b/pkg/schema/lint.go
@@ -69,6 +69,7 @@
 	for i := range s.Teams {
 		l.team(&s.Teams[i])
 	}
+	l.authentication()
 	// A body has to fit together with the head of its request.
 	if requestMemory > 0 && s.Limits.MaxRequestBytes >= requestMemory {
 		l.add(TypeLimits, LimitsName, "max_request_bytes", "%s never fits into the %s of a node's memory that are for requests",
@@ -214,11 +215,19 @@
 	if k.Objective > k.Deadline {
 		l.add(TypeKind, k.Name, "objective", "%s is longer than the deadline of %s", k.Objective, k.Deadline)
 	}
-	if k.Public && len(l.set.Teams) == 0 {
+	if k.Public && !l.set.RequiresKeys() {
 		l.add(TypeKind, k.Name, "public", "has no effect, because no request needs a key")
 	}
 }
 
+// authentication reports that no request can have the key that it needs.
+func (l *linter) authentication() {
+	isClosed := func(kind Kind) bool { return !kind.Public }
+	if l.set.RequiresKeys() && len(l.set.Teams) == 0 && slices.ContainsFunc(l.set.Kinds, isClosed) {
+		l.add(TypeAuthentication, AuthenticationName, "keys", "no team is declared, so all requests that need a key are refused")
+	}
+}
+
 func (l *linter) team(t *Team) {
 	if len(t.KeyDigests) == 0 {
 		l.add(TypeTeam, t.Name, "key_digests", "without a key, no request can belong to it")
--- a/pkg/schema/parse.go
+++ b/pkg/schema/parse.go
@@ -17,27 +17,34 @@
 
 // Values of the key `resource`.
 const (
-	TypeService    = "service"
-	TypeKind       = "request_kind"
-	TypeDataCentre = "data_centre"
-	TypeTeam       = "team"
-	TypeRouting    = "routing"
-	TypeAdmission  = "admission"
-	TypeLimits     = "limits"
+	TypeService        = "service"
+	TypeKind           = "request_kind"
+	TypeDataCentre     = "data_centre"
+	TypeTeam           = "team"
+	TypeAuthentication = "authentication"
+	TypeRouting        = "routing"
+	TypeAdmission      = "admission"
+	TypeLimits         = "limits"
 )
 
 // LimitsName is the name of the limits resource, of which a set has exactly one.
 const LimitsName = "limits"
 
+// AuthenticationName is the name of the authentication resource, of which a set has at most one.
+const AuthenticationName = "authentication"
+
 // RoutingName is the name of the routing resource, of which a set has at most one.
 const RoutingName = "routing"
 
 // AdmissionName is the name of the admission resource, of which a set has at most one.
 const AdmissionName = "admission"
 
-// Values of the fields of a routing and an admission resource. The first of each pair is the
-// default.
+// Values of the fields of an authentication, a routing and an admission resource. The first of
+// each pair is the default.
 const (
+	keysWithTeams = "with_teams"
+	keysRequired  = "required"
+
 	balanceDeclared = "declared"
 	balanceMeasured = "measured"
 	spillFull       = "full"
@@ -78,7 +85,7 @@
 	healthPattern     = regexp.MustCompile(`^/[!-~]{0,255}$`)
 	digestPattern     = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
-	resourceTypes = []string{TypeService, TypeKind, TypeDataCentre, TypeTeam, TypeRouting, TypeAdmission, TypeLimits}
+	resourceTypes = []string{TypeService, TypeKind, TypeDataCentre, TypeTeam, TypeAuthentication, TypeRouting, TypeAdmission, TypeLimits}
 	methods       = []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
 		http.MethodPatch, http.MethodDelete, http.MethodOptions,
@@ -203,6 +210,8 @@
 		p.dataCentre(reader, document)
 	case TypeTeam:
 		p.team(reader, document)
+	case TypeAuthentication:
+		p.authentication(reader, document)
 	case TypeRouting:
 		p.routing(reader, document)
 	case TypeAdmission:
@@ -305,6 +314,17 @@
 	}
 }
 
+func (p *parser) authentication(reader *decode.Reader, document decode.Value) {
+	var authentication Authentication
+	object := reader.Object(document, []decode.Field{
+		typeField(),
+		{Key: "keys", Read: choice(&authentication.KeysRequired, keysWithTeams, keysRequired)},
+	})
+	if p.declare(reader, object, TypeAuthentication, AuthenticationName) {
+		p.set.Authentication = authentication
+	}
+}
+
 func (p *parser) routing(reader *decode.Reader, document decode.Value) {
 	var routing Routing
 	object := reader.Object(document, []decode.Field{
--- a/pkg/schema/schema.go
+++ b/pkg/schema/schema.go
@@ -113,8 +113,7 @@
 	KeptRevisions int
 }
 
-// Team declares a group of callers that share keys, an importance and a quota. Where any
-// team is declared, requests of callers need the key of one, except for public kinds.
+// Team declares a group of callers that share keys, an importance and a quota.
 type Team struct {
 	Name string
 	// KeyDigests holds the SHA-256 of each key in hexadecimal. The keys themselves are
@@ -128,6 +127,13 @@
 	Burst float64
 }
 
+// Authentication declares whether requests need the key of a team, except for public kinds. The
+// zero value has them need one while any team is declared.
+type Authentication struct {
+	// KeysRequired has requests need a key without any team as well, so that they are refused.
+	KeysRequired bool
+}
+
 // Routing declares how targets and data centres are chosen. The zero value selects by the
 // declared slots and leaves a data centre only once its targets are full.
 type Routing struct {
@@ -147,13 +153,14 @@
 
 // Set is the complete configuration of one mesh.
 type Set struct {
-	Services    []Service
-	Kinds       []Kind
-	DataCentres []DataCentre
-	Teams       []Team
-	Routing     Routing
-	Admission   Admission
-	Limits      Limits
+	Services       []Service
+	Kinds          []Kind
+	DataCentres    []DataCentre
+	Teams          []Team
+	Authentication Authentication
+	Routing        Routing
+	Admission      Admission
+	Limits         Limits
 }
 
 // Levels of importance, in the order in which requests are rejected.
@@ -213,3 +220,8 @@
 	}
 	return nil
 }
+
+// RequiresKeys reports whether requests of kinds that are not public need the key of a team.
+func (s *Set) RequiresKeys() bool {
+	return s.Authentication.KeysRequired || len(s.Teams) > 0
+}
--- a/pkg/schema/schema_test.go
+++ b/pkg/schema/schema_test.go
@@ -111,6 +111,7 @@
 	f.Add([]byte("resource: request_kind\nname: k\nservice: a\npath: /a/{b}\ncalls: [k]\n---\nresource: limits\nkey_age: 1h\n"))
 	f.Add([]byte("resource: data_centre\nname: n\nregion: r\ndistances: {n: 1ms, m: 0.5ms}\n"))
 	f.Add([]byte("resource: team\nname: t\nkey_digests: []\nimportance: high\nrate: 0.5\nburst: 7\n"))
+	f.Add([]byte("resource: authentication\nkeys: required\n"))
 	f.Add([]byte("a: &a [*a]\n--- !!binary x\n--- [1]\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		set, err := Parse("fuzz.yaml", data)
