Keep keys required when the last team is deleted

An operator who deletes the last team through a node's interface takes its key away. What remained declared no team, and so opened all kinds to that key and to requests without any (Set.Without).

Deleting that resource as well says that no keys are needed.

--- a/pkg/schema/document.go
+++ b/pkg/schema/document.go
@@ -105,7 +105,8 @@
 
 // Without returns a copy of the set without one resource, and whether the set had that
 // resource. Removing the limits, the authentication, the routing or the admission resets them to
-// their defaults.
+// their defaults. Removing the last team keeps keys required, so that no kind is opened to the key
+// that was taken away; only removing the authentication as well does so.
 func (s *Set) Without(resourceType, name string) (*Set, bool) {
 	rest := *s
 	switch {
@@ -132,7 +133,11 @@
 		return &rest, len(rest.DataCentres) < len(s.DataCentres)
 	case resourceType == TypeTeam:
 		rest.Teams = withoutNamed(s.Teams, func(team Team) bool { return team.Name == name })
-		return &rest, len(rest.Teams) < len(s.Teams)
+		removed := len(rest.Teams) < len(s.Teams)
+		if removed && len(rest.Teams) == 0 {
+			rest.Authentication.KeysRequired = true
+		}
+		return &rest, removed
 	}
 	return &rest, false
 }
--- a/pkg/schema/schema_test.go
+++ b/pkg/schema/schema_test.go
@@ -104,6 +104,28 @@
 	is.True(!found) // only a kind has this name
 }
 
+// The removal of a team's keys must not open its kinds to the same keys and to requests without
+// any. Only the removal of the authentication says that no keys are needed.
+func TestWithoutLastTeamStillRequiresKeys(t *testing.T) {
+	is := is.New(t)
+	set := &Set{Teams: []Team{{Name: "north"}, {Name: "south"}}, Limits: DefaultLimits()}
+	rest, _ := set.Without(TypeTeam, "south")
+	is.Equal(rest.Authentication, Authentication{}) // north remains
+	rest, found := rest.Without(TypeTeam, "north")
+	is.True(found)
+	is.Equal(len(rest.Teams), 0)
+	is.True(rest.RequiresKeys())
+	reparsed, err := Parse("rest.yaml", rest.Document())
+	is.NoErr(err)
+	is.True(reparsed.RequiresKeys())
+	rest, found = rest.Without(TypeAuthentication, AuthenticationName)
+	is.True(found)
+	is.True(!rest.RequiresKeys())
+	rest, found = rest.Without(TypeTeam, "north")
+	is.True(!found)
+	is.True(!rest.RequiresKeys()) // nothing was removed
+}
+
 // FuzzParse looks for panics, and for sets that change when their canonical form is parsed
 // again.
 func FuzzParse(f *testing.F) {
