--- a/internal/entry/pressure_test.go
+++ b/internal/entry/pressure_test.go
@@ -21,17 +21,13 @@
 		is := is.New(t)
 		clock := &fakeClock{now: time.Now()}
 		s := newLocalSender(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
-			return &relaypb.CarryResponse{
-				AttemptId: request.AttemptId,
-				Code:      uint32(result.OK),
-				Status:    http.StatusOK,
-				Digest:    xxhash.Sum64(nil),
-				Inner:     inner,
-				Pressed: []*relaypb.Pressed{
-					{Service: "scheduler", Permille: 2000, AgeMs: 100, Below: true},
-					{Service: "elsewhere", Permille: 1500, AgeMs: 100},
-				},
+			response := completeResponse(request, nil)
+			response.Inner = inner
+			response.Pressed = []*relaypb.Pressed{
+				{Service: "scheduler", Permille: 2000, AgeMs: 100, Below: true},
+				{Service: "elsewhere", Permille: 1500, AgeMs: 100},
 			}
+			return response
 		})
 		s.Clock = clock
 		s.Opaque = true
@@ -60,14 +56,10 @@
 func TestLeavingTargetKeepsReportedPressure(t *testing.T) {
 	is := is.New(t)
 	s := newLocalSender(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
-		return &relaypb.CarryResponse{
-			AttemptId: request.AttemptId,
-			Code:      uint32(result.OK),
-			Status:    http.StatusOK,
-			Digest:    xxhash.Sum64(nil),
-			Load:      &relaypb.Load{InFlight: 1, Limit: 4, OfferedPermille: 1000, Leaving: true},
-			Pressed:   []*relaypb.Pressed{{Service: order().Kind.Service, Permille: 1800, AgeMs: 20}},
-		}
+		response := completeResponse(request, nil)
+		response.Load = &relaypb.Load{InFlight: 1, Limit: 4, OfferedPermille: 1000, Leaving: true}
+		response.Pressed = []*relaypb.Pressed{{Service: order().Kind.Service, Permille: 1800, AgeMs: 20}}
+		return response
 	})
 	s.Clock = &fakeClock{now: time.Now()}
 	s.Opaque = true
@@ -82,13 +74,9 @@
 	is := is.New(t)
 	clock := &fakeClock{now: time.Now()}
 	s := newLocalSender(func(request *relaypb.CarryRequest) *relaypb.CarryResponse {
-		return &relaypb.CarryResponse{
-			AttemptId: request.AttemptId,
-			Code:      uint32(result.OK),
-			Status:    http.StatusOK,
-			Digest:    xxhash.Sum64(nil),
-			Pressed:   []*relaypb.Pressed{{Service: "scheduler", Permille: 1250, AgeMs: 100}},
-		}
+		response := completeResponse(request, nil)
+		response.Pressed = []*relaypb.Pressed{{Service: "scheduler", Permille: 1250, AgeMs: 100}}
+		return response
 	})
 	s.Clock = clock
 	s.Opaque = true
@@ -105,6 +93,17 @@
 	is.Equal(len(gauges(t, s, "dandelionfield_service_pressure")), 0)
 }
 
+// completeResponse returns the response to an attempt that a target has answered with 200.
+func completeResponse(request *relaypb.CarryRequest, body []byte) *relaypb.CarryResponse {
+	return &relaypb.CarryResponse{
+		AttemptId: request.AttemptId,
+		Code:      uint32(result.OK),
+		Status:    http.StatusOK,
+		Body:      body,
+		Digest:    xxhash.Sum64(body),
+	}
+}
+
 // gauges returns the values of a metric by the value of its only label.
 func gauges(t *testing.T, s *Sender, name string) map[string]float64 {
 	t.Helper()
