Count the load on the store in simulated time

Cause: the test ran at a hundred times the speed of the host's clock, so its 90 s were 0.9 s of the host, from which the set-up of 530 members was taken too. The test now runs within a synctest bubble, where time stands still while anything runs. All bounds are as before, and the set-up no longer shortens the time in which the reads and writes are counted.

Only the test changes.

--- a/internal/member/run_test.go
+++ b/internal/member/run_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/dandelionfield/dandelionfield/internal/clock"
 	"github.com/dandelionfield/dandelionfield/internal/member"
 	"github.com/dandelionfield/dandelionfield/internal/plat"
 	"github.com/dandelionfield/dandelionfield/internal/relaypb"
@@ -95,30 +97,38 @@
 		{530, 5, 4},
 	} {
 		t.Run(fmt.Sprint(test.size), func(t *testing.T) {
-			is := is.New(t)
-			const simulated = 90 * time.Second // within one lease, since no member answers
-			ctx, cancel := context.WithTimeout(context.Background(), simulated/clockSpeed)
-			defer cancel()
-			memory := plat.NewMemory()
-			c := member.New(sampleRow(0), memory.Store(), fastClock{start: time.Now()}, hclog.NewNullLogger())
-			c.Send = func(context.Context, string, *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
-				return nil, errors.New("no answer")
-			}
-			for i := 1; i < int(test.size); i++ {
-				row := sampleRow(i)
-				message := &relaypb.Member{Name: row.Name, Incarnation: row.Incarnation, StartedMs: row.StartedMS, Version: row.Version, RelayAddress: row.RelayAddress, State: uint32(member.Active)}
-				c.HandleExchange(&relaypb.ExchangeRequest{From: row.RelayAddress, Deltas: []*relaypb.Member{message}})
-			}
-			c.Run(ctx)
-			stats := memory.Stats()
-			is.True(stats.Reads >= 3) // the start, and its repetitions
-			is.True(stats.Reads <= test.mostReads)
-			is.True(stats.Writes >= 1)
-			is.True(stats.Writes <= test.mostWrites)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const simulated = 90 * time.Second // within one lease, since no member answers
+				memory := plat.NewMemory()
+				runInCluster(int(test.size), memory, simulated)
+				stats := memory.Stats()
+				is.True(stats.Reads >= 3) // the start, and its repetitions
+				is.True(stats.Reads <= test.mostReads)
+				is.True(stats.Writes >= 1)
+				is.True(stats.Writes <= test.mostWrites)
+			})
 		})
 	}
 }
 
+// runInCluster runs a member that knows the others of its cluster, none of which answers. It
+// must be called within a synctest bubble.
+func runInCluster(size int, memory *plat.Memory, simulated time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), simulated)
+	defer cancel()
+	c := member.New(sampleRow(0), memory.Store(), clock.System{}, hclog.NewNullLogger())
+	c.Send = func(context.Context, string, *relaypb.ExchangeRequest) (*relaypb.ExchangeResponse, error) {
+		return nil, errors.New("no answer")
+	}
+	for i := 1; i < size; i++ {
+		row := sampleRow(i)
+		message := &relaypb.Member{Name: row.Name, Incarnation: row.Incarnation, StartedMs: row.StartedMS, Version: row.Version, RelayAddress: row.RelayAddress, State: uint32(member.Active)}
+		c.HandleExchange(&relaypb.ExchangeRequest{From: row.RelayAddress, Deltas: []*relaypb.Member{message}})
+	}
+	c.Run(ctx)
+}
+
 // While the platform is down, a node that left and restarts knows no other members and
 // accepts no work until a member contacts it. The test guards against a slow return: in a
 // small cluster every node must probe a recently gone member in nearly every round.
